--- /dev/null
+++ b/cedarwick/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire in front of the decisions."""
--- /dev/null
+++ b/cedarwick/adapter/__main__.py
@@ -0,0 +1,19 @@
+"""`python -m cedarwick.adapter`: the decisions on the simulator's wire."""
+
+import sys
+
+from cedarwick.adapter.codec import WireError
+from cedarwick.adapter.host import serve
+
+
+def main() -> int:
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except WireError as error:
+        print(f"cedarwick.adapter: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cedarwick/adapter/codec.py
@@ -0,0 +1,179 @@
+"""Frames and records of the wire. Milliseconds become whole microseconds here and nowhere else."""
+
+import struct
+from collections.abc import Iterator
+from typing import Any, BinaryIO
+
+from cedarwick.interface import ListChange, Listing, Outcome, Phase
+
+BATCH_HEADER = struct.Struct("<dII")
+REPLY_HEADER = struct.Struct("<II")
+ENTRY = struct.Struct("<IBBHBfd")
+
+OUTCOMES = {
+    0: Outcome.COMPLETED, 255: Outcome.ERROR, 254: Outcome.FULL, 253: Outcome.TIME_OUT,
+    252: Outcome.CONNECT_FAILED, 251: Outcome.RESET, 250: Outcome.CANCELLED, 249: Outcome.MOOT,
+}
+PHASES = {0: Phase.GONE, 1: Phase.READY, 2: Phase.DRAINING}
+LIST_CHANGES = {0: ListChange.CHANGES, 1: ListChange.WHOLE, 2: ListChange.SAVED, 3: None}
+
+
+class WireError(Exception):
+    """Bytes that the wire's page does not allow."""
+
+
+def micros(millis: float) -> int:
+    """Whole microseconds of a time in milliseconds."""
+    try:
+        return round(millis * 1000)
+    except (ValueError, OverflowError):
+        raise WireError(f"a time that is no number: {millis}") from None
+
+
+class Cursor:
+    """Reads fields one after another and refuses to run past the end."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.at = 0
+
+    def fields(self, layout: struct.Struct) -> tuple[Any, ...]:
+        end = self.at + layout.size
+        if end > len(self.data):
+            raise WireError(f"a record runs past its frame at byte {self.at}")
+        values = layout.unpack_from(self.data, self.at)
+        self.at = end
+        return values
+
+    def raw(self, size: int) -> bytes:
+        end = self.at + size
+        if end > len(self.data):
+            raise WireError(f"a record runs past its frame at byte {self.at}")
+        values = self.data[self.at:end]
+        self.at = end
+        return values
+
+
+U8 = struct.Struct("<B")
+U16 = struct.Struct("<H")
+U32 = struct.Struct("<I")
+POWER_ON = struct.Struct("<IQI")
+REGISTER = struct.Struct("<II")
+SYNC = struct.Struct("<IBII")
+ORDER = struct.Struct("<IQHddBQfB")
+WAKE = struct.Struct("<II")
+DATAGRAM = struct.Struct("<IIH")
+LEFT = struct.Struct("<IQ")
+FLOWING = struct.Struct("<IQdIH")
+ECHO = struct.Struct("<IIdBB")
+FINISHED = struct.Struct("<IQBHIIBdB")
+
+FIXED = {10: REGISTER, 20: DATAGRAM, 30: POWER_ON, 40: FLOWING, 50: ORDER, 60: U32, 70: FINISHED,
+         80: LEFT, 90: ECHO, 100: SYNC, 110: WAKE}
+
+
+def read_batch(stream: BinaryIO) -> tuple[int, int, bytes] | None:
+    """The clock, record count and body of the next batch; None at a clean end of input."""
+    header = stream.read(BATCH_HEADER.size)
+    if not header:
+        return None
+    if len(header) < BATCH_HEADER.size:
+        raise WireError("input ends inside a batch header")
+    clock, size, count = BATCH_HEADER.unpack(header)
+    body = stream.read(size)
+    if len(body) < size:
+        raise WireError("input ends inside a batch")
+    return micros(clock), count, body
+
+
+def records(count: int, body: bytes) -> Iterator[tuple[int, tuple[Any, ...], Any]]:
+    """Each record as its code, its fixed fields and what follows them."""
+    cursor = Cursor(body)
+    for _ in range(count):
+        (code,) = cursor.fields(U8)
+        layout = FIXED.get(code)
+        if layout is None:
+            raise WireError(f"unknown event code {code}")
+        values = cursor.fields(layout)
+        extra: Any = None
+        if code == 10:
+            extra = [listing(cursor.fields(ENTRY)) for _ in range(values[1])]
+        elif code in (70, 90):
+            extra = cursor.fields(struct.Struct(f"<{values[-1]}f"))
+        elif code in (20, 30):
+            extra = cursor.raw(values[-1])
+        yield code, values, extra
+    if cursor.at != len(body):
+        raise WireError(f"{len(body) - cursor.at} bytes after the last record")
+
+
+def listing(entry: tuple[Any, ...]) -> Listing:
+    """A line of the list from an entry of `register`."""
+    receiver, zone, kind, destination, phase, rate, _ = entry
+    if phase not in PHASES:
+        raise WireError(f"unknown phase {phase}")
+    return Listing(receiver, zone, kind, destination, PHASES[phase], rate)
+
+
+def outcome_of(code: int) -> Outcome:
+    """The outcome a code stands for."""
+    if code not in OUTCOMES:
+        raise WireError(f"unknown outcome code {code}")
+    return OUTCOMES[code]
+
+
+def settings_of(text: bytes) -> dict[str, str]:
+    """The map of names to values in a `power_on`."""
+    try:
+        lines = text.decode("utf-8").splitlines()
+    except UnicodeDecodeError:
+        raise WireError("settings that are not UTF-8") from None
+    pairs = (line.partition("=") for line in lines if line.strip())
+    return {name.strip(): value.strip() for name, _, value in pairs}
+
+
+def hand_off(instance: int, envelope: int, receiver: int, time_out: int) -> bytes:
+    return struct.pack("<BIQId", 100, instance, envelope, receiver, time_out / 1000)
+
+
+def deny(instance: int, envelope: int, wait: int) -> bytes:
+    return struct.pack("<BIQd", 60, instance, envelope, wait / 1000)
+
+
+def report_failure(instance: int, envelope: int) -> bytes:
+    return struct.pack("<BIQ", 90, instance, envelope)
+
+
+def check(instance: int, receiver: int) -> bytes:
+    return struct.pack("<BII", 120, instance, receiver)
+
+
+def free_links(instance: int, receiver: int) -> bytes:
+    return struct.pack("<BII", 50, instance, receiver)
+
+
+def subscribe(instance: int) -> bytes:
+    return struct.pack("<BIB", 80, instance, 1)
+
+
+def sleep(instance: int, span: int, mark: int) -> bytes:
+    return struct.pack("<BIdI", 110, instance, span / 1000, mark)
+
+
+def _text(code: int, instance: int, text: str) -> bytes:
+    data = text.encode("utf-8")[:0xFFFF]
+    return struct.pack("<BIH", code, instance, len(data)) + data
+
+
+def write_log(instance: int, text: str) -> bytes:
+    return _text(40, instance, text)
+
+
+def bail_out(instance: int, text: str) -> bytes:
+    return _text(10, instance, text)
+
+
+def reply(actions: list[bytes]) -> bytes:
+    """A whole reply frame."""
+    body = b"".join(actions)
+    return REPLY_HEADER.pack(len(actions), len(body)) + body
--- /dev/null
+++ b/cedarwick/adapter/host.py
@@ -0,0 +1,139 @@
+"""Hosts many instances of the decisions behind the wire, each kept apart from the others."""
+
+from collections.abc import Iterator
+from typing import Any, BinaryIO
+
+from cedarwick.adapter import codec
+from cedarwick.interface import Listing, Outcome, Verdicts
+from cedarwick.policy import Handle, Sender
+
+LONGEST_SLEEP = 70 * 60 * 1_000_000  # the wire allows 71 minutes
+
+
+class Instance:
+    """One sender's life, its open handles and the wake-up it has asked for."""
+
+    def __init__(self, sender: Sender) -> None:
+        self.sender = sender
+        self.handles: dict[int, Handle] = {}
+        self.wake_at: int | None = None
+        self.mark = 0
+
+
+class Host:
+    """Turns batches into calls and results into replies."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+        self.lists: dict[int, list[Listing]] = {}
+
+    def answer(self, now: int, count: int, body: bytes) -> bytes:
+        """The reply to one batch."""
+        touched: dict[int, None] = {}
+        broken: dict[int, str] = {}
+        for code, values, extra in codec.records(count, body):
+            if code == 10:
+                self.lists[values[0]] = extra
+                continue
+            number = values[0]
+            if number in broken:
+                continue
+            touched[number] = None
+            try:
+                self._pass_on(now, code, values, extra)
+            except codec.WireError:
+                raise
+            except Exception as error:
+                broken[number] = f"{type(error).__name__}: {error}"
+        actions: list[bytes] = []
+        for number in touched:
+            try:
+                if number not in broken:
+                    actions.extend(self._round(now, number))
+            except Exception as error:
+                broken[number] = f"{type(error).__name__}: {error}"
+            if number in broken:
+                actions.append(codec.bail_out(number, broken[number]))
+        return codec.reply(actions)
+
+    def _pass_on(self, now: int, code: int, values: tuple[Any, ...], extra: Any) -> None:
+        number = values[0]
+        if code == 30:
+            self.instances[number] = Instance(Sender(codec.settings_of(extra), values[1], now))
+            return
+        instance = self.instances.get(number)
+        if instance is None:
+            return
+        sender = instance.sender
+        if code == 60:
+            del self.instances[number]
+        elif code == 50:
+            _, envelope, tenant, _, limit, _, key, destination, band = values
+            instance.handles[envelope] = sender.take(
+                now, envelope, int(destination), band, codec.micros(limit), tenant, key)
+        elif code == 70:
+            _, envelope, rc, shot, note, receiver, last, took, _ = values
+            outcome = codec.outcome_of(rc)
+            handle = instance.handles.get(envelope)
+            if handle is not None:
+                told = codec.micros(note) if outcome is Outcome.FULL else 0
+                handle.shot_ended(now, outcome, shot, receiver, codec.micros(took), told, bool(last), extra)
+                if handle.ended and not handle.out:
+                    del instance.handles[envelope]
+        elif code == 80:
+            handle = instance.handles.get(values[1])
+            if handle is not None:
+                handle.withdrawn(now)
+                if not handle.out:
+                    del instance.handles[values[1]]
+        elif code == 90:
+            _, receiver, took, rc, _ = values
+            sender.probe_ended(now, receiver, codec.outcome_of(rc), codec.micros(took))
+        elif code == 100:
+            _, how, _, slot = values
+            if how not in codec.LIST_CHANGES:
+                raise codec.WireError(f"unknown kind of list news {how}")
+            change = codec.LIST_CHANGES[how]
+            if change is None:
+                sender.list_call_failed(now)
+            elif slot not in self.lists:
+                raise codec.WireError(f"list {slot} was never declared")
+            else:
+                sender.listed(now, change, self.lists[slot])
+        elif code == 110 and values[1] == instance.mark:
+            instance.wake_at = None
+
+    def _round(self, now: int, number: int) -> Iterator[bytes]:
+        instance = self.instances.get(number)
+        if instance is None:
+            return
+        verdicts: Verdicts = instance.sender.decide(now)
+        for envelope, wait in verdicts.nacks:
+            instance.handles.pop(envelope, None)
+            yield codec.deny(number, envelope, wait)
+        for envelope in verdicts.write_offs:
+            instance.handles.pop(envelope, None)
+            yield codec.report_failure(number, envelope)
+        for receiver in verdicts.freed_links:
+            yield codec.free_links(number, receiver)
+        for receiver in verdicts.probes:
+            yield codec.check(number, receiver)
+        for envelope, receiver, time_out in verdicts.shots:
+            yield codec.hand_off(number, envelope, receiver, time_out)
+        for line in verdicts.log_lines:
+            yield codec.write_log(number, line)
+        if verdicts.subscribe:
+            yield codec.subscribe(number)
+        wake_at = verdicts.wake_at
+        if wake_at is not None and (instance.wake_at is None or wake_at < instance.wake_at):
+            instance.wake_at = wake_at
+            instance.mark = (instance.mark + 1) & 0xFFFFFFFF
+            yield codec.sleep(number, min(max(wake_at - now, 0), LONGEST_SLEEP), instance.mark)
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer each batch with one flushed reply until input ends."""
+    host = Host()
+    while (batch := codec.read_batch(source)) is not None:
+        sink.write(host.answer(*batch))
+        sink.flush()
--- /dev/null
+++ b/cedarwick/interface.py
@@ -0,0 +1,125 @@
+"""The call surface between a protocol in front and the decisions behind it.
+
+A protocol makes one `Sender` (see `cedarwick.policy`) an instance and then, in the order things happened:
+
+    sender = Sender(settings, seed, now)          settings: a plain map of names to values, as text
+    sender.listed(now, change, listings)          news of the list of receivers
+    sender.list_call_failed(now)                  a list call failed or the subscription broke
+    handle = sender.take(now, id, ...)            a new envelope
+    handle.shot_ended(now, outcome, shot, ...)    an outcome of one of its shots
+    handle.withdrawn(now)                         nobody wants it any more
+    sender.probe_ended(now, receiver, ...)        the result of a probe
+    verdicts = sender.decide(now)                 once, after the events of a round
+
+`decide` also serves a wake-up: waking needs no call of its own. Times are whole microseconds of the
+protocol's clock. Envelope and receiver ids are returned as they were given.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+
+class Outcome(Enum):
+    """How a shot ended."""
+
+    COMPLETED = "completed"
+    ERROR = "error"
+    FULL = "full"
+    TIME_OUT = "time-out"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class ListChange(Enum):
+    """What a piece of list news holds."""
+
+    CHANGES = "changes"
+    WHOLE = "whole"
+    SAVED = "saved"
+
+
+class Phase(Enum):
+    """How the list marks a receiver."""
+
+    GONE = "gone"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class Listing(NamedTuple):
+    """One line of the list of receivers."""
+
+    receiver: int
+    zone: int
+    kind: int
+    destination: int
+    phase: Phase
+    rate: float
+
+
+@dataclass
+class Verdicts:
+    """What one round decided. Nacks and write-offs come before shots; shots keep their order."""
+
+    nacks: list[tuple[int, int]] = field(default_factory=list)  # envelope, advised wait (0: none)
+    write_offs: list[int] = field(default_factory=list)
+    shots: list[tuple[int, int, int]] = field(default_factory=list)  # envelope, receiver, time-out
+    probes: list[int] = field(default_factory=list)
+    freed_links: list[int] = field(default_factory=list)  # receivers whose idle connections are let go
+    log_lines: list[str] = field(default_factory=list)
+    subscribe: bool = False
+    wake_at: int | None = None  # the next time at which `decide` should be called without an event
+
+
+class EnvelopeHandle(Protocol):
+    """What taking an envelope gives."""
+
+    def shot_ended(
+        self, now: int, outcome: Outcome, shot: int, receiver: int, took: int, told_wait: int,
+        last: bool, report: Sequence[float],
+    ) -> None: ...
+
+    def withdrawn(self, now: int) -> None: ...
+
+
+class DeliverySender(Protocol):
+    """What a protocol may ask of the decisions."""
+
+    def __init__(self, settings: Mapping[str, str], seed: int, now: int) -> None: ...
+
+    def listed(self, now: int, change: ListChange, listings: Sequence[Listing]) -> None: ...
+
+    def list_call_failed(self, now: int) -> None: ...
+
+    def take(
+        self, now: int, envelope: int, destination: int, band: int, outer_limit: int, tenant: int,
+        key: int,
+    ) -> EnvelopeHandle: ...
+
+    def probe_ended(self, now: int, receiver: int, outcome: Outcome, took: int) -> None: ...
+
+    def decide(self, now: int) -> Verdicts: ...
+
+
+def number(settings: Mapping[str, str], name: str, default: float = 0.0) -> float:
+    """A figure, or the default where the setting is absent."""
+    return float(settings.get(name) or default)
+
+
+def span(settings: Mapping[str, str], name: str, default_ms: float = 0.0) -> int:
+    """A span that the settings give in milliseconds, in microseconds."""
+    return round(number(settings, name, default_ms) * 1000)
+
+
+def flag(settings: Mapping[str, str], name: str) -> bool:
+    """Whether a setting says true."""
+    return settings.get(name) == "true"
+
+
+def row(settings: Mapping[str, str], name: str) -> list[str]:
+    """The plain values of a list."""
+    return [part for part in settings.get(name, "").split(",") if part]
--- /dev/null
+++ b/cedarwick/policy.py
@@ -0,0 +1,599 @@
+"""All decisions: which envelope goes where and when, and what becomes of those that cannot go.
+
+Make a `Sender` from settings, seed and clock; `take` gives a handle; outcomes and withdrawals are calls on
+that handle; list news and probe results are calls on the sender; `decide` ends each round and returns
+verdicts. The call surface is described in `cedarwick/interface.py`, the records in `cedarwick/state.py`,
+the reasons in `docs/design.md`. Times are whole microseconds.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Mapping, Sequence
+
+from cedarwick.interface import ListChange, Listing, Outcome, Phase, Verdicts, flag, number, row, span
+from cedarwick.state import Band, Chance, Destination, Envelope, Pace, Receiver
+
+SECOND = 1_000_000
+FAR = 1 << 62
+
+# The design's own figures: the doubling window of waits, and the pace.
+WINDOW_BASE = SECOND // 2
+WINDOW_CAP = 60 * SECOND
+CANCELLED_CAP = 2  # shots with an unclassified end
+SPAN = 2 * SECOND  # the share of refusals is measured over this
+THROTTLED = 0.15  # a larger share of refusals as full halves the pace: one in seven is more than chance
+STEP = 0.05  # of the reference rate, for each half second that stays clean
+STEP_EVERY = SECOND // 2
+SLOWEST = 0.3  # calls a second: a pace below this would not find out that room is back
+IDLE_DROP = 60 * SECOND
+HEADROOM = 1.2  # a sender starts at this multiple of its even part of a listed rate
+DEPTH = 1.0  # seconds of the pace that may go at once after a pause
+
+# Health.
+FEW = 8  # outcomes that judge a receiver
+TRUST_HALVES = 5 * SECOND  # distrust fades by half in this time
+SILENCE = SECOND  # no answer for this long, and longer than usual, counts as silence
+SHUT_AFTER = 2_500_000  # fulls alone for longer than any limit's span of a second or two: it is shut
+CANARY_EVERY = 1_200_000
+FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
+RAMP_PART = 0.8  # of what the fail-back rule allows
+TRICKLE = 0.4  # calls a second in a ramp when nothing is known of a receiver
+
+
+def band_of(settings: Mapping[str, str], index: int) -> Band:
+    head = f"classes.{index}."
+    repeat = settings.get(head + "repeat", "single_shot")
+    return Band(
+        importance=number(settings, head + "worth", 1.0),
+        expected_time=span(settings, head + "slo-ms", 1000.0),
+        outer_limit=span(settings, head + "deadline-ms", 10_000.0),
+        late_share=number(settings, head + "late-worth"),
+        reissuable=repeat == "free",
+        at_most_once=repeat not in ("free", "guarded"),
+        window=span(settings, head + "dedup-window-ms"),
+        one_zone=settings.get(head + "group", "all") != "all",
+        in_turn=flag(settings, head + "in-turn"),
+    )
+
+
+class Handle(Envelope):
+    """An envelope in a sender's care."""
+
+    __slots__ = ("sender",)
+    sender: "Sender"
+
+    def shot_ended(
+        self, now: int, outcome: Outcome, shot: int, receiver: int, took: int, told_wait: int,
+        last: bool, report: Sequence[float],
+    ) -> None:
+        """Record the outcome of the shot that was out and settle what may follow it."""
+        sender = self.sender
+        if not self.out:
+            return
+        self.out = False
+        used = sender.receivers[receiver]
+        sender.learn(now, self, used, outcome, took, told_wait, report)
+        self.doubtful = outcome in (Outcome.TIME_OUT, Outcome.RESET, Outcome.CANCELLED)
+        if outcome in (Outcome.ERROR, Outcome.TIME_OUT, Outcome.RESET, Outcome.CANCELLED) and not self.ran_at:
+            self.ran_at, self.ran_zone = self.sent_at, used.zone
+        self.cancelled += outcome is Outcome.CANCELLED
+        if last or self.ended or outcome is Outcome.COMPLETED:
+            sender.close(now, self)
+            return
+        if outcome is Outcome.MOOT:
+            self.due = now + 1  # no evidence against the destination, so no backing off from it
+        else:
+            window = min(WINDOW_CAP, WINDOW_BASE << min(self.shots - 1, 16))
+            self.due = now + (told_wait or sender.chance.below(window))
+        if self.ran_at and not self.band.reissuable:  # a wait must not outlast the window of repeats
+            self.due = max(now, min(self.due, self.ran_at + self.band.window - sender.tick * 4))
+        sender.hold(now, self)
+
+    def withdrawn(self, now: int) -> None:
+        """Nobody wants it any more; a shot that is out still ends."""
+        if not self.ended:
+            self.ended = True
+            if not self.out:
+                self.sender.close(now, self)
+
+
+class Sender:
+    """One instance: it decides from its settings and from what it has seen itself."""
+
+    def __init__(self, settings: Mapping[str, str], seed: int, now: int) -> None:
+        self.settings = settings
+        self.chance = Chance(seed)
+        self.bands = [band_of(settings, index) for index in range(int(number(settings, "classes.count")))]
+        self.senders = max(1, int(number(settings, "balancers", 1)))
+        self.tick = max(1000, span(settings, "resolution-ms", 5.0))
+        self.slots = int(number(settings, "family-info.max-calls", 1 << 30))
+        self.most_shots = int(number(settings, "policy-limits.most-tries", 1 << 30))
+        self.most_open = int(number(settings, "policy-limits.max-open", 1 << 30))
+        self.per_call = [int(part) for part in row(settings, "family-info.per-call")]
+        self.apart = [part == "true" for part in row(settings, "family-info.kind-apart")]
+        self.may_probe = flag(settings, "policy-limits.probes")
+        columns = row(settings, "report.columns")
+        self.limit_column = columns.index("x1") if "x1" in columns else -1
+        self.receivers: dict[int, Receiver] = {}
+        self.destinations: dict[int, Destination] = {}
+        self.lines: dict[int, deque[Handle]] = {}  # envelopes of a key, in the order they were taken
+        self.rests: dict[int, int] = {}  # until when a key rests
+        self.shares: dict[int, tuple[float, int]] = {}  # a tenant's unused share, and when it was reckoned
+        self.open = 0
+        self.taken = 0
+        self.calls_out = 0
+        self.changed: set[int] = set()  # destinations that need a look in this round
+        self.starved: set[int] = set()  # destinations that found no slot free
+        self.looks: list[tuple[int, int]] = []
+        self.subscribe_at = now if settings.get("discovery") == "ask" else FAR
+        self.verdicts = Verdicts()
+
+    # ---- what a protocol tells ----
+
+    def take(
+        self, now: int, envelope: int, destination: int, band: int, outer_limit: int, tenant: int,
+        key: int,
+    ) -> Handle:
+        kept = self.bands[band]
+        expected_by = outer_limit - kept.outer_limit + kept.expected_time
+        self.taken += 1
+        handle = Handle(envelope, destination, kept, outer_limit, expected_by, tenant, key, self.taken)
+        handle.sender = self
+        handle.due = now
+        handle.over_share = self._over_share(now, tenant)
+        if kept.in_turn and key:
+            self.lines.setdefault(key, deque()).append(handle)
+        self.open += 1
+        self.hold(now, handle)
+        return handle
+
+    def listed(self, now: int, change: ListChange, listings: Sequence[Listing]) -> None:
+        if change is not ListChange.CHANGES:
+            named = {listing.receiver for listing in listings}
+            for receiver in self.receivers.values():
+                if receiver.id not in named:
+                    receiver.ready = False  # a whole list replaces: what it leaves out is gone
+        for listing in listings:
+            place = self._destination(listing.destination)
+            receiver = self.receivers.get(listing.receiver)
+            if receiver is None:
+                apart = listing.kind < len(self.apart) and self.apart[listing.kind]
+                pace = Pace() if apart else place.pace
+                receiver = Receiver(listing.receiver, listing.zone, listing.kind, listing.destination, pace)
+                self.receivers[listing.receiver] = receiver
+                place.members.append(listing.receiver)
+            receiver.ready = listing.phase is Phase.READY
+            if self.settings.get("weight-source", "off") != "off" and listing.rate > 0:
+                self._list_rate(receiver.pace, listing.rate)
+        self.changed.update(self.destinations)
+
+    def list_call_failed(self, now: int) -> None:
+        if self.settings.get("discovery") == "ask":
+            self.subscribe_at = now + SECOND + self.chance.below(SECOND)
+
+    def probe_ended(self, now: int, receiver: int, outcome: Outcome, took: int) -> None:
+        record = self.receivers[receiver]
+        record.probe_out = False
+        record.vouched = outcome is Outcome.COMPLETED
+        record.canary_at = now if record.vouched else self._next_canary(now, record)
+        self.changed.add(record.destination)
+
+    def decide(self, now: int) -> Verdicts:
+        """Look at every destination that something happened to, the most urgent envelopes first."""
+        while self.looks and self.looks[0][0] <= now:
+            when, due = heapq.heappop(self.looks)
+            if self.destinations[due].look_at == when:
+                self.changed.add(due)
+        places = [self.destinations[each] for each in sorted(self.changed)]
+        self.changed.clear()
+        next_look: dict[int, int] = {}
+        waiting = [envelope for place in places for envelope in place.held]
+        for envelope in sorted(waiting, key=lambda held: self._urgency(now, held)):
+            again = self.advance(now, envelope)
+            if again is not None:
+                next_look[envelope.destination] = min(again, next_look.get(envelope.destination, FAR))
+        self._shed(now)
+        for place in places:
+            place.held = [held for held in place.held if not (held.out or held.ended)]
+            place.look_at = max(next_look.get(place.id, FAR), now + self.tick)
+            if place.look_at < FAR:
+                heapq.heappush(self.looks, (place.look_at, place.id))
+        verdicts, self.verdicts = self.verdicts, Verdicts()
+        if now >= self.subscribe_at:
+            verdicts.subscribe, self.subscribe_at = True, FAR
+        wake_at = min(self.looks[0][0] if self.looks else FAR, self.subscribe_at)
+        if self.changed:
+            wake_at = min(wake_at, now + self.tick)
+        verdicts.wake_at = wake_at if wake_at < FAR else None
+        return verdicts
+
+    # ---- the ordinary path ----
+
+    def advance(self, now: int, envelope: Handle) -> int | None:
+        """Take a held envelope as far as it goes now; the time of its next look, None when it needs none."""
+        band = envelope.band
+        place = self.destinations[envelope.destination]
+        if envelope.ended or envelope.out:
+            return None
+        # Terminal: out of shots, or a further one could take effect twice.
+        repeat_until = FAR if band.reissuable or not envelope.ran_at else envelope.ran_at + band.window
+        if (envelope.shots >= self.most_shots or envelope.cancelled >= CANCELLED_CAP
+                or (band.at_most_once and envelope.ran_at) or now >= repeat_until):
+            self.give_up(now, envelope)
+            return None
+        # Or its next try cannot finish in time.
+        members = [self.receivers[member] for member in place.members if self.receivers[member].ready]
+        quickest = min((member.mean for member in members), default=0.0)
+        last_start = min(envelope.outer_limit - max(self.tick * 4, round(quickest / 2)), repeat_until - 1)
+        start = max(now, envelope.due)
+        if members:
+            start = max(start, min(member.pace.wait_until for member in members))
+        if start > last_start:
+            self.give_up(now, envelope)
+            return None
+        if start > now:
+            return min(start, last_start + 1)
+        # Its turn by key.
+        if band.in_turn and envelope.key:
+            line = self.lines[envelope.key]
+            if line[0] is not envelope:
+                return last_start + 1
+            if self.rests.get(envelope.key, 0) > now:
+                return min(self.rests[envelope.key], last_start + 1)
+        # The receiver whose turn it is among those with room.
+        if envelope.ran_at and band.one_zone and not band.reissuable:
+            members = [member for member in members if member.zone == envelope.ran_zone]
+        receiver, room_at = self._in_rotation(now, envelope, members)
+        if receiver is None:
+            return min(room_at, last_start + 1)
+        joins = self._joins(now, receiver)
+        if not joins and self.calls_out >= self.slots:
+            self.starved.add(place.id)
+            return last_start + 1
+        # The shot.
+        self._spend(now, receiver, joins)
+        envelope.out, envelope.sent_at = True, now
+        envelope.shots += 1
+        patience = self._patience(now, envelope, receiver, members)
+        self.verdicts.shots.append((envelope.id, receiver.id, patience))
+        return None
+
+    def give_up(self, now: int, envelope: Handle) -> None:
+        """The final answer, at once: a nack only when every shot provably never ran."""
+        if envelope.ran_at:
+            self.verdicts.write_offs.append(envelope.id)
+        else:
+            wait = 0
+            if flag(self.settings, "policy-limits.retry-after"):
+                longest = span(self.settings, "policy-limits.max-retry-after-ms")
+                wait = min(longest, max(0, self.destinations[envelope.destination].pace.wait_until - now))
+            self.verdicts.nacks.append((envelope.id, wait))
+        self.close(now, envelope)
+
+    def hold(self, now: int, envelope: Handle) -> None:
+        self._destination(envelope.destination).held.append(envelope)
+        self.changed.add(envelope.destination)
+
+    def close(self, now: int, envelope: Handle) -> None:
+        """The envelope has ended and none of its shots is out: let its key go on."""
+        envelope.ended = True
+        self.open -= 1
+        self.changed.add(envelope.destination)
+        if envelope.band.in_turn and envelope.key:
+            line = self.lines[envelope.key]
+            if line[0] is envelope and envelope.doubtful:
+                # Danger: the shot that timed out may still run and overtake the next of its key.
+                gap = span(self.settings, "rules.turn-gap-ms")
+                self.rests[envelope.key] = max(self.rests.get(envelope.key, 0), now + gap)
+            line.remove(envelope)
+            if not line and self.rests.get(envelope.key, 0) <= now:
+                del self.lines[envelope.key]
+                self.rests.pop(envelope.key, None)
+
+    # ---- what outcomes teach ----
+
+    def learn(
+        self, now: int, envelope: Envelope, receiver: Receiver, outcome: Outcome, took: int,
+        told_wait: int, report: Sequence[float],
+    ) -> None:
+        pace = receiver.pace
+        self.changed.add(receiver.destination)
+        self.changed |= self.starved
+        self.starved.clear()
+        left = receiver.calls.get(envelope.sent_at, 1) - 1
+        receiver.calls[envelope.sent_at] = left
+        if left % self._batch(receiver) == 0:
+            self.calls_out -= 1
+            pace.calls_out -= 1
+        if left <= 0:
+            del receiver.calls[envelope.sent_at]
+        receiver.canary_out = False
+        if outcome in (Outcome.MOOT, Outcome.CANCELLED):
+            return
+        if 0 <= self.limit_column < len(report) and report[self.limit_column] > 0:
+            self._list_rate(pace, report[self.limit_column])
+        if outcome is not Outcome.TIME_OUT:
+            receiver.answered_at = now
+        if outcome is Outcome.COMPLETED:
+            self._completed(now, envelope, receiver, took)
+        elif outcome is Outcome.FULL:
+            pace.wait_until = max(pace.wait_until, now + told_wait)
+            receiver.fulls += 1
+            receiver.full_since = receiver.full_since or now
+            # Danger: a destination that is shut refuses everything; a pace alone would push it as it returns.
+            if receiver.out_since or (receiver.fulls >= 3 and now - receiver.full_since > SHUT_AFTER):
+                self._out(now, receiver, provable=True)
+            else:
+                self._throttle(now, pace)
+        else:
+            receiver.recent.append(False)
+            receiver.distrust = self._distrust(now, receiver) + 1
+            receiver.distrust_at = now
+            ill = outcome is not Outcome.ERROR and receiver.completed_sent_at < envelope.sent_at
+            judged = list(receiver.recent)[-FEW:]
+            if ill or receiver.out_since or (len(judged) >= 3 and sum(judged) * 3 <= len(judged)):
+                self._out(now, receiver, provable=outcome is Outcome.CONNECT_FAILED)
+        while len(receiver.recent) > FEW:
+            receiver.recent.popleft()
+
+    def _completed(self, now: int, envelope: Envelope, receiver: Receiver, took: int) -> None:
+        pace = receiver.pace
+        pace.answers.append((now, False))
+        pace.proven = True
+        receiver.recent.append(True)
+        receiver.fulls = receiver.full_since = 0
+        stray = abs(took - receiver.mean) if receiver.mean else took / 2
+        receiver.stray += (stray - receiver.stray) / (4 if receiver.stray else 1)
+        receiver.mean += (took - receiver.mean) / (8 if receiver.mean else 1)
+        if receiver.out_since:
+            # Danger: a destination that returns cold falls over under its old traffic.
+            if receiver.failed or now - receiver.out_since > span(self.settings, "rules.fall-ms"):
+                receiver.back_at = receiver.ramp_at = now
+                receiver.ramp_tokens = 0.0
+                pace.rate = max(pace.rate or 0.0, receiver.managed, SLOWEST)
+                pace.reference = max(pace.reference, pace.rate)
+            receiver.out_since, receiver.failed, receiver.vouched = 0, False, False
+            receiver.recent.clear()
+            receiver.recent.append(True)
+        if receiver.completed_sent_at != envelope.sent_at:  # the shots of one call count once
+            receiver.completions.append(now)
+        receiver.completed_sent_at = max(receiver.completed_sent_at, envelope.sent_at)
+        while receiver.completions and receiver.completions[0] < now - 2 * SPAN:
+            receiver.completions.popleft()
+        receiver.managed = max(receiver.managed * 0.98, len(receiver.completions) * SECOND / (2 * SPAN))
+        if pace.rate is not None and now - max(pace.raised_at, pace.cut_at) >= STEP_EVERY:
+            if pace.short or pace.rate < pace.reference:
+                pace.rate += max(pace.reference * STEP, SLOWEST * STEP)
+                if pace.limit:
+                    pace.rate = min(pace.rate, pace.limit)
+            pace.short, pace.raised_at = False, now
+
+    def _throttle(self, now: int, pace: Pace) -> None:
+        """Halve the pace when the share of refusals over the span is past the threshold."""
+        pace.answers.append((now, True))
+        while pace.answers[0][0] < now - SPAN:
+            pace.answers.popleft()
+        share = sum(full for _, full in pace.answers) / len(pace.answers)
+        if share > THROTTLED and now - pace.cut_at >= SPAN:
+            while pace.sends and pace.sends[0] < now - SPAN:
+                pace.sends.popleft()
+            recent = len(pace.sends) * SECOND / SPAN
+            pace.rate = max(SLOWEST, (recent if pace.rate is None else pace.rate) / 2)
+            pace.reference = pace.reference or recent
+            pace.cut_at = now
+            pace.tokens = min(pace.tokens, 1.0)
+            pace.answers.clear()
+
+    def _out(self, now: int, receiver: Receiver, provable: bool) -> None:
+        if not receiver.out_since:
+            receiver.out_since = now
+        receiver.failed, receiver.provable, receiver.vouched = True, provable, False
+        receiver.back_at = 0
+        receiver.canary_at = self._next_canary(now, receiver)
+        # Danger: idle connections to a dead machine swallow shots; a new one fails and so proves it.
+        self.verdicts.freed_links.append(receiver.id)
+
+    def _next_canary(self, now: int, receiver: Receiver) -> int:
+        receiver.pace.canary_at = max(receiver.pace.canary_at, now + CANARY_EVERY // 2)
+        return now + CANARY_EVERY * 3 // 4 + self.chance.below(CANARY_EVERY // 2)
+
+    def _distrust(self, now: int, receiver: Receiver) -> float:
+        return float(receiver.distrust * 2.0 ** (-(now - receiver.distrust_at) / TRUST_HALVES))
+
+    def _list_rate(self, pace: Pace, rate: float) -> None:
+        part = rate * HEADROOM / self.senders
+        if pace.rate is None or (not pace.cut_at and not pace.raised_at) or pace.rate > rate:
+            pace.rate = part
+        pace.reference, pace.limit = part, rate
+
+    # ---- where and how ----
+
+    def _in_rotation(
+        self, now: int, envelope: Envelope, members: list[Receiver],
+    ) -> tuple[Receiver | None, int]:
+        """The receiver whose turn it is, or the time at which one may have room."""
+        open_now: list[tuple[Receiver, float]] = []
+        soonest = FAR
+        canary: Receiver | None = None
+        for member in members:
+            if not member.out_since and self._silent(now, member):
+                # Danger: a hanging destination fills the slots with calls that nobody answers.
+                member.out_since = now
+                member.provable = False
+                member.canary_at = self._next_canary(now, member)
+            if member.out_since:
+                room_at = self._canary_room(now, envelope, member)
+                if room_at <= now and canary is None:
+                    canary = member
+            else:
+                room_at = self._room(now, member)
+                if room_at <= now:
+                    open_now.append((member, self._weight(now, member)))
+            soonest = min(soonest, room_at)
+        if canary is not None:
+            canary.canary_out = True
+            canary.canary_at = self._next_canary(now, canary)
+            return canary, now
+        if not open_now:
+            return None, soonest
+        total = 0.0
+        for member, weight in open_now:
+            member.credit += weight
+            total += weight
+        chosen = max(open_now, key=lambda pair: pair[0].credit)[0]
+        chosen.credit -= total
+        return chosen, now
+
+    def _weight(self, now: int, receiver: Receiver) -> float:
+        """A receiver's share of the turns: what it has been seen to manage, less what it costs."""
+        judged = receiver.recent
+        success = (sum(judged) + 1) / (len(judged) + 1)
+        pace = SECOND / (receiver.mean or SECOND / 2)
+        fee = 0.0
+        if receiver.kind < len(self.apart) and self.apart[receiver.kind]:
+            fees = row(self.settings, "family-info.fee-by-zone")
+            fee = float(fees[receiver.zone]) if receiver.zone < len(fees) else 0.0
+        if receiver.zone != int(number(self.settings, "locality")):
+            fee += number(self.settings, "tariffs.cross-zone")
+        return float(pace * success * 2.0 ** -self._distrust(now, receiver) / (1 + fee * 50))
+
+    def _batch(self, receiver: Receiver) -> int:
+        return self.per_call[receiver.kind] if receiver.kind < len(self.per_call) else 1
+
+    def _joins(self, now: int, receiver: Receiver) -> bool:
+        """A shot of this round to the same receiver shares a call that is not full."""
+        return receiver.calls.get(now, 0) % self._batch(receiver) != 0
+
+    def _room(self, now: int, receiver: Receiver) -> int:
+        """When a receiver in service may take a further call."""
+        pace = receiver.pace
+        if pace.wait_until > now:
+            return pace.wait_until
+        if self._joins(now, receiver):
+            return now
+        # Danger: a restarted sender has forgotten its pace and would hit a throttled destination full on.
+        if not pace.proven and pace.calls_out >= FIRST_CALLS:
+            return now + SECOND
+        if pace.calls_out >= max(FIRST_CALLS, self.slots // 3):
+            return now + SECOND
+        if pace.used_at and now - pace.used_at > IDLE_DROP and not pace.limit:
+            pace.rate, pace.reference = None, 0.0
+        room_at = now
+        if pace.rate is not None:
+            depth = max(1.0, pace.rate * DEPTH)
+            if pace.refilled:
+                pace.tokens = min(depth, pace.tokens + pace.rate * (now - pace.refilled) / SECOND)
+            else:
+                pace.tokens = depth
+            pace.refilled = now
+            if pace.tokens < 1:
+                pace.short = True
+                room_at = now + 1 + int((1 - pace.tokens) * SECOND / pace.rate)
+        if receiver.back_at:
+            since = now - receiver.back_at
+            ramp = max(SECOND, span(self.settings, "rules.ramp-time-ms", 10_000))
+            if since >= ramp:
+                receiver.back_at = 0
+                return room_at
+            cold = number(self.settings, "rules.cold-share", 0.25)
+            multiple = number(self.settings, "rules.fall-multiple", 1.5)
+            warm = RAMP_PART * multiple * (cold + (1 - cold) * since / ramp)
+            rate = max(TRICKLE, warm * receiver.managed)
+            receiver.ramp_tokens = min(1.0, receiver.ramp_tokens + rate * (now - receiver.ramp_at) / SECOND)
+            receiver.ramp_at = now
+            if receiver.ramp_tokens < 1:
+                room_at = max(room_at, now + 1 + int((1 - receiver.ramp_tokens) * SECOND / rate))
+        return room_at
+
+    def _canary_room(self, now: int, envelope: Envelope, receiver: Receiver) -> int:
+        """When a receiver that is out may take this envelope as its canary."""
+        pace = receiver.pace
+        if receiver.canary_out or receiver.probe_out:
+            return FAR
+        room_at = max(receiver.canary_at, pace.canary_at, pace.wait_until)
+        if room_at > now:
+            return room_at
+        if self.may_probe and not receiver.vouched:
+            receiver.probe_out = True
+            self.verdicts.probes.append(receiver.id)
+            return FAR
+        if envelope.band.at_most_once and not receiver.provable:
+            return FAR  # it could be lost without a second try
+        return now
+
+    def _spend(self, now: int, receiver: Receiver, joins: bool) -> None:
+        pace = receiver.pace
+        pace.used_at = now
+        receiver.calls[now] = receiver.calls.get(now, 0) + 1
+        if joins:
+            return
+        self.calls_out += 1
+        pace.calls_out += 1
+        pace.sends.append(now)
+        if len(pace.sends) > 256:
+            pace.sends.popleft()
+        if pace.rate is not None:
+            pace.tokens = max(0.0, pace.tokens - 1)
+        receiver.ramp_tokens = max(0.0, receiver.ramp_tokens - 1)
+
+    def _silent(self, now: int, receiver: Receiver) -> bool:
+        if not receiver.calls:
+            return False
+        since = max(next(iter(receiver.calls)), receiver.answered_at)
+        usual = 2 * receiver.mean + 4 * receiver.stray if receiver.mean else 2 * SECOND
+        return now - since > max(SILENCE, usual)
+
+    def _patience(self, now: int, envelope: Envelope, receiver: Receiver, members: list[Receiver]) -> int:
+        """How long a shot may take. A call that times out may run on, so patience costs only a slot."""
+        left = envelope.outer_limit - now - 2 * self.tick
+        usual = receiver.mean + 4 * receiver.stray if receiver.mean else 2 * SECOND
+        soon = max(2 * SECOND, round(3 * usual)) << min(envelope.shots - 1, 4)
+        if envelope.band.at_most_once:
+            return left  # nothing can follow a time-out
+        if envelope.band.reissuable:
+            return min(left, soon)
+        # Numbered: leave room for a further shot inside the window, or wait to the end if there is none.
+        window = envelope.band.window if not envelope.ran_at else envelope.ran_at + envelope.band.window - now
+        others = any(member is not receiver and not member.out_since for member in members)
+        patience = min(window - SECOND // 2, soon if others else FAR)
+        return min(left, patience) if patience >= SECOND and envelope.shots < self.most_shots else left
+
+    # ---- what goes first, and what makes way ----
+
+    def _urgency(self, now: int, envelope: Envelope) -> tuple[float, int, int]:
+        """Sorts the envelope first that loses most by waiting; over-share tenants go last."""
+        band = envelope.band
+        fades = max(SECOND, band.outer_limit - band.expected_time) / SECOND
+        loses = band.importance * (1 - band.late_share) / fades
+        if envelope.outer_limit - now < 3 * SECOND:
+            loses += band.importance * band.late_share / 3
+        if now < envelope.expected_by - SECOND:
+            loses /= 2
+        if envelope.ran_at and not band.reissuable:
+            loses += band.importance  # its window of repeats is running out
+        if envelope.over_share:
+            loses *= number(self.settings, "over-share-worth", 1.0)
+        return -loses, envelope.expected_by, envelope.order
+
+    def _over_share(self, now: int, tenant: int) -> bool:
+        allowance = number(self.settings, f"realms.{tenant}.allowance-per-s") / self.senders
+        if allowance <= 0:
+            return False
+        unused, reckoned = self.shares.get(tenant, (allowance * 2, now))
+        unused = min(allowance * 2, unused + allowance * (now - reckoned) / SECOND)
+        self.shares[tenant] = (max(0.0, unused - 1), now)
+        return unused < 1
+
+    def _shed(self, now: int) -> None:
+        """Danger: a backlog for one lost destination fills the sender and turns all others away."""
+        while self.open >= max(2, self.most_open - 1):
+            place = max(self.destinations.values(), key=lambda each: len(each.held))
+            spare = [held for held in place.held if not (held.out or held.ended or held.ran_at)]
+            if not spare:
+                return
+            self.give_up(now, max(spare, key=lambda held: self._urgency(now, held)))
+
+    def _destination(self, place: int) -> Destination:
+        if place not in self.destinations:
+            self.destinations[place] = Destination(place, Pace())
+        return self.destinations[place]
