--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -71,11 +71,12 @@
         if not self.out:
             return
         self.out = False
-        used = sender.receivers[receiver]
-        sender.learn(now, self, used, outcome, took, told_wait, report)
-        self.doubtful = outcome in (Outcome.TIME_OUT, Outcome.RESET, Outcome.CANCELLED)
+        record = sender.receivers[receiver]
+        sender.learn(now, self, record, outcome, took, told_wait, report)
+        if outcome in (Outcome.TIME_OUT, Outcome.RESET, Outcome.CANCELLED):
+            self.doubtful_at = now
         if outcome in (Outcome.ERROR, Outcome.TIME_OUT, Outcome.RESET, Outcome.CANCELLED) and not self.ran_at:
-            self.ran_at, self.ran_zone = self.sent_at, used.zone
+            self.ran_at, self.ran_zone = self.sent_at, record.zone
         self.cancelled += outcome is Outcome.CANCELLED
         if last or self.ended or outcome is Outcome.COMPLETED:
             sender.close(now, self)
@@ -155,16 +156,16 @@
                     receiver.ready = False  # a whole list replaces: what it leaves out is gone
         for listing in listings:
             place = self._destination(listing.destination)
-            receiver = self.receivers.get(listing.receiver)
-            if receiver is None:
+            if listing.receiver not in self.receivers:
                 apart = listing.kind < len(self.apart) and self.apart[listing.kind]
                 pace = Pace() if apart else place.pace
-                receiver = Receiver(listing.receiver, listing.zone, listing.kind, listing.destination, pace)
-                self.receivers[listing.receiver] = receiver
+                self.receivers[listing.receiver] = Receiver(
+                    listing.receiver, listing.zone, listing.kind, listing.destination, pace)
                 place.members.append(listing.receiver)
-            receiver.ready = listing.phase is Phase.READY
+            known = self.receivers[listing.receiver]
+            known.ready = listing.phase is Phase.READY
             if self.settings.get("weight-source", "off") != "off" and listing.rate > 0:
-                self._list_rate(receiver.pace, listing.rate)
+                self._list_rate(known.pace, listing.rate)
         self.changed.update(self.destinations)
 
     def list_call_failed(self, now: int) -> None:
@@ -281,10 +282,10 @@
         self.changed.add(envelope.destination)
         if envelope.band.in_turn and envelope.key:
             line = self.lines[envelope.key]
-            if line[0] is envelope and envelope.doubtful:
-                # Danger: the shot that timed out may still run and overtake the next of its key.
-                gap = span(self.settings, "rules.turn-gap-ms")
-                self.rests[envelope.key] = max(self.rests.get(envelope.key, 0), now + gap)
+            if envelope.doubtful_at:
+                # Danger: the shot that timed out may still run and be overtaken by the next of its key.
+                rest = envelope.doubtful_at + span(self.settings, "rules.turn-gap-ms")
+                self.rests[envelope.key] = max(self.rests.get(envelope.key, 0), rest)
             line.remove(envelope)
             if not line and self.rests.get(envelope.key, 0) <= now:
                 del self.lines[envelope.key]
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -1,4 +1,4 @@
-"""The records that the decisions keep: band, pace, receiver, envelope, destination; and their source of chance."""
+"""The records that the decisions keep, and their source of chance."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -107,7 +107,7 @@
     due: int = 0  # not before this
     ran_at: int = 0  # send time of the first shot that may have run; 0: none has
     ran_zone: int = 0
-    doubtful: bool = False  # its last shot may still be running
+    doubtful_at: int = 0  # when a shot ended that may still be running
     ended: bool = False
 
 
