--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,197 @@
+"""One failure or guard a test: a state, one call, what came of it."""
+
+import unittest
+
+from cedarwick.interface import ListChange, Listing, Outcome, Phase
+from cedarwick.policy import SPAN, STEP_EVERY, WINDOW_BASE
+from tests.build import FREE, MS, NOW, NUMBERED, ONCE, end, out, sender, take
+
+
+class OneAnswer(unittest.TestCase):
+    def test_unsent_envelope_is_nacked_before_its_limit(self) -> None:
+        made = sender(receivers=0)
+        take(made, 1)
+        wake_at = made.decide(NOW).wake_at
+        assert wake_at is not None
+        self.assertLess(wake_at, NOW + 16_000 * MS)
+        self.assertEqual(made.decide(wake_at).nacks, [(1, 0)])
+
+    def test_last_time_out_at_the_limit_is_written_off_in_the_same_round(self) -> None:
+        made = sender()
+        handle = out(made, 1)
+        end(handle, Outcome.TIME_OUT, NOW + 16_000 * MS)
+        self.assertEqual(made.decide(NOW + 16_000 * MS).write_offs, [1])
+
+    def test_out_of_shots_is_answered_at_once(self) -> None:
+        made = sender()
+        handle = out(made, 1)
+        handle.shots = 6
+        end(handle, Outcome.FULL, NOW + 100 * MS)
+        self.assertEqual(made.decide(NOW + 100 * MS).nacks, [(1, 0)])
+
+    def test_withdrawn_envelope_gets_no_shot(self) -> None:
+        made = sender()
+        take(made, 1).withdrawn(NOW)
+        self.assertEqual(made.decide(NOW).shots, [])
+
+
+class NoEffectTwice(unittest.TestCase):
+    def test_at_most_once_is_written_off_after_a_time_out(self) -> None:
+        made = sender()
+        end(out(made, 1, ONCE), Outcome.TIME_OUT, NOW + 900 * MS)
+        self.assertEqual(made.decide(NOW + 900 * MS).write_offs, [1])
+
+    def test_at_most_once_goes_again_after_a_refusal(self) -> None:
+        made = sender()
+        handle = out(made, 1, ONCE)
+        end(handle, Outcome.FULL, NOW + 100 * MS)
+        self.assertEqual([shot[0] for shot in made.decide(handle.due + 9_000 * MS).shots], [1])
+
+    def test_numbered_is_not_sent_past_its_window(self) -> None:
+        made = sender()
+        handle = out(made, 1, NUMBERED)
+        end(handle, Outcome.ERROR, NOW + 6_001 * MS)
+        verdicts = made.decide(NOW + 6_001 * MS)
+        self.assertEqual((verdicts.shots, verdicts.write_offs), ([], [1]))
+
+    def test_numbered_time_out_leaves_room_in_the_window(self) -> None:
+        made = sender()
+        take(made, 1, NUMBERED)
+        self.assertLess(made.decide(NOW).shots[0][2], 6_000 * MS)
+
+    def test_one_shot_at_a_time(self) -> None:
+        made = sender()
+        out(made, 1)
+        self.assertEqual(made.decide(NOW + 1_000 * MS).shots, [])
+
+
+class Drains(unittest.TestCase):
+    def test_nothing_goes_to_a_draining_receiver(self) -> None:
+        made = sender()
+        made.listed(NOW, ListChange.CHANGES, [Listing(1, 0, 0, 7, Phase.DRAINING, 0.0)])
+        take(made, 1)
+        self.assertEqual(made.decide(NOW).shots, [])
+
+    def test_a_whole_list_replaces(self) -> None:
+        made = sender(receivers=2)
+        made.listed(NOW, ListChange.WHOLE, [Listing(2, 0, 0, 7, Phase.READY, 0.0)])
+        take(made, 1)
+        self.assertEqual([shot[1] for shot in made.decide(NOW).shots], [2])
+
+
+class Returning(unittest.TestCase):
+    def test_a_receiver_that_is_out_gets_one_canary(self) -> None:
+        made = sender()
+        end(out(made, 1), Outcome.CONNECT_FAILED, NOW + 1_000 * MS)
+        for envelope in (2, 3, 4):
+            take(made, envelope, now=NOW + 1_000 * MS)
+        self.assertEqual(len(made.decide(NOW + 5_000 * MS).shots), 1)
+
+    def test_a_returned_receiver_is_ramped(self) -> None:
+        made = sender()
+        handle = out(made, 1)
+        record = made.receivers[1]
+        record.out_since, record.failed, record.managed = NOW, True, 4.0
+        end(handle, Outcome.COMPLETED, NOW + 3_000 * MS)
+        for envelope in range(2, 9):
+            take(made, envelope, now=NOW + 3_000 * MS)
+        self.assertEqual(made.decide(NOW + 3_000 * MS).shots, [])
+
+    def test_fulls_alone_for_long_are_an_outage(self) -> None:
+        made = sender()
+        handle = out(made, 1)
+        made.receivers[1].fulls, made.receivers[1].full_since = 3, NOW - 3_000 * MS
+        end(handle, Outcome.FULL, NOW + 100 * MS)
+        self.assertTrue(made.receivers[1].out_since)
+
+    def test_silence_holds_further_shots(self) -> None:
+        made = sender()
+        out(made, 1)
+        take(made, 2, now=NOW + 2_500 * MS)
+        self.assertEqual(made.decide(NOW + 2_500 * MS).shots, [])
+
+    def test_a_probe_goes_before_the_canary(self) -> None:
+        made = sender(policy_limits__probes="true")
+        end(out(made, 1), Outcome.CONNECT_FAILED, NOW + 1_000 * MS)
+        verdicts = made.decide(NOW + 6_000 * MS)
+        self.assertEqual((verdicts.probes, verdicts.shots), ([1], []))
+
+
+class Order(unittest.TestCase):
+    def test_the_next_of_a_key_waits_for_the_first(self) -> None:
+        made = sender()
+        out(made, 1, NUMBERED, key=9)
+        take(made, 2, NUMBERED, key=9)
+        self.assertEqual(made.decide(NOW).shots, [])
+
+    def test_a_key_rests_after_a_time_out_that_a_refusal_followed(self) -> None:
+        made = sender()
+        handle = out(made, 1, NUMBERED, key=9)
+        take(made, 2, NUMBERED, key=9)
+        handle.shots, handle.ran_at, handle.doubtful_at = 6, NOW, NOW + 90 * MS
+        end(handle, Outcome.FULL, NOW + 100 * MS)
+        verdicts = made.decide(NOW + 100 * MS)
+        self.assertEqual((verdicts.shots, verdicts.write_offs), ([], [1]))
+        self.assertEqual(made.rests[9], NOW + 390 * MS)
+
+
+class WaitsAndPace(unittest.TestCase):
+    def test_a_told_wait_binds_every_receiver_and_envelope(self) -> None:
+        made = sender(receivers=2)
+        end(out(made, 1), Outcome.FULL, NOW + 100 * MS, told=800 * MS)
+        take(made, 2, now=NOW + 200 * MS)
+        self.assertEqual(made.decide(NOW + 899 * MS).shots, [])
+
+    def test_a_told_wait_binds_one_route_where_routes_are_apart(self) -> None:
+        made = sender(receivers=2, kind=1)
+        handle = out(made, 1)
+        end(handle, Outcome.FULL, NOW + 100 * MS, told=800 * MS, receiver=1)
+        take(made, 2, now=NOW + 200 * MS)
+        self.assertEqual([shot[1] for shot in made.decide(NOW + 200 * MS).shots], [2])
+
+    def test_refusals_halve_the_pace_once_a_span(self) -> None:
+        made = sender(rate=10.0, weight_source="nominal")
+        before = made.receivers[1].pace.rate
+        assert before is not None
+        handle = out(made, 1)
+        end(handle, Outcome.FULL, NOW + 100 * MS)
+        self.assertEqual(made.receivers[1].pace.rate, before / 2)
+        made._throttle(NOW + SPAN // 2, made.receivers[1].pace)
+        self.assertEqual(made.receivers[1].pace.rate, before / 2)
+
+    def test_a_clean_pace_rises_in_small_steps(self) -> None:
+        made = sender()
+        handle = out(made, 1)
+        pace = made.receivers[1].pace
+        pace.rate, pace.reference = 2.0, 4.0
+        end(handle, Outcome.COMPLETED, NOW + STEP_EVERY)
+        self.assertAlmostEqual(pace.rate, 2.2)
+
+    def test_retry_waits_are_jittered_inside_the_doubling_window(self) -> None:
+        dues = []
+        for seed in range(40):
+            made = sender()
+            made.chance.state = seed
+            handle = out(made, 1)
+            handle.shots = 2
+            end(handle, Outcome.FULL, NOW)
+            dues.append(handle.due - NOW)
+        self.assertLess(max(dues), WINDOW_BASE * 2)
+        self.assertGreater(len(set(dues)), 20)
+
+    def test_shots_of_a_round_share_a_call_and_a_slot(self) -> None:
+        made = sender(kind=1)
+        made.receivers[1].pace.rate = 0.5
+        for envelope in (1, 2, 3):
+            take(made, envelope, FREE)
+        self.assertEqual((len(made.decide(NOW).shots), made.calls_out), (3, 1))
+
+    def test_an_unproven_destination_gets_few_calls(self) -> None:
+        made = sender()
+        for envelope in range(1, 6):
+            take(made, envelope)
+        self.assertEqual(len(made.decide(NOW).shots), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
