Scale returns by the number of senders; stop calling one reset an outage

Should also catch: connection tables that are full, sparse packet loss. May hurt: a small dead partner is found later.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -34,10 +34,12 @@
 TRUST_HALVES = 5 * SECOND  # distrust fades by half in this time
 SILENCE = SECOND  # no answer for this long, and longer than usual, counts as silence
 SHUT_AFTER = 2_500_000  # fulls alone for longer than any limit's span of a second or two: it is shut
-CANARY_EVERY = 1_200_000
+CANARY_SOONEST = 800_000  # between two canaries of this sender to one destination, where it is large
+CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
-TRICKLE = 0.4  # calls a second in a ramp when nothing is known of a receiver
+TRICKLE = 1.0  # calls a second of all senders together in a ramp, when nothing is known of a receiver
+PART = 0.6  # of this sender's even part of a listed rate, which may be listed too high
 
 
 def band_of(settings: Mapping[str, str], index: int) -> Band:
@@ -330,8 +332,11 @@
             receiver.recent.append(False)
             receiver.distrust = self._distrust(now, receiver) + 1
             receiver.distrust_at = now
-            ill = outcome is not Outcome.ERROR and receiver.completed_sent_at < envelope.sent_at
+            # Danger: one reset or one failed connection among good calls (a lossy path, a full table of
+            # connections) is no outage, and a ramp after each would cost more than the failures do.
             judged = list(receiver.recent)[-FEW:]
+            ill = receiver.completed_sent_at < envelope.sent_at and (
+                outcome is Outcome.TIME_OUT or (outcome is Outcome.CONNECT_FAILED and not any(judged[-2:])))
             if ill or receiver.out_since or (len(judged) >= 3 and sum(judged) * 3 <= len(judged)):
                 self._out(now, receiver, provable=outcome is Outcome.CONNECT_FAILED)
         while len(receiver.recent) > FEW:
@@ -351,8 +356,8 @@
             if receiver.failed or now - receiver.out_since > span(self.settings, "rules.fall-ms"):
                 receiver.back_at = receiver.ramp_at = now
                 receiver.ramp_tokens = 0.0
-                pace.rate = max(pace.rate or 0.0, receiver.managed, SLOWEST)
-                pace.reference = max(pace.reference, pace.rate)
+                if pace.rate is not None:  # its refusals while it was shut say nothing of its limit
+                    pace.rate = max(pace.rate, receiver.managed, pace.reference)
             receiver.out_since, receiver.failed, receiver.vouched = 0, False, False
             receiver.recent.clear()
             receiver.recent.append(True)
@@ -395,8 +400,20 @@
         self.verdicts.freed_links.append(receiver.id)
 
     def _next_canary(self, now: int, receiver: Receiver) -> int:
-        receiver.pace.canary_at = max(receiver.pace.canary_at, now + CANARY_EVERY // 2)
-        return now + CANARY_EVERY * 3 // 4 + self.chance.below(CANARY_EVERY // 2)
+        """Danger: the canaries of many senders push over a small destination as it comes back."""
+        allowed = self._returning_rate(receiver, 0)
+        gap = min(CANARY_LATEST, max(CANARY_SOONEST, round((2 if self.may_probe else 1) * SECOND / allowed)))
+        receiver.pace.canary_at = max(receiver.pace.canary_at, now + gap * 3 // 4)
+        return now + gap * 3 // 4 + self.chance.below(gap // 2)
+
+    def _returning_rate(self, receiver: Receiver, since: int) -> float:
+        """Calls a second that this sender may send so long after the receiver's return."""
+        ramp = max(SECOND, span(self.settings, "rules.ramp-time-ms", 10_000))
+        cold = number(self.settings, "rules.cold-share", 0.25)
+        share = cold + (1 - cold) * min(1.0, since / ramp)
+        managed = max(receiver.managed, receiver.pace.limit * PART / self.senders)
+        floor = TRICKLE / self.senders
+        return max(floor, RAMP_PART * number(self.settings, "rules.fall-multiple", 1.5) * share * managed)
 
     def _distrust(self, now: int, receiver: Receiver) -> float:
         return float(receiver.distrust * 2.0 ** (-(now - receiver.distrust_at) / TRUST_HALVES))
@@ -496,10 +513,7 @@
             if since >= ramp:
                 receiver.back_at = 0
                 return room_at
-            cold = number(self.settings, "rules.cold-share", 0.25)
-            multiple = number(self.settings, "rules.fall-multiple", 1.5)
-            warm = RAMP_PART * multiple * (cold + (1 - cold) * since / ramp)
-            rate = max(TRICKLE, warm * receiver.managed)
+            rate = self._returning_rate(receiver, since)
             receiver.ramp_tokens = min(1.0, receiver.ramp_tokens + rate * (now - receiver.ramp_at) / SECOND)
             receiver.ramp_at = now
             if receiver.ramp_tokens < 1:
