--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -559,18 +559,22 @@
         return now - since > max(SILENCE, usual)
 
     def _patience(self, now: int, envelope: Envelope, receiver: Receiver, members: list[Receiver]) -> int:
-        """How long a shot may take. A call that times out may run on, so patience costs only a slot."""
+        """How long a shot may take. A call that times out may run on, so patience costs only a slot.
+
+        Danger: where slots are few, calls and canaries that a dead destination swallows hold them all.
+        """
         left = envelope.outer_limit - now - 2 * self.tick
         usual = receiver.mean + 4 * receiver.stray if receiver.mean else 2 * SECOND
-        soon = max(2 * SECOND, round(3 * usual)) << min(envelope.shots - 1, 4)
+        soon = max(SECOND, round(2 * usual)) << min(envelope.shots - 1, 4)
         if envelope.band.at_most_once:
             return left  # nothing can follow a time-out
         if envelope.band.reissuable:
             return min(left, soon)
         # Numbered: leave room for a further shot inside the window, or wait to the end if there is none.
         window = envelope.band.window if not envelope.ran_at else envelope.ran_at + envelope.band.window - now
-        others = any(member is not receiver and not member.out_since for member in members)
-        patience = min(window - SECOND // 2, soon if others else FAR)
+        short = receiver.out_since or 2 * self.calls_out >= self.slots
+        short = short or any(member is not receiver and not member.out_since for member in members)
+        patience = min(window - SECOND // 2, soon if short else FAR)
         return min(left, patience) if patience >= SECOND and envelope.shots < self.most_shots else left
 
     # ---- what goes first, and what makes way ----
