--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -449,8 +449,6 @@
                     open_now.append((member, self._weight(now, member)))
             soonest = min(soonest, room_at)
         if canary is not None:
-            canary.canary_out = True
-            canary.canary_at = self._next_canary(now, canary)
             return canary, now
         if not open_now:
             return None, soonest
@@ -540,6 +538,9 @@
         pace = receiver.pace
         pace.used_at = now
         receiver.calls[now] = receiver.calls.get(now, 0) + 1
+        if receiver.out_since:
+            receiver.canary_out = True
+            receiver.canary_at = self._next_canary(now, receiver)
         if joins:
             return
         self.calls_out += 1
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -87,6 +87,13 @@
             take(made, envelope, now=NOW + 1_000 * MS)
         self.assertEqual(len(made.decide(NOW + 5_000 * MS).shots), 1)
 
+    def test_a_canary_that_found_no_slot_is_not_held_to_be_out(self) -> None:
+        made = sender()
+        take(made, 1)
+        made.calls_out, made.receivers[1].out_since = 10, NOW - 1
+        made.decide(NOW)
+        self.assertFalse(made.receivers[1].canary_out)
+
     def test_a_returned_receiver_is_ramped(self) -> None:
         made = sender()
         handle = out(made, 1)
