--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -64,10 +64,8 @@
     __slots__ = ("sender",)
     sender: "Sender"
 
-    def shot_ended(
-        self, now: int, outcome: Outcome, shot: int, receiver: int, took: int, told_wait: int,
-        last: bool, report: Sequence[float],
-    ) -> None:
+    def shot_ended(self, now: int, outcome: Outcome, shot: int, receiver: int, took: int, told_wait: int,
+                   last: bool, report: Sequence[float]) -> None:
         """Record the outcome of the shot that was out and settle what may follow it."""
         sender = self.sender
         if not self.out:
@@ -133,10 +131,8 @@
 
     # ---- what a protocol tells ----
 
-    def take(
-        self, now: int, envelope: int, destination: int, band: int, outer_limit: int, tenant: int,
-        key: int,
-    ) -> Handle:
+    def take(self, now: int, envelope: int, destination: int, band: int, outer_limit: int, tenant: int,
+             key: int) -> Handle:
         kept = self.bands[band]
         expected_by = outer_limit - kept.outer_limit + kept.expected_time
         self.taken += 1
@@ -266,10 +262,9 @@
         if envelope.ran_at:
             self.verdicts.write_offs.append(envelope.id)
         else:
-            wait = 0
-            if flag(self.settings, "policy-limits.retry-after"):
-                longest = span(self.settings, "policy-limits.max-retry-after-ms")
-                wait = min(longest, max(0, self.destinations[envelope.destination].pace.wait_until - now))
+            allowed = flag(self.settings, "policy-limits.retry-after")
+            longest = span(self.settings, "policy-limits.max-retry-after-ms") if allowed else 0
+            wait = min(longest, max(0, self.destinations[envelope.destination].pace.wait_until - now))
             self.verdicts.nacks.append((envelope.id, wait))
         self.close(now, envelope)
 
@@ -295,10 +290,8 @@
 
     # ---- what outcomes teach ----
 
-    def learn(
-        self, now: int, envelope: Envelope, receiver: Receiver, outcome: Outcome, took: int,
-        told_wait: int, report: Sequence[float],
-    ) -> None:
+    def learn(self, now: int, envelope: Envelope, receiver: Receiver, outcome: Outcome, took: int,
+              told_wait: int, report: Sequence[float]) -> None:
         pace = receiver.pace
         self.changed.add(receiver.destination)
         self.changed |= self.starved
@@ -426,9 +419,8 @@
 
     # ---- where and how ----
 
-    def _in_rotation(
-        self, now: int, envelope: Envelope, members: list[Receiver],
-    ) -> tuple[Receiver | None, int]:
+    def _in_rotation(self, now: int, envelope: Envelope,
+                     members: list[Receiver]) -> tuple[Receiver | None, int]:
         """The receiver whose turn it is, or the time at which one may have room."""
         open_now: list[tuple[Receiver, float]] = []
         soonest = FAR
@@ -448,14 +440,11 @@
                 if room_at <= now:
                     open_now.append((member, self._weight(now, member)))
             soonest = min(soonest, room_at)
-        if canary is not None:
-            return canary, now
-        if not open_now:
-            return None, soonest
-        total = 0.0
+        if canary is not None or not open_now:
+            return canary, soonest
+        total = sum(weight for _, weight in open_now)
         for member, weight in open_now:
             member.credit += weight
-            total += weight
         chosen = max(open_now, key=lambda pair: pair[0].credit)[0]
         chosen.credit -= total
         return chosen, now
@@ -497,10 +486,8 @@
         room_at = now
         if pace.rate is not None:
             depth = max(1.0, pace.rate * DEPTH)
-            if pace.refilled:
-                pace.tokens = min(depth, pace.tokens + pace.rate * (now - pace.refilled) / SECOND)
-            else:
-                pace.tokens = depth
+            since = now - pace.refilled if pace.refilled else FAR
+            pace.tokens = min(depth, pace.tokens + pace.rate * since / SECOND)
             pace.refilled = now
             if pace.tokens < 1:
                 pace.short = True
@@ -546,7 +533,7 @@
         self.calls_out += 1
         pace.calls_out += 1
         pace.sends.append(now)
-        if len(pace.sends) > 256:
+        while pace.sends[0] < now - SPAN:
             pace.sends.popleft()
         if pace.rate is not None:
             pace.tokens = max(0.0, pace.tokens - 1)
