--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -20,8 +20,9 @@
 WINDOW_BASE = SECOND // 2
 WINDOW_CAP = 60 * SECOND
 CANCELLED_CAP = 2  # shots with an unclassified end
-SPAN = 2 * SECOND  # the share of refusals is measured over this
-THROTTLED = 0.15  # a larger share of refusals as full halves the pace: one in seven is more than chance
+SPAN = 4 * SECOND  # the share of refusals is measured over this: a few answers even at a call a second
+THROTTLED = 0.15  # a larger share of refusals as full halves the pace; a lone one at a slow pace does not
+CUT_EVERY = 2 * SECOND  # at most one cut in this time, and the recent send rate is that of so long
 STEP = 0.05  # of the reference rate, for each half second that stays clean
 STEP_EVERY = SECOND // 2
 SLOWEST = 0.3  # calls a second: a pace below this would not find out that room is back
@@ -357,9 +358,9 @@
         if receiver.completed_sent_at != envelope.sent_at:  # the shots of one call count once
             receiver.completions.append(now)
         receiver.completed_sent_at = max(receiver.completed_sent_at, envelope.sent_at)
-        while receiver.completions and receiver.completions[0] < now - 2 * SPAN:
+        while receiver.completions and receiver.completions[0] < now - SPAN:
             receiver.completions.popleft()
-        receiver.managed = max(receiver.managed * 0.98, len(receiver.completions) * SECOND / (2 * SPAN))
+        receiver.managed = max(receiver.managed * 0.98, len(receiver.completions) * SECOND / SPAN)
         if pace.rate is not None and now - max(pace.raised_at, pace.cut_at) >= STEP_EVERY:
             if pace.short or pace.rate < pace.reference:
                 pace.rate += max(pace.reference * STEP, SLOWEST * STEP)
@@ -373,10 +374,8 @@
         while pace.answers[0][0] < now - SPAN:
             pace.answers.popleft()
         share = sum(full for _, full in pace.answers) / len(pace.answers)
-        if share > THROTTLED and now - pace.cut_at >= SPAN:
-            while pace.sends and pace.sends[0] < now - SPAN:
-                pace.sends.popleft()
-            recent = len(pace.sends) * SECOND / SPAN
+        if share > THROTTLED and now - pace.cut_at >= CUT_EVERY:
+            recent = sum(sent > now - CUT_EVERY for sent in pace.sends) * SECOND / CUT_EVERY
             pace.rate = max(SLOWEST, (recent if pace.rate is None else pace.rate) / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
