--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -20,11 +20,12 @@
 WINDOW_BASE = SECOND // 2
 WINDOW_CAP = 60 * SECOND
 CANCELLED_CAP = 2  # shots with an unclassified end
-SPAN = 4 * SECOND  # the share of refusals is measured over this: a few answers even at a call a second
-THROTTLED = 0.15  # a larger share of refusals as full halves the pace; a lone one at a slow pace does not
-CUT_EVERY = 2 * SECOND  # at most one cut in this time, and the recent send rate is that of so long
+SPAN = 2 * SECOND  # the share of refusals is measured over this
+THROTTLED = 0.15  # a larger share of refusals as full halves the pace: one in seven is more than chance
 STEP = 0.05  # of the reference rate, for each half second that stays clean
 STEP_EVERY = SECOND // 2
+ROOM = 0.5  # where reports tell that more than this share of the limit is left, others do not use it
+STEPS_WITH_ROOM = 4  # and steps are so much larger
 SLOWEST = 0.3  # calls a second: a pace below this would not find out that room is back
 IDLE_DROP = 60 * SECOND
 HEADROOM = 1.2  # a sender starts at this multiple of its even part of a listed rate
@@ -116,6 +117,7 @@
         self.may_probe = flag(settings, "policy-limits.probes")
         columns = row(settings, "report.columns")
         self.limit_column = columns.index("x1") if "x1" in columns else -1
+        self.left_column = columns.index("x0") if "x0" in columns else -1
         self.receivers: dict[int, Receiver] = {}
         self.destinations: dict[int, Destination] = {}
         self.lines: dict[int, deque[Handle]] = {}  # envelopes of a key, in the order they were taken
@@ -151,15 +153,15 @@
         if change is not ListChange.CHANGES:
             named = {listing.receiver for listing in listings}
             for receiver in self.receivers.values():
-                if receiver.id not in named:
-                    receiver.ready = False  # a whole list replaces: what it leaves out is gone
+                receiver.ready &= receiver.id in named  # a whole list replaces: what it leaves out is gone
         for listing in listings:
             place = self._destination(listing.destination)
             if listing.receiver not in self.receivers:
                 apart = listing.kind < len(self.apart) and self.apart[listing.kind]
                 pace = Pace() if apart else place.pace
                 self.receivers[listing.receiver] = Receiver(
-                    listing.receiver, listing.zone, listing.kind, listing.destination, pace)
+                    listing.receiver, listing.zone, listing.kind, listing.destination, pace,
+                    recent=deque(maxlen=FEW))
                 place.members.append(listing.receiver)
             known = self.receivers[listing.receiver]
             known.ready = listing.phase is Phase.READY
@@ -299,9 +301,9 @@
         self.starved.clear()
         left = receiver.calls.get(envelope.sent_at, 1) - 1
         receiver.calls[envelope.sent_at] = left
-        if left % self._batch(receiver) == 0:
-            self.calls_out -= 1
-            pace.calls_out -= 1
+        over = left % self._batch(receiver) == 0
+        self.calls_out -= over
+        pace.calls_out -= over
         if left <= 0:
             del receiver.calls[envelope.sent_at]
         receiver.canary_out = False
@@ -309,6 +311,7 @@
             return
         if 0 <= self.limit_column < len(report) and report[self.limit_column] > 0:
             self._list_rate(pace, report[self.limit_column])
+            pace.left = report[self.left_column] if 0 <= self.left_column < len(report) else 0.0
         if outcome is not Outcome.TIME_OUT:
             receiver.answered_at = now
         if outcome is Outcome.COMPLETED:
@@ -328,13 +331,15 @@
             receiver.distrust_at = now
             # Danger: one reset or one failed connection among good calls (a lossy path, a full table of
             # connections) is no outage, and a ramp after each would cost more than the failures do.
-            judged = list(receiver.recent)[-FEW:]
+            judged = list(receiver.recent)
             ill = receiver.completed_sent_at < envelope.sent_at and (
                 outcome is Outcome.TIME_OUT or (outcome is Outcome.CONNECT_FAILED and not any(judged[-2:])))
-            if ill or receiver.out_since or (len(judged) >= 3 and sum(judged) * 3 <= len(judged)):
+            if receiver.back_at:
+                # Danger: a destination that fails most calls lets some pass; a ramp that ran on through its
+                # outage would push it over at its end.
+                receiver.back_at = now
+            if ill or receiver.out_since or (len(judged) >= 3 and sum(judged) * 5 <= len(judged) * 2):
                 self._out(now, receiver, provable=outcome is Outcome.CONNECT_FAILED)
-        while len(receiver.recent) > FEW:
-            receiver.recent.popleft()
 
     def _completed(self, now: int, envelope: Envelope, receiver: Receiver, took: int) -> None:
         pace = receiver.pace
@@ -353,17 +358,17 @@
                 if pace.rate is not None:  # its refusals while it was shut say nothing of its limit
                     pace.rate = max(pace.rate, receiver.managed, pace.reference)
             receiver.out_since, receiver.failed, receiver.vouched = 0, False, False
-            receiver.recent.clear()
-            receiver.recent.append(True)
+            receiver.recent = deque([True], FEW)
         if receiver.completed_sent_at != envelope.sent_at:  # the shots of one call count once
             receiver.completions.append(now)
         receiver.completed_sent_at = max(receiver.completed_sent_at, envelope.sent_at)
-        while receiver.completions and receiver.completions[0] < now - SPAN:
+        while receiver.completions and receiver.completions[0] < now - 2 * SPAN:
             receiver.completions.popleft()
-        receiver.managed = max(receiver.managed * 0.98, len(receiver.completions) * SECOND / SPAN)
+        receiver.managed = max(receiver.managed * 0.98, len(receiver.completions) * SECOND / (2 * SPAN))
         if pace.rate is not None and now - max(pace.raised_at, pace.cut_at) >= STEP_EVERY:
             if pace.short or pace.rate < pace.reference:
-                pace.rate += max(pace.reference * STEP, SLOWEST * STEP)
+                steps = STEPS_WITH_ROOM if pace.left > ROOM else 1
+                pace.rate += max(pace.reference, SLOWEST) * STEP * steps
                 if pace.limit:
                     pace.rate = min(pace.rate, pace.limit)
             pace.short, pace.raised_at = False, now
@@ -374,8 +379,10 @@
         while pace.answers[0][0] < now - SPAN:
             pace.answers.popleft()
         share = sum(full for _, full in pace.answers) / len(pace.answers)
-        if share > THROTTLED and now - pace.cut_at >= CUT_EVERY:
-            recent = sum(sent > now - CUT_EVERY for sent in pace.sends) * SECOND / CUT_EVERY
+        if share > THROTTLED and now - pace.cut_at >= SPAN:
+            while pace.sends and pace.sends[0] < now - SPAN:
+                pace.sends.popleft()
+            recent = len(pace.sends) * SECOND / SPAN
             pace.rate = max(SLOWEST, (recent if pace.rate is None else pace.rate) / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
@@ -493,8 +500,7 @@
                 room_at = now + 1 + int((1 - pace.tokens) * SECOND / pace.rate)
         if receiver.back_at:
             since = now - receiver.back_at
-            ramp = max(SECOND, span(self.settings, "rules.ramp-time-ms", 10_000))
-            if since >= ramp:
+            if since >= span(self.settings, "rules.ramp-time-ms", 10_000):
                 receiver.back_at = 0
                 return room_at
             rate = self._returning_rate(receiver, since)
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -38,6 +38,7 @@
     rate: float | None = None  # calls a second; None: unbounded
     reference: float = 0.0  # the rate that small steps are measured by
     limit: float = 0.0  # what the destination is said to take from all senders; 0: unknown
+    left: float = 0.0  # the share of it that was last reported to be left
     tokens: float = 1.0
     refilled: int = 0
     wait_until: int = 0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -104,6 +104,13 @@
             take(made, envelope, now=NOW + 3_000 * MS)
         self.assertEqual(made.decide(NOW + 3_000 * MS).shots, [])
 
+    def test_a_failure_starts_a_ramp_again(self) -> None:
+        made = sender()
+        handle = out(made, 1)
+        made.receivers[1].back_at = NOW - 9_000 * MS
+        end(handle, Outcome.ERROR, NOW + 100 * MS)
+        self.assertEqual(made.receivers[1].back_at, NOW + 100 * MS)
+
     def test_fulls_alone_for_long_are_an_outage(self) -> None:
         made = sender()
         handle = out(made, 1)
@@ -174,6 +181,14 @@
         end(handle, Outcome.COMPLETED, NOW + STEP_EVERY)
         self.assertAlmostEqual(pace.rate, 2.2)
 
+    def test_reported_room_makes_larger_steps(self) -> None:
+        made = sender(report__columns="x0,x1", rate=8.0, weight_source="nominal")
+        handle = out(made, 1)
+        pace = made.receivers[1].pace
+        pace.rate, pace.cut_at = 1.0, NOW - SPAN
+        handle.shot_ended(NOW + STEP_EVERY, Outcome.COMPLETED, 0, 1, 100 * MS, 0, True, (0.9, 8.0))
+        self.assertAlmostEqual(pace.rate, 1.0 + 4.8 * 0.2)
+
     def test_retry_waits_are_jittered_inside_the_doubling_window(self) -> None:
         dues = []
         for seed in range(40):
