Judge time-outs by their share; begin a ramp again only when a third fail

Also catches lossy links and flaky partners. May hurt: a hang on a partner with one call at a time is seen later.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -329,12 +329,12 @@
             receiver.recent.append(False)
             receiver.distrust = self._distrust(now, receiver) + 1
             receiver.distrust_at = now
-            # Danger: one reset or one failed connection among good calls (a lossy path, a full table of
-            # connections) is no outage, and a ramp after each would cost more than the failures do.
+            # Danger: one lost call among good ones (a lossy path, a full table of connections) is no
+            # outage, and a ramp after each would cost more than the losses do.
             judged = list(receiver.recent)
-            ill = receiver.completed_sent_at < envelope.sent_at and (
-                outcome is Outcome.TIME_OUT or (outcome is Outcome.CONNECT_FAILED and not any(judged[-2:])))
-            if receiver.back_at:
+            ill = (outcome is Outcome.CONNECT_FAILED and len(judged) > 1 and not any(judged[-2:])
+                   and receiver.completed_sent_at < envelope.sent_at)
+            if receiver.back_at and sum(judged) * 3 <= len(judged) * 2:
                 # Danger: a destination that fails most calls lets some pass; a ramp that ran on through its
                 # outage would push it over at its end.
                 receiver.back_at = now
@@ -545,7 +545,7 @@
         receiver.ramp_tokens = max(0.0, receiver.ramp_tokens - 1)
 
     def _silent(self, now: int, receiver: Receiver) -> bool:
-        if not receiver.calls:
+        if len(receiver.calls) < 2:  # a single lost call says too little
             return False
         since = max(next(iter(receiver.calls)), receiver.answered_at)
         usual = 2 * receiver.mean + 4 * receiver.stray if receiver.mean else 2 * SECOND
