--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -26,7 +26,6 @@
 STEP_EVERY = SECOND // 2
 ROOM = 0.5  # where reports tell that more than this share of the limit is left, others do not use it
 STEPS_WITH_ROOM = 4  # and steps are so much larger
-SLOWEST = 0.3  # calls a second: a pace below this would not find out that room is back
 IDLE_DROP = 60 * SECOND
 HEADROOM = 1.2  # a sender starts at this multiple of its even part of a listed rate
 DEPTH = 1.0  # seconds of the pace that may go at once after a pause
@@ -40,7 +39,7 @@
 CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
-TRICKLE = 1.0  # calls a second of all senders together in a ramp, when nothing is known of a receiver
+TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 PART = 0.6  # of this sender's even part of a listed rate, which may be listed too high
 
 
@@ -108,6 +107,7 @@
         self.chance = Chance(seed)
         self.bands = [band_of(settings, index) for index in range(int(number(settings, "classes.count")))]
         self.senders = max(1, int(number(settings, "balancers", 1)))
+        self.slowest = TRICKLE / self.senders
         self.tick = max(1000, span(settings, "resolution-ms", 5.0))
         self.slots = int(number(settings, "family-info.max-calls", 1 << 30))
         self.most_shots = int(number(settings, "policy-limits.most-tries", 1 << 30))
@@ -324,7 +324,7 @@
             if receiver.out_since or (receiver.fulls >= 3 and now - receiver.full_since > SHUT_AFTER):
                 self._out(now, receiver, provable=True)
             else:
-                self._throttle(now, pace)
+                self._throttle(now, pace, receiver.fulls > 1)
         else:
             receiver.recent.append(False)
             receiver.distrust = self._distrust(now, receiver) + 1
@@ -368,22 +368,24 @@
         if pace.rate is not None and now - max(pace.raised_at, pace.cut_at) >= STEP_EVERY:
             if pace.short or pace.rate < pace.reference:
                 steps = STEPS_WITH_ROOM if pace.left > ROOM else 1
-                pace.rate += max(pace.reference, SLOWEST) * STEP * steps
+                pace.rate += max(pace.reference, self.slowest) * STEP * steps
                 if pace.limit:
                     pace.rate = min(pace.rate, pace.limit)
             pace.short, pace.raised_at = False, now
 
-    def _throttle(self, now: int, pace: Pace) -> None:
+    def _throttle(self, now: int, pace: Pace, repeated: bool) -> None:
         """Halve the pace when the share of refusals over the span is past the threshold."""
         pace.answers.append((now, True))
         while pace.answers[0][0] < now - SPAN:
             pace.answers.popleft()
-        share = sum(full for _, full in pace.answers) / len(pace.answers)
-        if share > THROTTLED and now - pace.cut_at >= SPAN:
+        fulls = [full for _, full in pace.answers]
+        # Danger: with a few calls a second one refusal is chance, or another sender's doing.
+        lone = sum(fulls) < 2 and not repeated and (pace.rate or 0.0) * self.senders < pace.limit
+        if sum(fulls) > THROTTLED * len(fulls) and not lone and now - pace.cut_at >= SPAN:
             while pace.sends and pace.sends[0] < now - SPAN:
                 pace.sends.popleft()
             recent = len(pace.sends) * SECOND / SPAN
-            pace.rate = max(SLOWEST, (recent if pace.rate is None else pace.rate) / 2)
+            pace.rate = max(self.slowest, (recent if pace.rate is None else pace.rate) / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
             pace.tokens = min(pace.tokens, 1.0)
@@ -411,8 +413,8 @@
         cold = number(self.settings, "rules.cold-share", 0.25)
         share = cold + (1 - cold) * min(1.0, since / ramp)
         managed = max(receiver.managed, receiver.pace.limit * PART / self.senders)
-        floor = TRICKLE / self.senders
-        return max(floor, RAMP_PART * number(self.settings, "rules.fall-multiple", 1.5) * share * managed)
+        multiple = number(self.settings, "rules.fall-multiple", 1.5)
+        return max(self.slowest, RAMP_PART * multiple * share * managed)
 
     def _distrust(self, now: int, receiver: Receiver) -> float:
         return float(receiver.distrust * 2.0 ** (-(now - receiver.distrust_at) / TRUST_HALVES))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -182,9 +182,16 @@
         handle = out(made, 1)
         end(handle, Outcome.FULL, NOW + 100 * MS)
         self.assertEqual(made.receivers[1].pace.rate, before / 2)
-        made._throttle(NOW + SPAN // 2, made.receivers[1].pace)
+        made._throttle(NOW + SPAN // 2, made.receivers[1].pace, True)
         self.assertEqual(made.receivers[1].pace.rate, before / 2)
 
+    def test_a_lone_refusal_spares_a_pace_under_its_even_part(self) -> None:
+        made = sender(rate=10.0, weight_source="nominal")
+        handle = out(made, 1)
+        made.receivers[1].pace.rate = 4.0
+        end(handle, Outcome.FULL, NOW + 100 * MS)
+        self.assertEqual(made.receivers[1].pace.rate, 4.0)
+
     def test_a_clean_pace_rises_in_small_steps(self) -> None:
         made = sender()
         handle = out(made, 1)
