--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -25,7 +25,7 @@
 STEP = 0.05  # of the reference rate, for each half second that stays clean
 STEP_EVERY = SECOND // 2
 ROOM = 0.5  # where reports tell that more than this share of the limit is left, others do not use it
-STEPS_WITH_ROOM = 4  # and steps are so much larger
+MOST_STEPS = 4  # and so many are taken at once; or those of the clean time, where no limit is known
 IDLE_DROP = 60 * SECOND
 HEADROOM = 1.2  # a sender starts at this multiple of its even part of a listed rate
 DEPTH = 1.0  # seconds of the pace that may go at once after a pause
@@ -40,6 +40,7 @@
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
+COLD_BATCH = 4  # envelopes in one call during a ramp
 PART = 0.6  # of this sender's even part of a listed rate, which may be listed too high
 
 
@@ -175,8 +176,7 @@
 
     def probe_ended(self, now: int, receiver: int, outcome: Outcome, took: int) -> None:
         record = self.receivers[receiver]
-        record.probe_out = False
-        record.vouched = outcome is Outcome.COMPLETED
+        record.probe_out, record.vouched = False, outcome is Outcome.COMPLETED
         record.canary_at = now if record.vouched else self._next_canary(now, record)
         self.changed.add(record.destination)
 
@@ -335,9 +335,7 @@
             ill = (outcome is Outcome.CONNECT_FAILED and len(judged) > 1 and not any(judged[-2:])
                    and receiver.completed_sent_at < envelope.sent_at)
             if receiver.back_at and sum(judged) * 3 <= len(judged) * 2:
-                # Danger: a destination that fails most calls lets some pass; a ramp that ran on through its
-                # outage would push it over at its end.
-                receiver.back_at = now
+                receiver.back_at = now  # Danger: some calls pass in an outage, and a ramp would run on in it
             if ill or receiver.out_since or (len(judged) >= 3 and sum(judged) * 5 <= len(judged) * 2):
                 self._out(now, receiver, provable=outcome is Outcome.CONNECT_FAILED)
 
@@ -365,10 +363,12 @@
         while receiver.completions and receiver.completions[0] < now - 2 * SPAN:
             receiver.completions.popleft()
         receiver.managed = max(receiver.managed * 0.98, len(receiver.completions) * SECOND / (2 * SPAN))
-        if pace.rate is not None and now - max(pace.raised_at, pace.cut_at) >= STEP_EVERY:
+        steps = (now - max(pace.raised_at, pace.cut_at)) // STEP_EVERY
+        if pace.rate is not None and steps:
             if pace.short or pace.rate < pace.reference:
-                steps = STEPS_WITH_ROOM if pace.left > ROOM else 1
-                pace.rate += max(pace.reference, self.slowest) * STEP * steps
+                if pace.limit:  # the reports tell whether others use it
+                    steps = MOST_STEPS if pace.left > ROOM else 1
+                pace.rate += max(pace.reference, self.slowest) * STEP * min(MOST_STEPS, steps)
                 if pace.limit:
                     pace.rate = min(pace.rate, pace.limit)
             pace.short, pace.raised_at = False, now
@@ -475,7 +475,9 @@
 
     def _joins(self, now: int, receiver: Receiver) -> bool:
         """A shot of this round to the same receiver shares a call that is not full."""
-        return receiver.calls.get(now, 0) % self._batch(receiver) != 0
+        joined = receiver.calls.get(now, 0) % self._batch(receiver)
+        # Danger: a full call weighs as several and would push over a route that is still cold.
+        return 0 < joined < (COLD_BATCH if receiver.back_at else FAR)
 
     def _room(self, now: int, receiver: Receiver) -> int:
         """When a receiver in service may take a further call."""
@@ -485,9 +487,7 @@
         if self._joins(now, receiver):
             return now
         # Danger: a restarted sender has forgotten its pace and would hit a throttled destination full on.
-        if not pace.proven and pace.calls_out >= FIRST_CALLS:
-            return now + SECOND
-        if pace.calls_out >= max(FIRST_CALLS, self.slots // 3):
+        if pace.calls_out >= max(FIRST_CALLS, self.slots // 3 if pace.proven else 0):
             return now + SECOND
         if pace.used_at and now - pace.used_at > IDLE_DROP and not pace.limit:
             pace.rate, pace.reference = None, 0.0
@@ -524,9 +524,8 @@
             receiver.probe_out = True
             self.verdicts.probes.append(receiver.id)
             return FAR
-        if envelope.band.at_most_once and not receiver.provable:
-            return FAR  # it could be lost without a second try
-        return now
+        # An at-most-once canary could be lost without a second try.
+        return FAR if envelope.band.at_most_once and not receiver.provable else now
 
     def _spend(self, now: int, receiver: Receiver, joins: bool) -> None:
         pace = receiver.pace
@@ -608,6 +607,4 @@
             self.give_up(now, max(spare, key=lambda held: self._urgency(now, held)))
 
     def _destination(self, place: int) -> Destination:
-        if place not in self.destinations:
-            self.destinations[place] = Destination(place, Pace())
-        return self.destinations[place]
+        return self.destinations.setdefault(place, Destination(place, Pace()))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -196,7 +196,7 @@
         made = sender()
         handle = out(made, 1)
         pace = made.receivers[1].pace
-        pace.rate, pace.reference = 2.0, 4.0
+        pace.rate, pace.reference, pace.raised_at = 2.0, 4.0, NOW
         end(handle, Outcome.COMPLETED, NOW + STEP_EVERY)
         self.assertAlmostEqual(pace.rate, 2.2)
 
@@ -227,6 +227,14 @@
             take(made, envelope, FREE)
         self.assertEqual((len(made.decide(NOW).shots), made.calls_out), (3, 1))
 
+    def test_a_call_to_a_cold_route_stays_small(self) -> None:
+        made = sender(kind=1)
+        made.receivers[1].back_at = made.receivers[1].ramp_at = NOW
+        made.receivers[1].ramp_tokens = 1.0
+        for envelope in range(1, 10):
+            take(made, envelope)
+        self.assertEqual(len(made.decide(NOW).shots), 4)
+
     def test_an_unproven_destination_gets_few_calls(self) -> None:
         made = sender()
         for envelope in range(1, 6):
