--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -35,6 +35,7 @@
 TRUST_HALVES = 5 * SECOND  # distrust fades by half in this time
 SILENCE = SECOND  # no answer for this long, and longer than usual, counts as silence
 SHUT_AFTER = 2_500_000  # fulls alone for longer than any limit's span of a second or two: it is shut
+SHUT_FULLS = 6  # and so many at least: at a crowded limit a few in a row are others' doing
 CANARY_SOONEST = 800_000  # between two canaries of this sender to one destination, where it is large
 CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
@@ -321,7 +322,8 @@
             receiver.fulls += 1
             receiver.full_since = receiver.full_since or now
             # Danger: a destination that is shut refuses everything; a pace alone would push it as it returns.
-            if receiver.out_since or (receiver.fulls >= 3 and now - receiver.full_since > SHUT_AFTER):
+            shut = receiver.fulls >= SHUT_FULLS and now - receiver.full_since > SHUT_AFTER
+            if receiver.out_since or shut:
                 self._out(now, receiver, provable=True)
             else:
                 self._throttle(now, pace, receiver.fulls > 1)
@@ -376,6 +378,7 @@
     def _throttle(self, now: int, pace: Pace, repeated: bool) -> None:
         """Halve the pace when the share of refusals over the span is past the threshold."""
         pace.answers.append((now, True))
+        pace.tokens = 0.0  # what was saved up before the refusal is not there any more
         while pace.answers[0][0] < now - SPAN:
             pace.answers.popleft()
         fulls = [full for _, full in pace.answers]
@@ -388,7 +391,6 @@
             pace.rate = max(self.slowest, (recent if pace.rate is None else pace.rate) / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
-            pace.tokens = min(pace.tokens, 1.0)
             pace.answers.clear()
 
     def _out(self, now: int, receiver: Receiver, provable: bool) -> None:
