--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -84,11 +84,9 @@
         if last or self.ended or outcome is Outcome.COMPLETED:
             sender.close(now, self)
             return
-        if outcome is Outcome.MOOT:
-            self.due = now + 1  # no evidence against the destination, so no backing off from it
-        else:
-            window = min(WINDOW_CAP, WINDOW_BASE << min(self.shots - 1, 16))
-            self.due = now + (told_wait or sender.chance.below(window))
+        window = min(WINDOW_CAP, WINDOW_BASE << min(self.shots - 1, 16))
+        # A moot shot is no evidence against the destination, so there is no backing off from it.
+        self.due = now + (1 if outcome is Outcome.MOOT else told_wait or sender.chance.below(window))
         if self.ran_at and not self.band.reissuable:  # a wait must not outlast the window of repeats
             self.due = max(now, min(self.due, self.ran_at + self.band.window - sender.tick * 4))
         sender.hold(now, self)
@@ -205,8 +203,7 @@
         if now >= self.subscribe_at:
             verdicts.subscribe, self.subscribe_at = True, FAR
         wake_at = min(self.looks[0][0] if self.looks else FAR, self.subscribe_at)
-        if self.changed:
-            wake_at = min(wake_at, now + self.tick)
+        wake_at = min(wake_at, now + self.tick) if self.changed else wake_at
         verdicts.wake_at = wake_at if wake_at < FAR else None
         return verdicts
 
@@ -266,8 +263,8 @@
         if envelope.ran_at:
             self.verdicts.write_offs.append(envelope.id)
         else:
-            allowed = flag(self.settings, "policy-limits.retry-after")
-            longest = span(self.settings, "policy-limits.max-retry-after-ms") if allowed else 0
+            longest = span(self.settings, "policy-limits.max-retry-after-ms")
+            longest *= flag(self.settings, "policy-limits.retry-after")
             wait = min(longest, max(0, self.destinations[envelope.destination].pace.wait_until - now))
             self.verdicts.nacks.append((envelope.id, wait))
         self.close(now, envelope)
@@ -321,11 +318,13 @@
             pace.wait_until = max(pace.wait_until, now + told_wait)
             receiver.fulls += 1
             receiver.full_since = receiver.full_since or now
-            # Danger: a destination that is shut refuses everything; a pace alone would push it as it returns.
+            # Danger: what is shut tells a long wait or refuses everything; all push it as it opens, cold.
             shut = receiver.fulls >= SHUT_FULLS and now - receiver.full_since > SHUT_AFTER
-            if receiver.out_since or shut:
-                self._out(now, receiver, provable=True)
-            else:
+            mates = [self.receivers[mate] for mate in self.destinations[receiver.destination].members]
+            for mate in mates if told_wait > SHUT_AFTER else [receiver] if receiver.out_since or shut else []:
+                if mate.pace is pace:
+                    self._out(now, mate, provable=True)
+            if not receiver.out_since:
                 self._throttle(now, pace, receiver.fulls > 1)
         else:
             receiver.recent.append(False)
@@ -479,7 +478,7 @@
         """A shot of this round to the same receiver shares a call that is not full."""
         joined = receiver.calls.get(now, 0) % self._batch(receiver)
         # Danger: a full call weighs as several and would push over a route that is still cold.
-        return 0 < joined < (COLD_BATCH if receiver.back_at else FAR)
+        return 0 < joined < (COLD_BATCH if receiver.back_at or receiver.fulls else FAR)
 
     def _room(self, now: int, receiver: Receiver) -> int:
         """When a receiver in service may take a further call."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -119,6 +119,18 @@
         end(handle, Outcome.FULL, NOW + 100 * MS)
         self.assertTrue(made.receivers[1].out_since)
 
+    def test_a_long_told_wait_is_an_outage_of_the_whole_destination(self) -> None:
+        made = sender(receivers=2)
+        end(out(made, 1), Outcome.FULL, NOW + 100 * MS, told=5_000 * MS)
+        self.assertTrue(all(receiver.out_since for receiver in made.receivers.values()))
+
+    def test_a_call_after_a_refusal_stays_small(self) -> None:
+        made = sender(kind=1)
+        made.receivers[1].fulls, made.receivers[1].pace.rate = 1, 0.5
+        for envelope in range(1, 10):
+            take(made, envelope)
+        self.assertEqual(len(made.decide(NOW).shots), 4)
+
     def test_silence_holds_further_shots(self) -> None:
         made = sender()
         out(made, 1)
