--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -41,7 +41,7 @@
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
-COLD_BATCH = 4  # envelopes in one call during a ramp
+COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
 PART = 0.6  # of this sender's even part of a listed rate, which may be listed too high
 
 
@@ -342,7 +342,7 @@
 
     def _completed(self, now: int, envelope: Envelope, receiver: Receiver, took: int) -> None:
         pace = receiver.pace
-        pace.answers.append((now, False))
+        self._answered(now, pace, False)
         pace.proven = True
         receiver.recent.append(True)
         receiver.fulls = receiver.full_since = 0
@@ -374,19 +374,20 @@
                     pace.rate = min(pace.rate, pace.limit)
             pace.short, pace.raised_at = False, now
 
+    def _answered(self, now: int, pace: Pace, full: bool) -> None:
+        pace.answers.append((now, full))
+        while pace.answers[0][0] < now - SPAN:
+            pace.answers.popleft()
+
     def _throttle(self, now: int, pace: Pace, repeated: bool) -> None:
         """Halve the pace when the share of refusals over the span is past the threshold."""
-        pace.answers.append((now, True))
+        self._answered(now, pace, True)
         pace.tokens = 0.0  # what was saved up before the refusal is not there any more
-        while pace.answers[0][0] < now - SPAN:
-            pace.answers.popleft()
         fulls = [full for _, full in pace.answers]
         # Danger: with a few calls a second one refusal is chance, or another sender's doing.
         lone = sum(fulls) < 2 and not repeated and (pace.rate or 0.0) * self.senders < pace.limit
         if sum(fulls) > THROTTLED * len(fulls) and not lone and now - pace.cut_at >= SPAN:
-            while pace.sends and pace.sends[0] < now - SPAN:
-                pace.sends.popleft()
-            recent = len(pace.sends) * SECOND / SPAN
+            recent = sum(sent >= now - SPAN for sent in pace.sends) * SECOND / SPAN
             pace.rate = max(self.slowest, (recent if pace.rate is None else pace.rate) / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
