--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -40,6 +40,7 @@
 CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
+LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
 PART = 0.6  # of this sender's even part of a listed rate, which may be listed too high
@@ -388,7 +389,7 @@
         lone = sum(fulls) < 2 and not repeated and (pace.rate or 0.0) * self.senders < pace.limit
         if sum(fulls) > THROTTLED * len(fulls) and not lone and now - pace.cut_at >= SPAN:
             recent = sum(sent >= now - SPAN for sent in pace.sends) * SECOND / SPAN
-            pace.rate = max(self.slowest, (recent if pace.rate is None else pace.rate) / 2)
+            pace.rate = max(self.slowest, LONE / 2, (recent if pace.rate is None else pace.rate) / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
             pace.answers.clear()
@@ -422,7 +423,7 @@
         return float(receiver.distrust * 2.0 ** (-(now - receiver.distrust_at) / TRUST_HALVES))
 
     def _list_rate(self, pace: Pace, rate: float) -> None:
-        part = rate * HEADROOM / self.senders
+        part = max(rate * HEADROOM / self.senders, min(rate, LONE))
         if pace.rate is None or (not pace.cut_at and not pace.raised_at) or pace.rate > rate:
             pace.rate = part
         pace.reference, pace.limit = part, rate
