--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -128,6 +128,7 @@
         self.taken = 0
         self.calls_out = 0
         self.changed: set[int] = set()  # destinations that need a look in this round
+        self.idle: set[int] = set()  # receivers at which a call has ended in this round
         self.starved: set[int] = set()  # destinations that found no slot free
         self.looks: list[tuple[int, int]] = []
         self.subscribe_at = now if settings.get("discovery") == "ask" else FAR
@@ -200,6 +201,10 @@
             place.look_at = max(next_look.get(place.id, FAR), now + self.tick)
             if place.look_at < FAR:
                 heapq.heappush(self.looks, (place.look_at, place.id))
+        for each in sorted(self.idle):
+            if not self.receivers[each].calls:
+                self.verdicts.freed_links.append(each)
+        self.idle.clear()
         verdicts, self.verdicts = self.verdicts, Verdicts()
         if now >= self.subscribe_at:
             verdicts.subscribe, self.subscribe_at = True, FAR
@@ -305,6 +310,7 @@
         pace.calls_out -= over
         if left <= 0:
             del receiver.calls[envelope.sent_at]
+            self.idle.add(receiver.id)
         receiver.canary_out = False
         if outcome in (Outcome.MOOT, Outcome.CANCELLED):
             return
