--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -119,6 +119,7 @@
         columns = row(settings, "report.columns")
         self.limit_column = columns.index("x1") if "x1" in columns else -1
         self.left_column = columns.index("x0") if "x0" in columns else -1
+        self.links_last = span(settings, "policy-limits.conn-idle-ms", 15_000)
         self.receivers: dict[int, Receiver] = {}
         self.destinations: dict[int, Destination] = {}
         self.lines: dict[int, deque[Handle]] = {}  # envelopes of a key, in the order they were taken
@@ -202,7 +203,7 @@
             if place.look_at < FAR:
                 heapq.heappush(self.looks, (place.look_at, place.id))
         for each in sorted(self.idle):
-            if not self.receivers[each].calls:
+            if not self.receivers[each].calls and self.receivers[each].gap > self.links_last // 2:
                 self.verdicts.freed_links.append(each)
         self.idle.clear()
         verdicts, self.verdicts = self.verdicts, Verdicts()
@@ -540,6 +541,7 @@
         pace = receiver.pace
         pace.used_at = now
         receiver.calls[now] = receiver.calls.get(now, 0) + 1
+        receiver.gap, receiver.used_at = now - receiver.used_at, now
         if receiver.out_since:
             receiver.canary_out = True
             receiver.canary_at = self._next_canary(now, receiver)
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -75,6 +75,8 @@
     completions: deque[int] = field(default_factory=deque)
     completed_sent_at: int = -1  # send time of the newest call that was completed
     answered_at: int = 0
+    used_at: int = 0  # the newest shot, and how long after the one before it
+    gap: int = 0
     out_since: int = 0  # 0: in service
     failed: bool = False  # the outage showed in an outcome, not in silence alone
     provable: bool = False  # its last failure proved that nothing ran
