--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -34,6 +34,7 @@
 FEW = 8  # outcomes that judge a receiver
 TRUST_HALVES = 5 * SECOND  # distrust fades by half in this time
 SILENCE = SECOND  # no answer for this long, and longer than usual, counts as silence
+UNLINKED = 0.05  # a larger share of failed connections at a kind: its tables may be full
 SHUT_AFTER = 2_500_000  # fulls alone for longer than any limit's span of a second or two: it is shut
 SHUT_FULLS = 6  # and so many at least: at a crowded limit a few in a row are others' doing
 CANARY_SOONEST = 800_000  # between two canaries of this sender to one destination, where it is large
@@ -129,6 +130,7 @@
         self.taken = 0
         self.calls_out = 0
         self.changed: set[int] = set()  # destinations that need a look in this round
+        self.unlinked: dict[int, float] = {}  # by kind, the share of failed connections among the last shots
         self.idle: set[int] = set()  # receivers at which a call has ended in this round
         self.starved: set[int] = set()  # destinations that found no slot free
         self.looks: list[tuple[int, int]] = []
@@ -203,7 +205,9 @@
             if place.look_at < FAR:
                 heapq.heappush(self.looks, (place.look_at, place.id))
         for each in sorted(self.idle):
-            if not self.receivers[each].calls and self.receivers[each].gap > self.links_last // 2:
+            record = self.receivers[each]
+            crowded = self.unlinked.get(record.kind, 0.0) > UNLINKED
+            if not record.calls and (crowded or record.gap > self.links_last):
                 self.verdicts.freed_links.append(each)
         self.idle.clear()
         verdicts, self.verdicts = self.verdicts, Verdicts()
@@ -318,6 +322,9 @@
         if 0 <= self.limit_column < len(report) and report[self.limit_column] > 0:
             self._list_rate(pace, report[self.limit_column])
             pace.left = report[self.left_column] if 0 <= self.left_column < len(report) else 0.0
+        # Danger: idle links of many senders fill a receiver's table, and nobody else gets a connection.
+        share = self.unlinked.get(receiver.kind, 0.0)
+        self.unlinked[receiver.kind] = share + ((outcome is Outcome.CONNECT_FAILED) - share) / 16
         if outcome is not Outcome.TIME_OUT:
             receiver.answered_at = now
         if outcome is Outcome.COMPLETED:
