--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -32,12 +32,14 @@
 
 # Health.
 FEW = 8  # outcomes that judge a receiver
+STALE = 5 * SECOND  # completions older than this say little of a receiver's health
 TRUST_HALVES = 5 * SECOND  # distrust fades by half in this time
 SILENCE = SECOND  # no answer for this long, and longer than usual, counts as silence
 UNLINKED = 0.05  # a larger share of failed connections at a kind: its tables may be full
 SHUT_AFTER = 2_500_000  # fulls alone for longer than any limit's span of a second or two: it is shut
 SHUT_FULLS = 6  # and so many at least: at a crowded limit a few in a row are others' doing
 CANARY_SOONEST = 800_000  # between two canaries of this sender to one destination, where it is large
+CANARY_AGE = 1.5  # gaps between canaries grow to this multiple of the outage's age where senders are many
 CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
@@ -352,6 +354,8 @@
                    and receiver.completed_sent_at < envelope.sent_at)
             if receiver.back_at and sum(judged) * 3 <= len(judged) * 2:
                 receiver.back_at = now  # Danger: some calls pass in an outage, and a ramp would run on in it
+            # Danger: at a few calls a minute outcomes never gather, and each envelope spends its shots alone.
+            ill = ill or not receiver.completions or receiver.completions[-1] < envelope.sent_at - STALE
             if ill or receiver.out_since or (len(judged) >= 3 and sum(judged) * 5 <= len(judged) * 2):
                 self._out(now, receiver, provable=outcome is Outcome.CONNECT_FAILED)
 
@@ -420,7 +424,10 @@
     def _next_canary(self, now: int, receiver: Receiver) -> int:
         """Danger: the canaries of many senders push over a small destination as it comes back."""
         allowed = self._returning_rate(receiver, 0)
-        gap = min(CANARY_LATEST, max(CANARY_SOONEST, round((2 if self.may_probe else 1) * SECOND / allowed)))
+        # Danger: where senders are many, canaries at a fixed gap add up to an onslaught. Those that hold
+        # something grow in number with the outage, so the gaps grow with its age.
+        latest = max(CANARY_LATEST, round((now - receiver.out_since) * CANARY_AGE))
+        gap = min(latest, max(CANARY_SOONEST, round((2 if self.may_probe else 1) * SECOND / allowed)))
         receiver.pace.canary_at = max(receiver.pace.canary_at, now + gap * 3 // 4)
         return now + gap * 3 // 4 + self.chance.below(gap // 2)
 
