--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -39,7 +39,7 @@
 SHUT_AFTER = 2_500_000  # fulls alone for longer than any limit's span of a second or two: it is shut
 SHUT_FULLS = 6  # and so many at least: at a crowded limit a few in a row are others' doing
 CANARY_SOONEST = 800_000  # between two canaries of this sender to one destination, where it is large
-CANARY_AGE = 1.5  # gaps between canaries grow to this multiple of the outage's age where senders are many
+CANARY_AGE = 2.5  # gaps between canaries grow to this multiple of the outage's age where senders are many
 CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
@@ -336,7 +336,9 @@
             receiver.fulls += 1
             receiver.full_since = receiver.full_since or now
             # Danger: what is shut tells a long wait or refuses everything; all push it as it opens, cold.
-            shut = receiver.fulls >= SHUT_FULLS and now - receiver.full_since > SHUT_AFTER
+            stale = not receiver.completions or receiver.completions[-1] < now - STALE
+            enough = SHUT_FULLS // 2 if stale else SHUT_FULLS
+            shut = receiver.fulls >= enough and now - receiver.full_since > SHUT_AFTER
             mates = [self.receivers[mate] for mate in self.destinations[receiver.destination].members]
             for mate in mates if told_wait > SHUT_AFTER else [receiver] if receiver.out_since or shut else []:
                 if mate.pace is pace:
@@ -407,7 +409,7 @@
         lone = sum(fulls) < 2 and not repeated and (pace.rate or 0.0) * self.senders < pace.limit
         if sum(fulls) > THROTTLED * len(fulls) and not lone and now - pace.cut_at >= SPAN:
             recent = sum(sent >= now - SPAN for sent in pace.sends) * SECOND / SPAN
-            pace.rate = max(self.slowest, LONE / 2, (recent if pace.rate is None else pace.rate) / 2)
+            pace.rate = max(self.slowest, (recent if pace.rate is None else pace.rate) / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
             pace.answers.clear()
