--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -24,6 +24,7 @@
 THROTTLED = 0.15  # a larger share of refusals as full halves the pace: one in seven is more than chance
 STEP = 0.05  # of the reference rate, for each half second that stays clean
 STEP_EVERY = SECOND // 2
+GATHER = 4  # shots at least that tell the recent send rate
 ROOM = 0.5  # where reports tell that more than this share of the limit is left, others do not use it
 MOST_STEPS = 4  # and so many are taken at once; or those of the clean time, where no limit is known
 IDLE_DROP = 60 * SECOND
@@ -128,6 +129,7 @@
         self.lines: dict[int, deque[Handle]] = {}  # envelopes of a key, in the order they were taken
         self.rests: dict[int, int] = {}  # until when a key rests
         self.shares: dict[int, tuple[float, int]] = {}  # a tenant's unused share, and when it was reckoned
+        self.started = now
         self.open = 0
         self.taken = 0
         self.calls_out = 0
@@ -408,8 +410,11 @@
         # Danger: with a few calls a second one refusal is chance, or another sender's doing.
         lone = sum(fulls) < 2 and not repeated and (pace.rate or 0.0) * self.senders < pace.limit
         if sum(fulls) > THROTTLED * len(fulls) and not lone and now - pace.cut_at >= SPAN:
-            recent = sum(sent >= now - SPAN for sent in pace.sends) * SECOND / SPAN
-            pace.rate = max(self.slowest, (recent if pace.rate is None else pace.rate) / 2)
+            # Danger: a pace above what this sender sends here binds nothing, and where senders are many
+            # and each calls a few times a minute, their refused calls alone use up the limit.
+            since = max(SPAN, now - (pace.sends[0] if len(pace.sends) > GATHER else self.started))
+            recent = len(pace.sends) * SECOND / since
+            pace.rate = max(self.slowest, (recent if pace.rate is None else min(pace.rate, recent)) / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
             pace.answers.clear()
@@ -566,7 +571,7 @@
         self.calls_out += 1
         pace.calls_out += 1
         pace.sends.append(now)
-        while pace.sends[0] < now - SPAN:
+        while len(pace.sends) > GATHER and pace.sends[1] <= now - SPAN:
             pace.sends.popleft()
         if pace.rate is not None:
             pace.tokens = max(0.0, pace.tokens - 1)
