--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -414,7 +414,8 @@
             # and each calls a few times a minute, their refused calls alone use up the limit.
             since = max(SPAN, now - (pace.sends[0] if len(pace.sends) > GATHER else self.started))
             recent = len(pace.sends) * SECOND / since
-            pace.rate = max(self.slowest, (recent if pace.rate is None else min(pace.rate, recent)) / 2)
+            held_to = pace.rate if pace.limit and pace.rate else min(pace.rate or recent, recent)
+            pace.rate = max(self.slowest, pace.limit / self.senders, held_to / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
             pace.answers.clear()
