--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -29,7 +29,7 @@
 MOST_STEPS = 4  # and so many are taken at once; or those of the clean time, where no limit is known
 IDLE_DROP = 60 * SECOND
 HEADROOM = 1.2  # a sender starts at this multiple of its even part of a listed rate
-DEPTH = 1.0  # seconds of the pace that may go at once after a pause
+DEPTH = 2.0  # seconds of the pace that may go at once after a pause
 
 # Health.
 FEW = 8  # outcomes that judge a receiver
@@ -44,7 +44,7 @@
 CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
-LONE = 1.0  # calls a second: an even part below this makes a lone envelope wait longer than it lives
+LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
 PART = 0.6  # of this sender's even part of a listed rate, which may be listed too high
@@ -525,7 +525,7 @@
             pace.rate, pace.reference = None, 0.0
         room_at = now
         if pace.rate is not None:
-            depth = max(2.0, pace.rate * DEPTH)
+            depth = max(1.0, pace.rate * DEPTH)
             since = now - pace.refilled if pace.refilled else FAR
             pace.tokens = min(depth, pace.tokens + pace.rate * since / SECOND)
             pace.refilled = now
