--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -29,7 +29,7 @@
 MOST_STEPS = 4  # and so many are taken at once; or those of the clean time, where no limit is known
 IDLE_DROP = 60 * SECOND
 HEADROOM = 1.2  # a sender starts at this multiple of its even part of a listed rate
-DEPTH = 2.0  # seconds of the pace that may go at once after a pause
+DEPTH = 1.0  # seconds of the pace that may go at once after a pause
 
 # Health.
 FEW = 8  # outcomes that judge a receiver
@@ -47,7 +47,7 @@
 LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
-PART = 0.6  # of this sender's even part of a listed rate, which may be listed too high
+PART = 0.9  # of this sender's even part of a listed rate, which may be listed too high
 
 
 def band_of(settings: Mapping[str, str], index: int) -> Band:
