--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -47,7 +47,7 @@
 LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
-PART = 0.9  # of this sender's even part of a listed rate, which may be listed too high
+PART = 0.6  # of this sender's even part of a listed rate, which may be listed too high
 
 
 def band_of(settings: Mapping[str, str], index: int) -> Band:
@@ -414,7 +414,7 @@
             # and each calls a few times a minute, their refused calls alone use up the limit.
             since = max(SPAN, now - (pace.sends[0] if len(pace.sends) > GATHER else self.started))
             recent = len(pace.sends) * SECOND / since
-            held_to = pace.rate if pace.limit and pace.rate else min(pace.rate or recent, recent)
+            held_to = min(pace.rate or recent, max(recent, pace.reference))
             pace.rate = max(self.slowest, pace.limit / self.senders, held_to / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
@@ -454,7 +454,7 @@
     def _list_rate(self, pace: Pace, rate: float) -> None:
         part = max(rate * HEADROOM / self.senders, min(rate, LONE))
         if pace.rate is None or (not pace.cut_at and not pace.raised_at) or pace.rate > rate:
-            pace.rate = part
+            pace.rate = max(part, min(rate, 2.0))
         pace.reference, pace.limit = part, rate
 
     # ---- where and how ----
