--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -17,7 +17,7 @@
 FAR = 1 << 62
 
 # The design's own figures: the doubling window of waits, and the pace.
-WINDOW_BASE = SECOND // 2
+WINDOW_BASE = 3 * SECOND // 2
 WINDOW_CAP = 60 * SECOND
 CANCELLED_CAP = 2  # shots with an unclassified end
 SPAN = 2 * SECOND  # the share of refusals is measured over this
