--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -415,7 +415,7 @@
             since = max(SPAN, now - (pace.sends[0] if len(pace.sends) > GATHER else self.started))
             recent = len(pace.sends) * SECOND / since
             held_to = min(pace.rate or recent, max(recent, pace.reference))
-            pace.rate = max(self.slowest, pace.limit / self.senders, held_to / 2)
+            pace.rate = max(self.slowest, self._even(pace.limit) * PART, held_to / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
             pace.answers.clear()
@@ -451,8 +451,13 @@
     def _distrust(self, now: int, receiver: Receiver) -> float:
         return float(receiver.distrust * 2.0 ** (-(now - receiver.distrust_at) / TRUST_HALVES))
 
+    def _even(self, limit: float) -> float:
+        """This sender's part of a limit. A few calls a minute scatter with the root of their number."""
+        even = limit / self.senders
+        return max(even, even ** 0.5)
+
     def _list_rate(self, pace: Pace, rate: float) -> None:
-        part = max(rate * HEADROOM / self.senders, min(rate, LONE))
+        part = max(self._even(rate) * HEADROOM, min(rate, LONE))
         if pace.rate is None or (not pace.cut_at and not pace.raised_at) or pace.rate > rate:
             pace.rate = max(part, min(rate, 2.0))
         pace.reference, pace.limit = part, rate
