--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -137,6 +137,7 @@
         self.unlinked: dict[int, float] = {}  # by kind, the share of failed connections among the last shots
         self.idle: set[int] = set()  # receivers at which a call has ended in this round
         self.starved: set[int] = set()  # destinations that found no slot free
+        self.holding: set[int] = set()  # destinations that envelopes are held for
         self.looks: list[tuple[int, int]] = []
         self.subscribe_at = now if settings.get("discovery") == "ask" else FAR
         self.verdicts = Verdicts()
@@ -205,6 +206,8 @@
         self._shed(now)
         for place in places:
             place.held = [held for held in place.held if not (held.out or held.ended)]
+            if not place.held:
+                self.holding.discard(place.id)
             place.look_at = max(next_look.get(place.id, FAR), now + self.tick)
             if place.look_at < FAR:
                 heapq.heappush(self.looks, (place.look_at, place.id))
@@ -286,6 +289,7 @@
 
     def hold(self, now: int, envelope: Handle) -> None:
         self._destination(envelope.destination).held.append(envelope)
+        self.holding.add(envelope.destination)
         self.changed.add(envelope.destination)
 
     def close(self, now: int, envelope: Handle) -> None:
@@ -638,11 +642,23 @@
     def _shed(self, now: int) -> None:
         """Danger: a backlog for one lost destination fills the sender and turns all others away."""
         while self.open >= max(2, self.most_open - 1):
-            place = max(self.destinations.values(), key=lambda each: len(each.held))
-            spare = [held for held in place.held if not (held.out or held.ended or held.ran_at)]
-            if not spare:
+            backlogs = []
+            for each in sorted(self.holding):
+                held = self.destinations[each].held
+                spare = [each for each in held if not (each.out or each.ended or each.ran_at)]
+                if spare:
+                    backlogs.append((len(spare) * self._call_every(now, self.destinations[each]), -each, spare))
+            if not backlogs:
                 return
-            self.give_up(now, max(spare, key=lambda held: self._urgency(now, held)))
+            self.give_up(now, max(max(backlogs)[2], key=lambda held: self._urgency(now, held)))
+
+    def _call_every(self, now: int, place: Destination) -> float:
+        """About how many seconds pass between two calls to a destination."""
+        ready = [self.receivers[member] for member in place.members if self.receivers[member].ready]
+        if any(not member.out_since for member in ready):
+            return 1 / max((member.pace.rate or 1.0) for member in ready)
+        # An outage is taken to last as long again as it has lasted.
+        return 3.0 + max((now - member.out_since for member in ready), default=10 * SECOND) / SECOND
 
     def _destination(self, place: int) -> Destination:
         return self.destinations.setdefault(place, Destination(place, Pace()))
