--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -172,6 +172,14 @@
                 self.receivers[listing.receiver] = Receiver(
                     listing.receiver, listing.zone, listing.kind, listing.destination, pace,
                     recent=deque(maxlen=FEW))
+                mates = [self.receivers[mate] for mate in place.members]
+                mates = [mate for mate in mates if mate.pace is pace]
+                out = [mate for mate in mates if mate.out_since]
+                if out and not any(mate.ready and not mate.out_since for mate in mates):
+                    # Danger: what was held through an outage goes all at once to a replacement machine.
+                    new = self.receivers[listing.receiver]
+                    new.out_since, new.failed, new.provable = out[0].out_since, True, out[0].provable
+                    new.canary_at = max(now, pace.canary_at)
                 place.members.append(listing.receiver)
             known = self.receivers[listing.receiver]
             known.ready = listing.phase is Phase.READY
