--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -33,10 +33,11 @@
 
 # Health.
 FEW = 8  # outcomes that judge a receiver
+MANY = 16  # where senders are more, each sees too few outcomes of a receiver to gather them
 STALE = 5 * SECOND  # completions older than this say little of a receiver's health
 TRUST_HALVES = 5 * SECOND  # distrust fades by half in this time
 SILENCE = SECOND  # no answer for this long, and longer than usual, counts as silence
-UNLINKED = 0.05  # a larger share of failed connections at a kind: its tables may be full
+UNLINKED = 0.1  # a larger share of completions right after a failed connection: tables are full
 SHUT_AFTER = 2_500_000  # fulls alone for longer than any limit's span of a second or two: it is shut
 SHUT_FULLS = 6  # and so many at least: at a crowded limit a few in a row are others' doing
 CANARY_SOONEST = 800_000  # between two canaries of this sender to one destination, where it is large
@@ -44,6 +45,7 @@
 CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
+FIRST = 2.0  # calls a second at the start: whether a listed limit is crowded shows in refusals
 LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
@@ -112,6 +114,7 @@
         self.chance = Chance(seed)
         self.bands = [band_of(settings, index) for index in range(int(number(settings, "classes.count")))]
         self.senders = max(1, int(number(settings, "balancers", 1)))
+        self.many = self.senders > MANY
         self.slowest = TRICKLE / self.senders
         self.tick = max(1000, span(settings, "resolution-ms", 5.0))
         self.slots = int(number(settings, "family-info.max-calls", 1 << 30))
@@ -134,7 +137,7 @@
         self.taken = 0
         self.calls_out = 0
         self.changed: set[int] = set()  # destinations that need a look in this round
-        self.unlinked: dict[int, float] = {}  # by kind, the share of failed connections among the last shots
+        self.unlinked: dict[int, float] = {}  # by kind: how often one failed just before a completion
         self.idle: set[int] = set()  # receivers at which a call has ended in this round
         self.starved: set[int] = set()  # destinations that found no slot free
         self.holding: set[int] = set()  # destinations that envelopes are held for
@@ -222,7 +225,7 @@
         for each in sorted(self.idle):
             record = self.receivers[each]
             crowded = self.unlinked.get(record.kind, 0.0) > UNLINKED
-            if not record.calls and (crowded or record.gap > self.links_last):
+            if not record.calls and (crowded or self.many and record.gap > self.links_last):
                 self.verdicts.freed_links.append(each)
         self.idle.clear()
         verdicts, self.verdicts = self.verdicts, Verdicts()
@@ -339,8 +342,13 @@
             self._list_rate(pace, report[self.limit_column])
             pace.left = report[self.left_column] if 0 <= self.left_column < len(report) else 0.0
         # Danger: idle links of many senders fill a receiver's table, and nobody else gets a connection.
-        share = self.unlinked.get(receiver.kind, 0.0)
-        self.unlinked[receiver.kind] = share + ((outcome is Outcome.CONNECT_FAILED) - share) / 16
+        # A dead machine fails many connections and returns once; a full table lets some pass between.
+        if outcome is Outcome.CONNECT_FAILED:
+            receiver.unlinked_at = now
+        elif outcome is Outcome.COMPLETED:
+            share = self.unlinked.get(receiver.kind, 0.0)
+            self.unlinked[receiver.kind] = share + ((now - receiver.unlinked_at < 2 * STALE) - share) / 16
+            receiver.unlinked_at = 0
         if outcome is not Outcome.TIME_OUT:
             receiver.answered_at = now
         if outcome is Outcome.COMPLETED:
@@ -350,8 +358,7 @@
             receiver.fulls += 1
             receiver.full_since = receiver.full_since or now
             # Danger: what is shut tells a long wait or refuses everything; all push it as it opens, cold.
-            stale = not receiver.completions or receiver.completions[-1] < now - STALE
-            enough = SHUT_FULLS // 2 if stale else SHUT_FULLS
+            enough = SHUT_FULLS // 2 if self.many and self._stale(now, receiver) else SHUT_FULLS
             shut = receiver.fulls >= enough and now - receiver.full_since > SHUT_AFTER
             mates = [self.receivers[mate] for mate in self.destinations[receiver.destination].members]
             for mate in mates if told_wait > SHUT_AFTER else [receiver] if receiver.out_since or shut else []:
@@ -371,7 +378,7 @@
             if receiver.back_at and sum(judged) * 3 <= len(judged) * 2:
                 receiver.back_at = now  # Danger: some calls pass in an outage, and a ramp would run on in it
             # Danger: at a few calls a minute outcomes never gather, and each envelope spends its shots alone.
-            ill = ill or not receiver.completions or receiver.completions[-1] < envelope.sent_at - STALE
+            ill = ill or self.many and self._stale(envelope.sent_at, receiver)
             if ill or receiver.out_since or (len(judged) >= 3 and sum(judged) * 5 <= len(judged) * 2):
                 self._out(now, receiver, provable=outcome is Outcome.CONNECT_FAILED)
 
@@ -426,12 +433,17 @@
             # and each calls a few times a minute, their refused calls alone use up the limit.
             since = max(SPAN, now - (pace.sends[0] if len(pace.sends) > GATHER else self.started))
             recent = len(pace.sends) * SECOND / since
-            held_to = min(pace.rate or recent, max(recent, pace.reference))
-            pace.rate = max(self.slowest, self._even(pace.limit) * PART, held_to / 2)
+            held_to = recent if pace.rate is None else pace.rate
+            if self.many:
+                held_to = min(held_to, max(recent, pace.reference))
+            pace.rate = max(self.slowest, pace.limit * PART / self.senders, held_to / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
             pace.answers.clear()
 
+    def _stale(self, now: int, receiver: Receiver) -> bool:
+        return not receiver.completions or receiver.completions[-1] < now - STALE
+
     def _out(self, now: int, receiver: Receiver, provable: bool) -> None:
         if not receiver.out_since:
             receiver.out_since = now
@@ -463,15 +475,10 @@
     def _distrust(self, now: int, receiver: Receiver) -> float:
         return float(receiver.distrust * 2.0 ** (-(now - receiver.distrust_at) / TRUST_HALVES))
 
-    def _even(self, limit: float) -> float:
-        """This sender's part of a limit. A few calls a minute scatter with the root of their number."""
-        even = limit / self.senders
-        return max(even, even ** 0.5)
-
     def _list_rate(self, pace: Pace, rate: float) -> None:
-        part = max(self._even(rate) * HEADROOM, min(rate, LONE))
+        part = max(rate * HEADROOM / self.senders, min(rate, LONE))
         if pace.rate is None or (not pace.cut_at and not pace.raised_at) or pace.rate > rate:
-            pace.rate = max(part, min(rate, 2.0))
+            pace.rate = max(part, min(rate, FIRST))
         pace.reference, pace.limit = part, rate
 
     # ---- where and how ----
@@ -655,7 +662,8 @@
                 held = self.destinations[each].held
                 spare = [each for each in held if not (each.out or each.ended or each.ran_at)]
                 if spare:
-                    backlogs.append((len(spare) * self._call_every(now, self.destinations[each]), -each, spare))
+                    every = self._call_every(now, self.destinations[each])
+                    backlogs.append((len(spare) * every, -each, spare))
             if not backlogs:
                 return
             self.give_up(now, max(max(backlogs)[2], key=lambda held: self._urgency(now, held)))
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -77,6 +77,7 @@
     answered_at: int = 0
     used_at: int = 0  # the newest shot, and how long after the one before it
     gap: int = 0
+    unlinked_at: int = 0  # when a connection failed, until the next completion
     out_since: int = 0  # 0: in service
     failed: bool = False  # the outage showed in an outcome, not in silence alone
     provable: bool = False  # its last failure proved that nothing ran
