--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -37,7 +37,7 @@
 STALE = 5 * SECOND  # completions older than this say little of a receiver's health
 TRUST_HALVES = 5 * SECOND  # distrust fades by half in this time
 SILENCE = SECOND  # no answer for this long, and longer than usual, counts as silence
-UNLINKED = 0.1  # a larger share of completions right after a failed connection: tables are full
+UNLINKED = 0.05  # a larger share of completions right after a failed connection: tables are full
 SHUT_AFTER = 2_500_000  # fulls alone for longer than any limit's span of a second or two: it is shut
 SHUT_FULLS = 6  # and so many at least: at a crowded limit a few in a row are others' doing
 CANARY_SOONEST = 800_000  # between two canaries of this sender to one destination, where it is large
@@ -343,12 +343,13 @@
             pace.left = report[self.left_column] if 0 <= self.left_column < len(report) else 0.0
         # Danger: idle links of many senders fill a receiver's table, and nobody else gets a connection.
         # A dead machine fails many connections and returns once; a full table lets some pass between.
+        place = self.destinations[receiver.destination]
         if outcome is Outcome.CONNECT_FAILED:
-            receiver.unlinked_at = now
+            place.unlinked_at = now
         elif outcome is Outcome.COMPLETED:
             share = self.unlinked.get(receiver.kind, 0.0)
-            self.unlinked[receiver.kind] = share + ((now - receiver.unlinked_at < 2 * STALE) - share) / 16
-            receiver.unlinked_at = 0
+            self.unlinked[receiver.kind] = share + ((now - place.unlinked_at < 2 * STALE) - share) / 12
+            place.unlinked_at = 0
         if outcome is not Outcome.TIME_OUT:
             receiver.answered_at = now
         if outcome is Outcome.COMPLETED:
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -77,7 +77,6 @@
     answered_at: int = 0
     used_at: int = 0  # the newest shot, and how long after the one before it
     gap: int = 0
-    unlinked_at: int = 0  # when a connection failed, until the next completion
     out_since: int = 0  # 0: in service
     failed: bool = False  # the outage showed in an outcome, not in silence alone
     provable: bool = False  # its last failure proved that nothing ran
@@ -123,4 +122,5 @@
     pace: Pace
     members: list[int] = field(default_factory=list)
     held: list[Any] = field(default_factory=list)
+    unlinked_at: int = 0  # when a connection failed, until the next completion
     look_at: int = 0  # the next time it needs a look; 0: only after an event
