--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -17,7 +17,7 @@
 FAR = 1 << 62
 
 # The design's own figures: the doubling window of waits, and the pace.
-WINDOW_BASE = 3 * SECOND // 2
+WINDOW_BASE = SECOND // 2
 WINDOW_CAP = 60 * SECOND
 CANCELLED_CAP = 2  # shots with an unclassified end
 SPAN = 2 * SECOND  # the share of refusals is measured over this
@@ -430,12 +430,13 @@
         # Danger: with a few calls a second one refusal is chance, or another sender's doing.
         lone = sum(fulls) < 2 and not repeated and (pace.rate or 0.0) * self.senders < pace.limit
         if sum(fulls) > THROTTLED * len(fulls) and not lone and now - pace.cut_at >= SPAN:
-            # Danger: a pace above what this sender sends here binds nothing, and where senders are many
-            # and each calls a few times a minute, their refused calls alone use up the limit.
-            since = max(SPAN, now - (pace.sends[0] if len(pace.sends) > GATHER else self.started))
-            recent = len(pace.sends) * SECOND / since
+            recent = sum(sent >= now - SPAN for sent in pace.sends) * SECOND / SPAN
             held_to = recent if pace.rate is None else pace.rate
             if self.many:
+                # Danger: a pace above what this sender sends here binds nothing, and where each calls a few
+                # times a minute, their refused calls alone use up the limit.
+                since = max(SPAN, now - (pace.sends[0] if len(pace.sends) > GATHER else self.started))
+                recent = len(pace.sends) * SECOND / since
                 held_to = min(held_to, max(recent, pace.reference))
             pace.rate = max(self.slowest, pace.limit * PART / self.senders, held_to / 2)
             pace.reference = pace.reference or recent
