--- a/cedarwick/adapter/codec.py
+++ b/cedarwick/adapter/codec.py
@@ -144,10 +144,6 @@
     return struct.pack("<BIQ", 90, instance, envelope)
 
 
-def check(instance: int, receiver: int) -> bytes:
-    return struct.pack("<BII", 120, instance, receiver)
-
-
 def free_links(instance: int, receiver: int) -> bytes:
     return struct.pack("<BII", 50, instance, receiver)
 
--- a/cedarwick/adapter/host.py
+++ b/cedarwick/adapter/host.py
@@ -86,9 +86,6 @@
                 handle.withdrawn(now)
                 if not handle.out:
                     del instance.handles[values[1]]
-        elif code == 90:
-            _, receiver, took, rc, _ = values
-            sender.probe_ended(now, receiver, codec.outcome_of(rc), codec.micros(took))
         elif code == 100:
             _, how, _, slot = values
             if how not in codec.LIST_CHANGES:
@@ -116,8 +113,6 @@
             yield codec.report_failure(number, envelope)
         for receiver in verdicts.freed_links:
             yield codec.free_links(number, receiver)
-        for receiver in verdicts.probes:
-            yield codec.check(number, receiver)
         for envelope, receiver, time_out in verdicts.shots:
             yield codec.hand_off(number, envelope, receiver, time_out)
         for line in verdicts.log_lines:
--- a/cedarwick/interface.py
+++ b/cedarwick/interface.py
@@ -8,7 +8,6 @@
     handle = sender.take(now, id, ...)            a new envelope
     handle.shot_ended(now, outcome, shot, ...)    an outcome of one of its shots
     handle.withdrawn(now)                         nobody wants it any more
-    sender.probe_ended(now, receiver, ...)        the result of a probe
     verdicts = sender.decide(now)                 once, after the events of a round
 
 `decide` also serves a wake-up: waking needs no call of its own. Times are whole microseconds of the
@@ -68,7 +67,6 @@
     nacks: list[tuple[int, int]] = field(default_factory=list)  # envelope, advised wait (0: none)
     write_offs: list[int] = field(default_factory=list)
     shots: list[tuple[int, int, int]] = field(default_factory=list)  # envelope, receiver, time-out
-    probes: list[int] = field(default_factory=list)
     freed_links: list[int] = field(default_factory=list)  # receivers whose idle connections are let go
     log_lines: list[str] = field(default_factory=list)
     subscribe: bool = False
@@ -100,8 +98,6 @@
         key: int,
     ) -> EnvelopeHandle: ...
 
-    def probe_ended(self, now: int, receiver: int, outcome: Outcome, took: int) -> None: ...
-
     def decide(self, now: int) -> Verdicts: ...
 
 
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -1,20 +1,18 @@
 """All decisions: which envelope goes where and when, and what becomes of those that cannot go.
 
 Make a `Sender` from settings, seed and clock; `take` gives a handle; outcomes and withdrawals are calls on
-that handle; list news and probe results are calls on the sender; `decide` ends each round and returns
-verdicts. The call surface is described in `cedarwick/interface.py`, the records in `cedarwick/state.py`,
+that handle; list news is a call on the sender; `decide` ends each round and returns verdicts. The call
+surface is described in `cedarwick/interface.py`, the records in `cedarwick/state.py`,
 the reasons in `docs/design.md`. Times are whole microseconds.
 """
 
-import heapq
 from collections import deque
 from collections.abc import Mapping, Sequence
 
 from cedarwick.interface import ListChange, Listing, Outcome, Phase, Verdicts, flag, number, row, span
-from cedarwick.state import Band, Chance, Destination, Envelope, Pace, Receiver
+from cedarwick.state import FAR, Band, Bucket, Chance, Destination, Envelope, Looks, Pace, Receiver, note
 
 SECOND = 1_000_000
-FAR = 1 << 62
 
 # The design's own figures: the doubling window of waits, and the pace.
 WINDOW_BASE = SECOND // 2
@@ -45,7 +43,6 @@
 CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
-FIRST = 2.0  # calls a second at the start: whether a listed limit is crowded shows in refusals
 LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
@@ -122,16 +119,14 @@
         self.most_open = int(number(settings, "policy-limits.max-open", 1 << 30))
         self.per_call = [int(part) for part in row(settings, "family-info.per-call")]
         self.apart = [part == "true" for part in row(settings, "family-info.kind-apart")]
-        self.may_probe = flag(settings, "policy-limits.probes")
-        columns = row(settings, "report.columns")
-        self.limit_column = columns.index("x1") if "x1" in columns else -1
-        self.left_column = columns.index("x0") if "x0" in columns else -1
+        self.columns = row(settings, "report.columns")
+        self.fees = dict(enumerate(row(settings, "family-info.fee-by-zone")))
         self.links_last = span(settings, "policy-limits.conn-idle-ms", 15_000)
         self.receivers: dict[int, Receiver] = {}
         self.destinations: dict[int, Destination] = {}
         self.lines: dict[int, deque[Handle]] = {}  # envelopes of a key, in the order they were taken
         self.rests: dict[int, int] = {}  # until when a key rests
-        self.shares: dict[int, tuple[float, int]] = {}  # a tenant's unused share, and when it was reckoned
+        self.shares: dict[int, Bucket] = {}  # what a tenant has left of its share
         self.started = now
         self.open = 0
         self.taken = 0
@@ -141,7 +136,7 @@
         self.idle: set[int] = set()  # receivers at which a call has ended in this round
         self.starved: set[int] = set()  # destinations that found no slot free
         self.holding: set[int] = set()  # destinations that envelopes are held for
-        self.looks: list[tuple[int, int]] = []
+        self.looks = Looks()
         self.subscribe_at = now if settings.get("discovery") == "ask" else FAR
         self.verdicts = Verdicts()
 
@@ -154,7 +149,6 @@
         self.taken += 1
         handle = Handle(envelope, destination, kept, outer_limit, expected_by, tenant, key, self.taken)
         handle.sender = self
-        handle.due = now
         handle.over_share = self._over_share(now, tenant)
         if kept.in_turn and key:
             self.lines.setdefault(key, deque()).append(handle)
@@ -170,13 +164,11 @@
         for listing in listings:
             place = self._destination(listing.destination)
             if listing.receiver not in self.receivers:
-                apart = listing.kind < len(self.apart) and self.apart[listing.kind]
-                pace = Pace() if apart else place.pace
+                pace = Pace() if self._apart(listing.kind) else place.pace
                 self.receivers[listing.receiver] = Receiver(
                     listing.receiver, listing.zone, listing.kind, listing.destination, pace,
                     recent=deque(maxlen=FEW))
-                mates = [self.receivers[mate] for mate in place.members]
-                mates = [mate for mate in mates if mate.pace is pace]
+                mates = self._mates(place, pace)
                 out = [mate for mate in mates if mate.out_since]
                 if out and not any(mate.ready and not mate.out_since for mate in mates):
                     # Danger: what was held through an outage goes all at once to a replacement machine.
@@ -188,24 +180,15 @@
             known.ready = listing.phase is Phase.READY
             if self.settings.get("weight-source", "off") != "off" and listing.rate > 0:
                 self._list_rate(known.pace, listing.rate)
-        self.changed.update(self.destinations)
+        self.changed |= self.holding
 
     def list_call_failed(self, now: int) -> None:
         if self.settings.get("discovery") == "ask":
             self.subscribe_at = now + SECOND + self.chance.below(SECOND)
 
-    def probe_ended(self, now: int, receiver: int, outcome: Outcome, took: int) -> None:
-        record = self.receivers[receiver]
-        record.probe_out, record.vouched = False, outcome is Outcome.COMPLETED
-        record.canary_at = now if record.vouched else self._next_canary(now, record)
-        self.changed.add(record.destination)
-
     def decide(self, now: int) -> Verdicts:
         """Look at every destination that something happened to, the most urgent envelopes first."""
-        while self.looks and self.looks[0][0] <= now:
-            when, due = heapq.heappop(self.looks)
-            if self.destinations[due].look_at == when:
-                self.changed.add(due)
+        self.changed.update(self.looks.due(now))
         places = [self.destinations[each] for each in sorted(self.changed)]
         self.changed.clear()
         next_look: dict[int, int] = {}
@@ -219,9 +202,7 @@
             place.held = [held for held in place.held if not (held.out or held.ended)]
             if not place.held:
                 self.holding.discard(place.id)
-            place.look_at = max(next_look.get(place.id, FAR), now + self.tick)
-            if place.look_at < FAR:
-                heapq.heappush(self.looks, (place.look_at, place.id))
+            self.looks.plan(place.id, max(next_look.get(place.id, FAR), now + self.tick))
         for each in sorted(self.idle):
             record = self.receivers[each]
             crowded = self.unlinked.get(record.kind, 0.0) > UNLINKED
@@ -231,8 +212,7 @@
         verdicts, self.verdicts = self.verdicts, Verdicts()
         if now >= self.subscribe_at:
             verdicts.subscribe, self.subscribe_at = True, FAR
-        wake_at = min(self.looks[0][0] if self.looks else FAR, self.subscribe_at)
-        wake_at = min(wake_at, now + self.tick) if self.changed else wake_at
+        wake_at = min(self.looks.soonest(), self.subscribe_at, now + self.tick if self.changed else FAR)
         verdicts.wake_at = wake_at if wake_at < FAR else None
         return verdicts
 
@@ -244,20 +224,14 @@
         place = self.destinations[envelope.destination]
         if envelope.ended or envelope.out:
             return None
-        # Terminal: out of shots, or a further one could take effect twice.
-        repeat_until = FAR if band.reissuable or not envelope.ran_at else envelope.ran_at + band.window
-        if (envelope.shots >= self.most_shots or envelope.cancelled >= CANCELLED_CAP
-                or (band.at_most_once and envelope.ran_at) or now >= repeat_until):
-            self.give_up(now, envelope)
-            return None
-        # Or its next try cannot finish in time.
         members = [self.receivers[member] for member in place.members if self.receivers[member].ready]
         quickest = min((member.mean for member in members), default=0.0)
+        repeat_until = FAR if band.reissuable or not envelope.ran_at else envelope.ran_at + band.window
         last_start = min(envelope.outer_limit - max(self.tick * 4, round(quickest / 2)), repeat_until - 1)
-        start = max(now, envelope.due)
-        if members:
-            start = max(start, min(member.pace.wait_until for member in members))
-        if start > last_start:
+        start = max(now, envelope.due, min((member.pace.wait_until for member in members), default=0))
+        # Terminal: out of shots, or a further one could take effect twice, or cannot finish in time.
+        if (envelope.shots >= self.most_shots or envelope.cancelled >= CANCELLED_CAP
+                or (band.at_most_once and envelope.ran_at) or start > last_start):
             self.give_up(now, envelope)
             return None
         if start > now:
@@ -327,20 +301,17 @@
         self.changed.add(receiver.destination)
         self.changed |= self.starved
         self.starved.clear()
-        left = receiver.calls.get(envelope.sent_at, 1) - 1
-        receiver.calls[envelope.sent_at] = left
-        over = left % self._batch(receiver) == 0
+        over = receiver.shot_over(envelope.sent_at) % self._batch(receiver) == 0
         self.calls_out -= over
         pace.calls_out -= over
-        if left <= 0:
-            del receiver.calls[envelope.sent_at]
-            self.idle.add(receiver.id)
+        self.idle.add(receiver.id)
         receiver.canary_out = False
         if outcome in (Outcome.MOOT, Outcome.CANCELLED):
             return
-        if 0 <= self.limit_column < len(report) and report[self.limit_column] > 0:
-            self._list_rate(pace, report[self.limit_column])
-            pace.left = report[self.left_column] if 0 <= self.left_column < len(report) else 0.0
+        told = dict(zip(self.columns, report, strict=False))
+        if told.get("x1", 0.0) > 0:
+            self._list_rate(pace, told["x1"])
+            pace.left = told.get("x0", 0.0)
         # Danger: idle links of many senders fill a receiver's table, and nobody else gets a connection.
         # A dead machine fails many connections and returns once; a full table lets some pass between.
         place = self.destinations[receiver.destination]
@@ -361,10 +332,9 @@
             # Danger: what is shut tells a long wait or refuses everything; all push it as it opens, cold.
             enough = SHUT_FULLS // 2 if self.many and self._stale(now, receiver) else SHUT_FULLS
             shut = receiver.fulls >= enough and now - receiver.full_since > SHUT_AFTER
-            mates = [self.receivers[mate] for mate in self.destinations[receiver.destination].members]
-            for mate in mates if told_wait > SHUT_AFTER else [receiver] if receiver.out_since or shut else []:
-                if mate.pace is pace:
-                    self._out(now, mate, provable=True)
+            mates = self._mates(place, pace) if told_wait > SHUT_AFTER else [receiver]
+            for mate in mates if told_wait > SHUT_AFTER or receiver.out_since or shut else []:
+                self._out(now, mate, provable=True)
             if not receiver.out_since:
                 self._throttle(now, pace, receiver.fulls > 1)
         else:
@@ -385,7 +355,7 @@
 
     def _completed(self, now: int, envelope: Envelope, receiver: Receiver, took: int) -> None:
         pace = receiver.pace
-        self._answered(now, pace, False)
+        note(pace.answers, now, SPAN)
         pace.proven = True
         receiver.recent.append(True)
         receiver.fulls = receiver.full_since = 0
@@ -395,17 +365,15 @@
         if receiver.out_since:
             # Danger: a destination that returns cold falls over under its old traffic.
             if receiver.failed or now - receiver.out_since > span(self.settings, "rules.fall-ms"):
-                receiver.back_at = receiver.ramp_at = now
-                receiver.ramp_tokens = 0.0
+                receiver.back_at = now
+                receiver.ramp = Bucket(0.0, now)
                 if pace.rate is not None:  # its refusals while it was shut say nothing of its limit
                     pace.rate = max(pace.rate, receiver.managed, pace.reference)
-            receiver.out_since, receiver.failed, receiver.vouched = 0, False, False
+            receiver.out_since, receiver.failed = 0, False
             receiver.recent = deque([True], FEW)
         if receiver.completed_sent_at != envelope.sent_at:  # the shots of one call count once
-            receiver.completions.append(now)
+            note(receiver.completions, now, 2 * SPAN)
         receiver.completed_sent_at = max(receiver.completed_sent_at, envelope.sent_at)
-        while receiver.completions and receiver.completions[0] < now - 2 * SPAN:
-            receiver.completions.popleft()
         receiver.managed = max(receiver.managed * 0.98, len(receiver.completions) * SECOND / (2 * SPAN))
         steps = (now - max(pace.raised_at, pace.cut_at)) // STEP_EVERY
         if pace.rate is not None and steps:
@@ -413,23 +381,17 @@
                 if pace.limit:  # the reports tell whether others use it
                     steps = MOST_STEPS if pace.left > ROOM else 1
                 pace.rate += max(pace.reference, self.slowest) * STEP * min(MOST_STEPS, steps)
-                if pace.limit:
-                    pace.rate = min(pace.rate, pace.limit)
+                pace.rate = min(pace.rate, pace.limit or pace.rate)
             pace.short, pace.raised_at = False, now
 
-    def _answered(self, now: int, pace: Pace, full: bool) -> None:
-        pace.answers.append((now, full))
-        while pace.answers[0][0] < now - SPAN:
-            pace.answers.popleft()
-
     def _throttle(self, now: int, pace: Pace, repeated: bool) -> None:
         """Halve the pace when the share of refusals over the span is past the threshold."""
-        self._answered(now, pace, True)
-        pace.tokens = 0.0  # what was saved up before the refusal is not there any more
-        fulls = [full for _, full in pace.answers]
+        note(pace.answers, now, SPAN)
+        note(pace.fulls, now, SPAN)
+        pace.bucket.tokens = 0.0  # what was saved up before the refusal is not there any more
         # Danger: with a few calls a second one refusal is chance, or another sender's doing.
-        lone = sum(fulls) < 2 and not repeated and (pace.rate or 0.0) * self.senders < pace.limit
-        if sum(fulls) > THROTTLED * len(fulls) and not lone and now - pace.cut_at >= SPAN:
+        lone = len(pace.fulls) < 2 and not repeated and (pace.rate or 0.0) * self.senders < pace.limit
+        if len(pace.fulls) > THROTTLED * len(pace.answers) and not lone and now - pace.cut_at >= SPAN:
             recent = sum(sent >= now - SPAN for sent in pace.sends) * SECOND / SPAN
             held_to = recent if pace.rate is None else pace.rate
             if self.many:
@@ -442,6 +404,7 @@
             pace.reference = pace.reference or recent
             pace.cut_at = now
             pace.answers.clear()
+            pace.fulls.clear()
 
     def _stale(self, now: int, receiver: Receiver) -> bool:
         return not receiver.completions or receiver.completions[-1] < now - STALE
@@ -449,7 +412,7 @@
     def _out(self, now: int, receiver: Receiver, provable: bool) -> None:
         if not receiver.out_since:
             receiver.out_since = now
-        receiver.failed, receiver.provable, receiver.vouched = True, provable, False
+        receiver.failed, receiver.provable = True, provable
         receiver.back_at = 0
         receiver.canary_at = self._next_canary(now, receiver)
         # Danger: idle connections to a dead machine swallow shots; a new one fails and so proves it.
@@ -461,7 +424,7 @@
         # Danger: where senders are many, canaries at a fixed gap add up to an onslaught. Those that hold
         # something grow in number with the outage, so the gaps grow with its age.
         latest = max(CANARY_LATEST, round((now - receiver.out_since) * CANARY_AGE))
-        gap = min(latest, max(CANARY_SOONEST, round((2 if self.may_probe else 1) * SECOND / allowed)))
+        gap = min(latest, max(CANARY_SOONEST, round(SECOND / allowed)))
         receiver.pace.canary_at = max(receiver.pace.canary_at, now + gap * 3 // 4)
         return now + gap * 3 // 4 + self.chance.below(gap // 2)
 
@@ -480,7 +443,7 @@
     def _list_rate(self, pace: Pace, rate: float) -> None:
         part = max(rate * HEADROOM / self.senders, min(rate, LONE))
         if pace.rate is None or (not pace.cut_at and not pace.raised_at) or pace.rate > rate:
-            pace.rate = max(part, min(rate, FIRST))
+            pace.rate = max(part, min(rate, 4 * LONE))  # whether it is crowded shows in refusals
         pace.reference, pace.limit = part, rate
 
     # ---- where and how ----
@@ -494,8 +457,7 @@
         for member in members:
             if not member.out_since and self._silent(now, member):
                 # Danger: a hanging destination fills the slots with calls that nobody answers.
-                member.out_since = now
-                member.provable = False
+                member.out_since, member.provable = now, False
                 member.canary_at = self._next_canary(now, member)
             if member.out_since:
                 room_at = self._canary_room(now, envelope, member)
@@ -520,14 +482,14 @@
         judged = receiver.recent
         success = (sum(judged) + 1) / (len(judged) + 1)
         pace = SECOND / (receiver.mean or SECOND / 2)
-        fee = 0.0
-        if receiver.kind < len(self.apart) and self.apart[receiver.kind]:
-            fees = row(self.settings, "family-info.fee-by-zone")
-            fee = float(fees[receiver.zone]) if receiver.zone < len(fees) else 0.0
+        fee = float(self.fees.get(receiver.zone, 0.0)) if self._apart(receiver.kind) else 0.0
         if receiver.zone != int(number(self.settings, "locality")):
             fee += number(self.settings, "tariffs.cross-zone")
         return float(pace * success * 2.0 ** -self._distrust(now, receiver) / (1 + fee * 50))
 
+    def _apart(self, kind: int) -> bool:
+        return kind < len(self.apart) and self.apart[kind]
+
     def _batch(self, receiver: Receiver) -> int:
         return self.per_call[receiver.kind] if receiver.kind < len(self.per_call) else 1
 
@@ -547,49 +509,30 @@
         # Danger: a restarted sender has forgotten its pace and would hit a throttled destination full on.
         if pace.calls_out >= max(FIRST_CALLS, self.slots // 3 if pace.proven else 0):
             return now + SECOND
-        if pace.used_at and now - pace.used_at > IDLE_DROP and not pace.limit:
+        if pace.sends and now - pace.sends[-1] > IDLE_DROP and not pace.limit:
             pace.rate, pace.reference = None, 0.0
         room_at = now
         if pace.rate is not None:
             depth = max(1.0, pace.rate * DEPTH)
-            since = now - pace.refilled if pace.refilled else FAR
-            pace.tokens = min(depth, pace.tokens + pace.rate * since / SECOND)
-            pace.refilled = now
-            if pace.tokens < 1:
-                pace.short = True
-                room_at = now + 1 + int((1 - pace.tokens) * SECOND / pace.rate)
+            room_at = now + pace.bucket.fill(now, pace.rate, depth)
+            pace.short |= room_at > now
+        if now - receiver.back_at >= span(self.settings, "rules.ramp-time-ms", 10_000):
+            receiver.back_at = 0
         if receiver.back_at:
-            since = now - receiver.back_at
-            if since >= span(self.settings, "rules.ramp-time-ms", 10_000):
-                receiver.back_at = 0
-                return room_at
-            rate = self._returning_rate(receiver, since)
-            receiver.ramp_tokens = min(1.0, receiver.ramp_tokens + rate * (now - receiver.ramp_at) / SECOND)
-            receiver.ramp_at = now
-            if receiver.ramp_tokens < 1:
-                room_at = max(room_at, now + 1 + int((1 - receiver.ramp_tokens) * SECOND / rate))
+            rate = self._returning_rate(receiver, now - receiver.back_at)
+            room_at = max(room_at, now + receiver.ramp.fill(now, rate, 1.0))
         return room_at
 
     def _canary_room(self, now: int, envelope: Envelope, receiver: Receiver) -> int:
         """When a receiver that is out may take this envelope as its canary."""
-        pace = receiver.pace
-        if receiver.canary_out or receiver.probe_out:
-            return FAR
-        room_at = max(receiver.canary_at, pace.canary_at, pace.wait_until)
-        if room_at > now:
-            return room_at
-        if self.may_probe and not receiver.vouched:
-            receiver.probe_out = True
-            self.verdicts.probes.append(receiver.id)
-            return FAR
         # An at-most-once canary could be lost without a second try.
-        return FAR if envelope.band.at_most_once and not receiver.provable else now
+        lost = envelope.band.at_most_once and not receiver.provable
+        soonest = max(now, receiver.canary_at, receiver.pace.canary_at, receiver.pace.wait_until)
+        return FAR if receiver.canary_out or lost else soonest
 
     def _spend(self, now: int, receiver: Receiver, joins: bool) -> None:
         pace = receiver.pace
-        pace.used_at = now
-        receiver.calls[now] = receiver.calls.get(now, 0) + 1
-        receiver.gap, receiver.used_at = now - receiver.used_at, now
+        receiver.shot_sent(now)
         if receiver.out_since:
             receiver.canary_out = True
             receiver.canary_at = self._next_canary(now, receiver)
@@ -597,19 +540,14 @@
             return
         self.calls_out += 1
         pace.calls_out += 1
-        pace.sends.append(now)
-        while len(pace.sends) > GATHER and pace.sends[1] <= now - SPAN:
-            pace.sends.popleft()
-        if pace.rate is not None:
-            pace.tokens = max(0.0, pace.tokens - 1)
-        receiver.ramp_tokens = max(0.0, receiver.ramp_tokens - 1)
+        note(pace.sends, now, SPAN, GATHER + 1)
+        pace.bucket.take()
+        receiver.ramp.take()
 
     def _silent(self, now: int, receiver: Receiver) -> bool:
-        if len(receiver.calls) < 2:  # a single lost call says too little
-            return False
-        since = max(next(iter(receiver.calls)), receiver.answered_at)
+        since = max(next(iter(receiver.calls), now), receiver.answered_at)
         usual = 2 * receiver.mean + 4 * receiver.stray if receiver.mean else 2 * SECOND
-        return now - since > max(SILENCE, usual)
+        return len(receiver.calls) > 1 and now - since > max(SILENCE, usual)  # one lost call says too little
 
     def _patience(self, now: int, envelope: Envelope, receiver: Receiver, members: list[Receiver]) -> int:
         """How long a shot may take. A call that times out may run on, so patience costs only a slot.
@@ -619,10 +557,8 @@
         left = envelope.outer_limit - now - 2 * self.tick
         usual = receiver.mean + 4 * receiver.stray if receiver.mean else 2 * SECOND
         soon = max(SECOND, round(2 * usual)) << min(envelope.shots - 1, 4)
-        if envelope.band.at_most_once:
-            return left  # nothing can follow a time-out
-        if envelope.band.reissuable:
-            return min(left, soon)
+        if envelope.band.at_most_once or envelope.band.reissuable:
+            return min(left, soon if envelope.band.reissuable else FAR)  # or nothing can follow a time-out
         # Numbered: leave room for a further shot inside the window, or wait to the end if there is none.
         window = envelope.band.window if not envelope.ran_at else envelope.ran_at + envelope.band.window - now
         short = receiver.out_since or 2 * self.calls_out >= self.slots
@@ -651,32 +587,33 @@
         allowance = number(self.settings, f"realms.{tenant}.allowance-per-s") / self.senders
         if allowance <= 0:
             return False
-        unused, reckoned = self.shares.get(tenant, (allowance * 2, now))
-        unused = min(allowance * 2, unused + allowance * (now - reckoned) / SECOND)
-        self.shares[tenant] = (max(0.0, unused - 1), now)
-        return unused < 1
+        unused = self.shares.setdefault(tenant, Bucket(allowance * 2, now))
+        over = unused.fill(now, allowance, allowance * 2) > 0
+        unused.take()
+        return over
 
     def _shed(self, now: int) -> None:
         """Danger: a backlog for one lost destination fills the sender and turns all others away."""
         while self.open >= max(2, self.most_open - 1):
-            backlogs = []
-            for each in sorted(self.holding):
-                held = self.destinations[each].held
-                spare = [each for each in held if not (each.out or each.ended or each.ran_at)]
-                if spare:
-                    every = self._call_every(now, self.destinations[each])
-                    backlogs.append((len(spare) * every, -each, spare))
-            if not backlogs:
+            drains = {each: self._drain(now, self.destinations[each]) for each in self.holding}
+            spare = [held for each in sorted(drains) for held in self.destinations[each].held
+                     if not (held.out or held.ended or held.ran_at)]
+            if not spare:
                 return
-            self.give_up(now, max(max(backlogs)[2], key=lambda held: self._urgency(now, held)))
+            last = max(spare, key=lambda held: (drains[held.destination], self._urgency(now, held)))
+            self.give_up(now, last)
 
-    def _call_every(self, now: int, place: Destination) -> float:
-        """About how many seconds pass between two calls to a destination."""
+    def _drain(self, now: int, place: Destination) -> float:
+        """About how many seconds the backlog of a destination takes to leave."""
         ready = [self.receivers[member] for member in place.members if self.receivers[member].ready]
+        lost = max((now - member.out_since for member in ready if member.out_since), default=10 * SECOND)
+        every = 3.0 + lost / SECOND  # an outage is taken to last as long again as it has lasted
         if any(not member.out_since for member in ready):
-            return 1 / max((member.pace.rate or 1.0) for member in ready)
-        # An outage is taken to last as long again as it has lasted.
-        return 3.0 + max((now - member.out_since for member in ready), default=10 * SECOND) / SECOND
+            every = 1 / max(member.pace.rate or 1.0 for member in ready)
+        return len(place.held) * every
+
+    def _mates(self, place: Destination, pace: Pace) -> list[Receiver]:
+        return [self.receivers[mate] for mate in place.members if self.receivers[mate].pace is pace]
 
     def _destination(self, place: int) -> Destination:
         return self.destinations.setdefault(place, Destination(place, Pace()))
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -1,9 +1,12 @@
 """The records that the decisions keep, and their source of chance."""
 
+import heapq
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 
+FAR = 1 << 62  # later than any time
+
 
 class Chance:
     """A linear congruential generator; only its high bits are used."""
@@ -16,6 +19,57 @@
         return (self.state >> 32) * bound >> 32
 
 
+@dataclass(slots=True)
+class Bucket:
+    """Tokens that gather at a rate, up to a depth."""
+
+    tokens: float = 1.0
+    filled_at: int = -FAR  # never yet: the first filling reaches the depth
+
+    def fill(self, now: int, rate: float, depth: float) -> int:
+        """Add what has gathered since; how long until there is a whole token, 0 when there is one."""
+        self.tokens = min(depth, self.tokens + rate * (now - self.filled_at) / 1_000_000)
+        self.filled_at = now
+        return 0 if self.tokens >= 1 else 1 + int((1 - self.tokens) * 1_000_000 / rate)
+
+    def take(self) -> None:
+        self.tokens = max(0.0, self.tokens - 1)
+
+
+def note(times: deque[int], now: int, within: int, least: int = 0) -> None:
+    """Add a time and forget those older than a span, but for the newest few."""
+    times.append(now)
+    while len(times) > least and times[0] < now - within:
+        times.popleft()
+
+
+class Looks:
+    """Which destination needs its next look when; a later plan for one replaces the one before."""
+
+    def __init__(self) -> None:
+        self.planned: dict[int, int] = {}
+        self.heap: list[tuple[int, int]] = []
+
+    def plan(self, place: int, at: int) -> None:
+        if at >= FAR:
+            self.planned.pop(place, None)
+        elif self.planned.get(place) != at:
+            self.planned[place] = at
+            heapq.heappush(self.heap, (at, place))
+
+    def due(self, now: int) -> list[int]:
+        found = []
+        while self.heap and self.heap[0][0] <= now:
+            at, place = heapq.heappop(self.heap)
+            if self.planned.get(place) == at:
+                del self.planned[place]
+                found.append(place)
+        return found
+
+    def soonest(self) -> int:
+        return self.heap[0][0] if self.heap else FAR
+
+
 @dataclass(slots=True)
 class Band:
     """What the settings say of one band of envelopes."""
@@ -39,18 +93,17 @@
     reference: float = 0.0  # the rate that small steps are measured by
     limit: float = 0.0  # what the destination is said to take from all senders; 0: unknown
     left: float = 0.0  # the share of it that was last reported to be left
-    tokens: float = 1.0
-    refilled: int = 0
+    bucket: Bucket = field(default_factory=Bucket)
     wait_until: int = 0
     cut_at: int = 0
     raised_at: int = 0
-    used_at: int = 0
     short: bool = False  # tokens ran out since the last raise
     proven: bool = False  # a call has been completed here
     canary_at: int = 0
     calls_out: int = 0
     sends: deque[int] = field(default_factory=deque)
-    answers: deque[tuple[int, bool]] = field(default_factory=deque)  # time, refused as full
+    answers: deque[int] = field(default_factory=deque)
+    fulls: deque[int] = field(default_factory=deque)  # those answers that were refusals as full
 
 
 @dataclass(slots=True)
@@ -82,13 +135,22 @@
     provable: bool = False  # its last failure proved that nothing ran
     canary_at: int = 0
     canary_out: bool = False
-    probe_out: bool = False
-    vouched: bool = False  # a probe has passed since the last failure
     back_at: int = 0  # when it returned from an outage; 0: not within its ramp
-    ramp_tokens: float = 0.0
-    ramp_at: int = 0
+    ramp: Bucket = field(default_factory=Bucket)
     calls: dict[int, int] = field(default_factory=dict)  # send time: shots without an outcome
 
+    def shot_sent(self, now: int) -> None:
+        self.calls[now] = self.calls.get(now, 0) + 1
+        self.gap, self.used_at = now - self.used_at, now
+
+    def shot_over(self, sent_at: int) -> int:
+        """How many shots of the same time are still without an outcome."""
+        left = self.calls.get(sent_at, 1) - 1
+        self.calls[sent_at] = left
+        if left <= 0:
+            del self.calls[sent_at]
+        return left
+
 
 @dataclass(slots=True, eq=False)
 class Envelope:
@@ -123,4 +185,3 @@
     members: list[int] = field(default_factory=list)
     held: list[Any] = field(default_factory=list)
     unlinked_at: int = 0  # when a connection failed, until the next completion
-    look_at: int = 0  # the next time it needs a look; 0: only after an event
