--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -330,8 +330,10 @@
             receiver.fulls += 1
             receiver.full_since = receiver.full_since or now
             # Danger: what is shut tells a long wait or refuses everything; all push it as it opens, cold.
-            enough = SHUT_FULLS // 2 if self.many and self._stale(now, receiver) else SHUT_FULLS
+            sparse = self.many and self._stale(now, receiver)
+            enough = SHUT_FULLS // 2 if sparse else SHUT_FULLS
             shut = receiver.fulls >= enough and now - receiver.full_since > SHUT_AFTER
+            shut |= sparse and told.get("x0", 0.0) > ROOM  # it has room, so its queue is full: it hangs
             mates = self._mates(place, pace) if told_wait > SHUT_AFTER else [receiver]
             for mate in mates if told_wait > SHUT_AFTER or receiver.out_since or shut else []:
                 self._out(now, mate, provable=True)
