--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -425,7 +425,7 @@
         allowed = self._returning_rate(receiver, 0)
         # Danger: where senders are many, canaries at a fixed gap add up to an onslaught. Those that hold
         # something grow in number with the outage, so the gaps grow with its age.
-        latest = max(CANARY_LATEST, round((now - receiver.out_since) * CANARY_AGE))
+        latest = max(CANARY_LATEST * (1 + self.many), round((now - receiver.out_since) * CANARY_AGE))
         gap = min(latest, max(CANARY_SOONEST, round(SECOND / allowed)))
         receiver.pace.canary_at = max(receiver.pace.canary_at, now + gap * 3 // 4)
         return now + gap * 3 // 4 + self.chance.below(gap // 2)
