--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -165,14 +165,13 @@
             place = self._destination(listing.destination)
             if listing.receiver not in self.receivers:
                 pace = Pace() if self._apart(listing.kind) else place.pace
-                self.receivers[listing.receiver] = Receiver(
-                    listing.receiver, listing.zone, listing.kind, listing.destination, pace,
-                    recent=deque(maxlen=FEW))
+                new = Receiver(listing.receiver, listing.zone, listing.kind, listing.destination, pace,
+                               recent=deque(maxlen=FEW))
+                self.receivers[new.id] = new
                 mates = self._mates(place, pace)
                 out = [mate for mate in mates if mate.out_since]
                 if out and not any(mate.ready and not mate.out_since for mate in mates):
                     # Danger: what was held through an outage goes all at once to a replacement machine.
-                    new = self.receivers[listing.receiver]
                     new.out_since, new.failed, new.provable = out[0].out_since, True, out[0].provable
                     new.canary_at = max(now, pace.canary_at)
                 place.members.append(listing.receiver)
@@ -298,8 +297,7 @@
     def learn(self, now: int, envelope: Envelope, receiver: Receiver, outcome: Outcome, took: int,
               told_wait: int, report: Sequence[float]) -> None:
         pace = receiver.pace
-        self.changed.add(receiver.destination)
-        self.changed |= self.starved
+        self.changed |= {receiver.destination} | self.starved
         self.starved.clear()
         over = receiver.shot_over(envelope.sent_at) % self._batch(receiver) == 0
         self.calls_out -= over
@@ -412,19 +410,16 @@
         return not receiver.completions or receiver.completions[-1] < now - STALE
 
     def _out(self, now: int, receiver: Receiver, provable: bool) -> None:
-        if not receiver.out_since:
-            receiver.out_since = now
-        receiver.failed, receiver.provable = True, provable
-        receiver.back_at = 0
+        receiver.out_since = receiver.out_since or now
+        receiver.failed, receiver.provable, receiver.back_at = True, provable, 0
         receiver.canary_at = self._next_canary(now, receiver)
         # Danger: idle connections to a dead machine swallow shots; a new one fails and so proves it.
         self.verdicts.freed_links.append(receiver.id)
 
     def _next_canary(self, now: int, receiver: Receiver) -> int:
-        """Danger: the canaries of many senders push over a small destination as it comes back."""
+        """Danger: the canaries of many senders add up and push over what comes back. Those that hold
+        something grow in number with the outage, so the gaps grow with its age."""
         allowed = self._returning_rate(receiver, 0)
-        # Danger: where senders are many, canaries at a fixed gap add up to an onslaught. Those that hold
-        # something grow in number with the outage, so the gaps grow with its age.
         latest = max(CANARY_LATEST * (1 + self.many), round((now - receiver.out_since) * CANARY_AGE))
         gap = min(latest, max(CANARY_SOONEST, round(SECOND / allowed)))
         receiver.pace.canary_at = max(receiver.pace.canary_at, now + gap * 3 // 4)
@@ -515,8 +510,7 @@
             pace.rate, pace.reference = None, 0.0
         room_at = now
         if pace.rate is not None:
-            depth = max(1.0, pace.rate * DEPTH)
-            room_at = now + pace.bucket.fill(now, pace.rate, depth)
+            room_at = now + pace.bucket.fill(now, pace.rate, max(1.0, pace.rate * DEPTH))
             pace.short |= room_at > now
         if now - receiver.back_at >= span(self.settings, "rules.ramp-time-ms", 10_000):
             receiver.back_at = 0
@@ -609,10 +603,9 @@
         """About how many seconds the backlog of a destination takes to leave."""
         ready = [self.receivers[member] for member in place.members if self.receivers[member].ready]
         lost = max((now - member.out_since for member in ready if member.out_since), default=10 * SECOND)
-        every = 3.0 + lost / SECOND  # an outage is taken to last as long again as it has lasted
         if any(not member.out_since for member in ready):
-            every = 1 / max(member.pace.rate or 1.0 for member in ready)
-        return len(place.held) * every
+            return len(place.held) / max(member.pace.rate or 1.0 for member in ready)
+        return len(place.held) * (3.0 + lost / SECOND)  # an outage may last as long again as it has
 
     def _mates(self, place: Destination, pace: Pace) -> list[Receiver]:
         return [self.receivers[mate] for mate in place.members if self.receivers[mate].pace is pace]
