--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -153,6 +153,74 @@
         self.assertFalse(made.receivers[1].out_since)
 
 
+class ManySenders(unittest.TestCase):
+    """Where each sender sees a few calls a minute."""
+
+    def test_an_even_part_too_small_to_use_does_not_hold_a_lone_envelope(self) -> None:
+        made = sender(rate=4.0, balancers="200", weight_source="nominal")
+        end(out(made, 1), Outcome.COMPLETED, NOW + 100 * MS)
+        take(made, 2, now=NOW + 1_000 * MS)
+        self.assertEqual([shot[0] for shot in made.decide(NOW + 1_000 * MS).shots], [2])
+
+    def test_a_cut_goes_by_the_shots_seen_however_long_ago(self) -> None:
+        made = sender(balancers="200")
+        made.started = NOW - 20_000 * MS
+        end(out(made, 1), Outcome.FULL, NOW + 100 * MS)
+        rate = made.receivers[1].pace.rate
+        assert rate is not None
+        self.assertLess(rate, 0.05)
+
+    def test_one_failure_with_no_fresh_completion_is_an_outage(self) -> None:
+        for senders, lost in (("2", False), ("200", True)):
+            made = sender(balancers=senders)
+            end(out(made, 1), Outcome.TIME_OUT, NOW + 1_000 * MS)
+            self.assertEqual(bool(made.receivers[1].out_since), lost)
+
+    def test_three_refusals_with_no_fresh_completion_are_an_outage(self) -> None:
+        made = sender(balancers="200")
+        handle = out(made, 1)
+        made.receivers[1].fulls, made.receivers[1].full_since = 2, NOW - 3_000 * MS
+        end(handle, Outcome.FULL, NOW + 100 * MS)
+        self.assertTrue(made.receivers[1].out_since)
+
+    def test_a_refusal_while_the_limit_has_room_is_an_outage(self) -> None:
+        for left, lost in ((0.1, False), (0.8, True)):
+            made = sender(balancers="200", report__columns="x0,x1", rate=8.0, weight_source="nominal")
+            handle = out(made, 1)
+            handle.shot_ended(NOW + 100 * MS, Outcome.FULL, 0, 1, 100 * MS, 0, False, (left, 8.0))
+            self.assertEqual(bool(made.receivers[1].out_since), lost)
+
+    def test_gaps_between_canaries_grow_with_the_outage(self) -> None:
+        made = sender(balancers="200")
+        made.receivers[1].out_since = NOW
+        self.assertGreater(made._next_canary(NOW + 20_000 * MS, made.receivers[1]), NOW + 50_000 * MS)
+
+    def test_a_link_that_will_not_be_used_again_is_given_back(self) -> None:
+        made = sender(balancers="200")
+        end(out(made, 1), Outcome.COMPLETED, NOW + 100 * MS)
+        self.assertEqual(made.decide(NOW + 100 * MS).freed_links, [1])
+
+
+class CrowdedTables(unittest.TestCase):
+    def test_links_are_given_back_where_connections_fail_between_completions(self) -> None:
+        for failed_at, freed in ((0, []), (NOW - 3_000 * MS, [1])):
+            made = sender()
+            made.destinations[7].unlinked_at = failed_at
+            end(out(made, 1), Outcome.COMPLETED, NOW + 100 * MS)
+            self.assertEqual(made.decide(NOW + 100 * MS).freed_links, freed)
+
+
+class MakingWay(unittest.TestCase):
+    def test_the_backlog_of_a_lost_destination_goes_first(self) -> None:
+        made = sender(policy_limits__max_open="6")
+        made.listed(NOW, ListChange.CHANGES, [Listing(8, 0, 0, 8, Phase.READY, 0.0)])
+        made.receivers[8].out_since, made.receivers[8].canary_at = NOW - 9_000 * MS, NOW + 60_000 * MS
+        made.take(NOW, 50, 8, FREE, NOW + 16_000 * MS, 0, 0)
+        for envelope in range(1, 5):
+            take(made, envelope)
+        self.assertEqual([nack[0] for nack in made.decide(NOW).nacks], [50])
+
+
 class Order(unittest.TestCase):
     def test_the_next_of_a_key_waits_for_the_first(self) -> None:
         made = sender()
