--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -90,17 +90,17 @@
             return
         window = min(WINDOW_CAP, WINDOW_BASE << min(self.shots - 1, 16))
         # A moot shot is no evidence against the destination, so there is no backing off from it.
-        self.due = now + (1 if outcome is Outcome.MOOT else told_wait or sender.chance.below(window))
+        wait = told_wait if told_wait and not sender.many else told_wait + sender.chance.below(window)
+        self.due = now + (1 if outcome is Outcome.MOOT else wait)
         if self.ran_at and not self.band.reissuable:  # a wait must not outlast the window of repeats
             self.due = max(now, min(self.due, self.ran_at + self.band.window - sender.tick * 4))
         sender.hold(now, self)
 
     def withdrawn(self, now: int) -> None:
         """Nobody wants it any more; a shot that is out still ends."""
-        if not self.ended:
-            self.ended = True
-            if not self.out:
-                self.sender.close(now, self)
+        if not (self.ended or self.out):
+            self.sender.close(now, self)
+        self.ended = True
 
 
 class Sender:
@@ -252,7 +252,6 @@
         if not joins and self.calls_out >= self.slots:
             self.starved.add(place.id)
             return last_start + 1
-        # The shot.
         self._spend(now, receiver, joins)
         envelope.out, envelope.sent_at = True, now
         envelope.shots += 1
@@ -423,6 +422,9 @@
         latest = max(CANARY_LATEST * (1 + self.many), round((now - receiver.out_since) * CANARY_AGE))
         gap = min(latest, max(CANARY_SOONEST, round(SECOND / allowed)))
         receiver.pace.canary_at = max(receiver.pace.canary_at, now + gap * 3 // 4)
+        if self.many and receiver.pace.wait_until > now:
+            # Danger: all were told the same end of the wait and would come back in the same instant.
+            return receiver.pace.wait_until + self.chance.below(gap)
         return now + gap * 3 // 4 + self.chance.below(gap // 2)
 
     def _returning_rate(self, receiver: Receiver, since: int) -> float:
@@ -584,9 +586,8 @@
         if allowance <= 0:
             return False
         unused = self.shares.setdefault(tenant, Bucket(allowance * 2, now))
-        over = unused.fill(now, allowance, allowance * 2) > 0
-        unused.take()
-        return over
+        unused.fill(now, allowance, allowance * 2)
+        return not unused.take()
 
     def _shed(self, now: int) -> None:
         """Danger: a backlog for one lost destination fills the sender and turns all others away."""
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -32,8 +32,11 @@
         self.filled_at = now
         return 0 if self.tokens >= 1 else 1 + int((1 - self.tokens) * 1_000_000 / rate)
 
-    def take(self) -> None:
+    def take(self) -> bool:
+        """Use a token up; whether there was a whole one."""
+        whole = self.tokens >= 1
         self.tokens = max(0.0, self.tokens - 1)
+        return whole
 
 
 def note(times: deque[int], now: int, within: int, least: int = 0) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -195,6 +195,12 @@
         made.receivers[1].out_since = NOW
         self.assertGreater(made._next_canary(NOW + 20_000 * MS, made.receivers[1]), NOW + 50_000 * MS)
 
+    def test_a_told_wait_does_not_end_for_all_in_the_same_instant(self) -> None:
+        for senders, spread in (("2", False), ("200", True)):
+            made = sender(balancers=senders)
+            end(out(made, 1), Outcome.FULL, NOW + 100 * MS, told=4_000 * MS)
+            self.assertEqual(made.receivers[1].canary_at > NOW + 4_100 * MS, spread)
+
     def test_a_link_that_will_not_be_used_again_is_given_back(self) -> None:
         made = sender(balancers="200")
         end(out(made, 1), Outcome.COMPLETED, NOW + 100 * MS)
