--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -235,9 +235,8 @@
             return None
         if start > now:
             return min(start, last_start + 1)
-        # Its turn by key.
         if band.in_turn and envelope.key:
-            line = self.lines[envelope.key]
+            line = self.lines[envelope.key]  # its turn by key
             if line[0] is not envelope:
                 return last_start + 1
             if self.rests.get(envelope.key, 0) > now:
