--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -440,7 +440,7 @@
         return float(receiver.distrust * 2.0 ** (-(now - receiver.distrust_at) / TRUST_HALVES))
 
     def _list_rate(self, pace: Pace, rate: float) -> None:
-        part = max(rate * HEADROOM / self.senders, min(rate, LONE))
+        part = max(rate * HEADROOM * (1 + self.many) / self.senders, min(rate, LONE))
         if pace.rate is None or (not pace.cut_at and not pace.raised_at) or pace.rate > rate:
             pace.rate = max(part, min(rate, 4 * LONE))  # whether it is crowded shows in refusals
         pace.reference, pace.limit = part, rate
