--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -418,9 +418,9 @@
         """Danger: the canaries of many senders add up and push over what comes back. Those that hold
         something grow in number with the outage, so the gaps grow with its age."""
         dead = receiver.provable and not receiver.fulls  # nothing weighs on what takes no connection
-        latest = max(CANARY_LATEST * (1 + self.many), round((now - receiver.out_since) * CANARY_AGE))
+        aged = round((now - receiver.out_since) * (0.0 if dead else CANARY_AGE))
         gap = max(CANARY_SOONEST, round(SECOND / self._returning_rate(receiver, 0)))
-        gap = min(CANARY_LATEST if dead else latest, gap)
+        gap = min(gap, max(CANARY_LATEST * (1 + self.many), aged))
         receiver.pace.canary_at = max(receiver.pace.canary_at, now + gap * 3 // 4)
         if self.many and receiver.pace.wait_until > now:
             # Danger: all were told the same end of the wait and would come back in the same instant.
