SIGHUP reads the configuration again; watch and notices leave the old address

Now: SIGHUP is taken from the first line of main on; the file's `discovery` goes before RELAY_DISCOVERY, at a restart too; the watch is ended in the middle of a read or a connect and opened from version 0, since another agent may count its versions anew; a post without its 204 goes again to the new address. Limits are taken over in service, the rest is named in the log for the next start. A file that cannot be read changes nothing. Ruled out: that a post still under way at the old address could be lost (test with a platform that never answers).

--- a/cedarwick/__main__.py
+++ b/cedarwick/__main__.py
@@ -27,16 +27,18 @@
 def main() -> int:
     logger.remove()
     logger.add(sys.stderr, format="{level} {message}", level="INFO", backtrace=False, diagnose=False)
+    replaced = gevent.event.Event()
+    gevent.signal_handler(signal.SIGHUP, replaced.set)  # first of all: it must not end a starting process
     try:
         assignment = read(os.environ)
-        return serve(assignment)
+        return serve(assignment, replaced)
     except BadAssignment as error:
         print(f"cedarwick: {error}", file=sys.stderr)
         return 2
 
 
-def serve(assignment: Assignment) -> int:
-    """Start the parts, wait for SIGTERM, end them."""
+def serve(assignment: Assignment, replaced: gevent.event.Event) -> int:
+    """Start the parts, wait for SIGTERM, end them; `replaced` tells of a new configuration."""
     clock, counters = Clock(), Counters()
     descriptors = Descriptors(assignment.descriptors)
     store = Store(assignment.folder, assignment.disk_bytes)
@@ -59,12 +61,33 @@
             raise BadAssignment(f"the known list cannot be read: {error}") from None
     desk.resume()
 
+    def follow_configuration() -> None:
+        """Never returns: takes over what a new configuration changes in service."""
+        now_held = assignment
+        while True:
+            replaced.wait()
+            replaced.clear()
+            try:
+                told = read(os.environ)
+            except BadAssignment as error:
+                logger.error("the configuration stays as it was: {}", error)
+                continue
+            if told.platform != now_held.platform:
+                directory.move(told.platform)
+                notices.move(told.platform)
+            descriptors.set_limit(told.descriptors)
+            store.set_limit(told.disk_bytes)
+            counters.add("configurations taken over")
+            logger.info("configuration read again: platform {}:{}; for the next start: {}", *told.platform,
+                        ", ".join(now_held.fixed_and_other(told)) or "nothing")
+            now_held = told
+
     stopping = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
     gevent.signal_handler(signal.SIGUSR1, counters.print)
     parts = [gevent.spawn(part) for part in (desk.run, intake.accept, links.sweep, notices.run,
-                                             directory.watch, counters.watch_lag)]
+                                             directory.watch, counters.watch_lag, follow_configuration)]
     for part in parts:
         part.link_exception(broken)
     logger.info("{} listens on {}:{}", assignment.name, *assignment.listen)
--- a/cedarwick/net/assignment.py
+++ b/cedarwick/net/assignment.py
@@ -25,6 +25,11 @@
     known: dict[str, Any]
     settings: dict[str, str]
 
+    def fixed_and_other(self, told: "Assignment") -> list[str]:
+        """What another configuration changes that only a start takes over."""
+        return [name for name in ("name", "listen", "settings", "seed", "known")
+                if getattr(self, name) != getattr(told, name)]
+
 
 def read(environment: Mapping[str, str]) -> Assignment:
     """The assignment that the environment names; `BadAssignment` says in one line what is wrong with it."""
@@ -44,7 +49,8 @@
         made = Assignment(
             name=str(environment.get("RELAY_NAME") or told["name"]),
             listen=address(environment.get("RELAY_LISTEN") or told["listen"]),
-            platform=address(environment.get("RELAY_DISCOVERY") or told["discovery"]),
+            # Danger: the variable stays as it was at the start, while the file is replaced in service.
+            platform=address(told.get("discovery") or environment.get("RELAY_DISCOVERY") or ""),
             folder=folder,
             seed=int(told["seed"], 16),
             descriptors=int(limits["sockets"]),
--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -15,6 +15,7 @@
 from cedarwick.net.sockets import connected
 
 PHASES = {"up": Phase.READY, "draining": Phase.DRAINING, "removed": Phase.GONE}
+CONNECT = 1.0  # seconds in which a connection to the platform must come up
 SILENT = 5.0  # seconds: an empty line comes every two, so two of them are missing
 AGAIN = 0.25  # seconds before a broken watch is opened anew
 LONGEST_LINE = 1 << 22
@@ -35,6 +36,7 @@
         self.numbers: dict[str, int] = {}
         self.addresses: dict[int, tuple[str, int]] = {}
         self.asked = gevent.event.Event()
+        self.following: gevent.Greenlet | None = None
         self.known = False  # whether any receiver has been learned of
 
     def learn(self, news: dict[str, Any], saved: bool = False) -> None:
@@ -61,22 +63,35 @@
         """The decisions want the watch opened anew without delay."""
         self.asked.set()
 
+    def move(self, platform: tuple[str, int]) -> None:
+        """The platform has another address: the watch leaves the old one at once."""
+        self.platform = platform
+        # Danger: another agent may count its versions anew, and what follows ours would leave something out.
+        self.version = 0
+        self.asked.set()
+        if self.following is not None:
+            self.following.kill(block=False)
+
     def watch(self) -> None:
         """Never returns: keeps a watch open from the last version."""
         while True:
-            try:
-                self._follow()
-            except (OSError, Unreadable, ValueError) as error:
-                self.counters.trouble("the watch of the list broke", error)
+            self.following = gevent.spawn(self._follow_to_its_end)
+            self.following.join()
             self.tell_failed()
             self.asked.wait(AGAIN)
             self.asked.clear()
 
+    def _follow_to_its_end(self) -> None:
+        try:
+            self._follow()
+        except (OSError, Unreadable, ValueError) as error:
+            self.counters.trouble("the watch of the list broke", error)
+
     def _follow(self) -> None:
         lines = Buffer()
         answer = Answer(lines.append)
         raw = Buffer()
-        sock = connected(self.platform, SILENT)
+        sock = connected(self.platform, CONNECT)
         try:
             sock.settimeout(SILENT)
             host = f"{self.platform[0]}:{self.platform[1]}"
--- a/cedarwick/net/links.py
+++ b/cedarwick/net/links.py
@@ -23,10 +23,13 @@
     """Counts the descriptors of clients and receivers; at the bound the longest idle link gives way."""
 
     def __init__(self, limit: int) -> None:
-        self.limit = max(8, limit - KEPT_BACK)
+        self.set_limit(limit)
         self.used = 0
         self.make_way: Callable[[], bool] = lambda: False
 
+    def set_limit(self, limit: int) -> None:
+        self.limit = max(8, limit - KEPT_BACK)
+
     def claim(self) -> None:
         if self.used >= self.limit and not self.make_way():
             raise NoDescriptor
--- a/cedarwick/net/notices.py
+++ b/cedarwick/net/notices.py
@@ -28,6 +28,14 @@
         self.owed: dict[int, bytes] = {}  # by the envelope's number; bounded by what the store keeps
         self.news = gevent.event.Event()
         self.sock: gevent.socket.socket | None = None
+        self.sock_leads_to = platform
+        self.posting: gevent.Greenlet | None = None
+
+    def move(self, platform: tuple[str, int]) -> None:
+        """The platform has another address: a post that has no answer yet goes again, to the new one."""
+        self.platform = platform
+        if self.posting is not None:
+            self.posting.kill(block=False)
 
     def post(self, number: int, envelope: str, nacked: bool, wait_ms: int) -> None:
         told: dict[str, object] = {"id": envelope, "state": "returned" if nacked else "failed"}
@@ -44,12 +52,11 @@
             self.news.clear()
             while self.owed:
                 batch = list(self.owed)[:most]
-                try:
-                    with gevent.Timeout(LIMIT, TimeoutError("no answer in time")):
-                        status = self._send(b"".join(self.owed[number] for number in batch))
-                except (OSError, Unreadable) as error:
-                    self._close()
-                    self.counters.trouble("a notice could not be posted", error)
+                self.posting = gevent.spawn(self._post, b"".join(self.owed[number] for number in batch))
+                status = self.posting.get()
+                if isinstance(status, gevent.GreenletExit):  # the platform has moved meanwhile
+                    continue
+                if not status:
                     gevent.sleep(AGAIN)
                     continue
                 if status != 204:
@@ -64,11 +71,24 @@
                 self.counters.add("posts of notices acknowledged")
                 self.acknowledged(batch)
 
+    def _post(self, body: bytes) -> int:
+        """The status of the answer; 0 where none came."""
+        try:
+            with gevent.Timeout(LIMIT, TimeoutError("no answer in time")):
+                return self._send(body)
+        except (OSError, Unreadable) as error:
+            self._close()
+            self.counters.trouble("a notice could not be posted", error)
+            return 0
+        except gevent.GreenletExit:
+            self._close()
+            raise
+
     def _send(self, body: bytes) -> int:
-        if self.sock is not None and ended(self.sock):
+        if self.sock is not None and (self.sock_leads_to != self.platform or ended(self.sock)):
             self._close()
         if self.sock is None:
-            self.sock = connected(self.platform, LIMIT)
+            self.sock, self.sock_leads_to = connected(self.platform, LIMIT), self.platform
         self.sock.settimeout(None)
         head = (f"POST /status HTTP/1.1\r\nHost: {self.platform[0]}:{self.platform[1]}\r\n"
                 f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n")
--- a/cedarwick/net/store.py
+++ b/cedarwick/net/store.py
@@ -63,15 +63,18 @@
         self.folder = folder
         self.kept: dict[int, Kept] = {}
         self.weight = 0
-        # Two files stand side by side during a rewriting; together they stay within the limit.
-        self.most_weight = disk_bytes * 45 // 100
-        self.most_file = disk_bytes * 52 // 100
+        self.set_limit(disk_bytes)
         self.next_number = 1
         self.file = -1
         self.file_number = 0
         self.size = 0
         self.restarted = False  # whether the folder held anything at the start
 
+    def set_limit(self, disk_bytes: int) -> None:
+        """Two files stand side by side during a rewriting; together they stay within the limit."""
+        self.most_weight = disk_bytes * 45 // 100
+        self.most_file = disk_bytes * 52 // 100
+
     # ---- at the start ----
 
     def load(self) -> None:
--- a/tests/build.py
+++ b/tests/build.py
@@ -150,6 +150,8 @@
         self.notices: list[dict[str, Any]] = []
         self.watches = 0
         self.silent = False  # a watch says nothing after its first line
+        self.posts = 0
+        self.deaf = False  # posts get no answer
         self.refusals = 0  # so many posts are answered 500 first
         threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
 
@@ -177,6 +179,9 @@
 
     def do_POST(self) -> None:
         body = self.rfile.read(int(self.headers["Content-Length"]))
+        self.server.posts += 1
+        while self.server.deaf:
+            time.sleep(0.1)
         self.server.refusals -= 1
         accepted = self.server.refusals < 0
         if accepted:
@@ -200,12 +205,19 @@
         self.port = free_port()
         self.process: subprocess.Popen[str] | None = None
         platform = f"127.0.0.1:{self.platform.server_address[1]}"
-        told = {"name": "t0", "listen": f"127.0.0.1:{self.port}", "discovery": platform, "seed": "1f",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3, **limits},
-                "known": {"rev": 0, "all": True, "targets": []}, "settings": NESTED}
+        told: dict[str, Any] = {
+            "name": "t0", "listen": f"127.0.0.1:{self.port}", "discovery": platform, "seed": "1f",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3, **limits},
+            "known": {"rev": 0, "all": True, "targets": []}, "settings": NESTED}
         os.mkdir(self.path("state"))
+        self.told = told
+        self.configure()
+
+    def configure(self, **news: Any) -> None:
+        """Write the configuration, with what is new in it."""
+        self.told.update(news)
         with open(self.path("config.json"), "w", encoding="utf-8") as file:
-            json.dump(told, file)
+            json.dump(self.told, file)
 
     def path(self, name: str) -> str:
         return os.path.join(self.folder.name, name)
@@ -214,8 +226,8 @@
         return {"uid": f"s-{index}", "endpoint": f"127.0.0.1:{self.receivers[index].port}", "az": "here",
                 "model": "plain", "pod_group": index, "state": state, "capacity_hint": 1.0, "boot_ms": 0}
 
-    def start(self) -> None:
-        told = {"RELAY_CONFIG": self.path("config.json"), "RELAY_STATE": self.path("state")}
+    def start(self, **variables: str) -> None:
+        told = {"RELAY_CONFIG": self.path("config.json"), "RELAY_STATE": self.path("state"), **variables}
         self.process = subprocess.Popen([sys.executable, "-m", "cedarwick"], env={**os.environ, **told},
                                         text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
         until(self._ready)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,7 +8,7 @@
 import time
 import unittest
 
-from tests.build import Answering, Program, Receiver, ask, line_of, reply, submit, until, words
+from tests.build import Answering, Platform, Program, Receiver, ask, line_of, reply, submit, until, words
 
 OK = b"+OK\r\n"
 
@@ -273,6 +273,55 @@
         self.assertEqual((len(program.receivers[0].calls), program.platform.notices), (1, []))
 
 
+class NewConfigurations(Running):
+    def moved(self, program: Program) -> Platform:
+        """A second platform that the file names now, without the first one's receiver."""
+        platform = Platform([program.target(1)])
+        self.addCleanup(platform.server_close)
+        self.addCleanup(platform.shutdown)
+        program.configure(discovery=f"127.0.0.1:{platform.server_address[1]}")
+        program.signal(signal.SIGHUP)
+        return platform
+
+    def test_list_and_notices_leave_the_old_address_at_once(self) -> None:
+        program = self.begin(reply(200), reply(500))
+        platform = self.moved(program)
+        until(lambda: platform.watches)
+        time.sleep(0.1)
+        self.hand_in(program, submit("gone", d=400), submit("a", band="once", dest=1))
+        until(lambda: len(platform.notices) == 2)
+        self.assertEqual(sorted(told["id"] for told in platform.notices), ["a", "gone"])
+        self.assertEqual((program.receivers[0].calls, program.platform.notices), ([], []))
+
+    def test_a_notice_without_its_answer_goes_again_to_the_new_address(self) -> None:
+        program = self.begin(reply(200), reply(500))
+        program.platform.deaf = True
+        self.hand_in(program, submit("a", band="once", dest=1))
+        until(lambda: program.platform.posts)
+        begun = time.monotonic()
+        platform = self.moved(program)
+        until(lambda: platform.notices)
+        self.assertLess(time.monotonic() - begun, 1.0)
+
+    def test_an_unreadable_file_changes_nothing_and_ends_nothing(self) -> None:
+        program = self.begin(reply(200))
+        with open(program.path("config.json"), "w", encoding="utf-8") as file:
+            file.write('{"name": "t0", "disc')
+        program.signal(signal.SIGHUP)
+        program.signal(signal.SIGHUP)
+        time.sleep(0.2)
+        self.assertEqual(self.hand_in(program, submit("a")), [OK])
+        self.assertEqual((program.platform.watches, program.terminate()[0]), (1, 0))
+
+    def test_a_restart_after_a_new_configuration_believes_the_file(self) -> None:
+        program = self.begin(reply(200), reply(500))
+        platform = self.moved(program)
+        until(lambda: platform.watches)
+        program.kill()
+        program.start(RELAY_DISCOVERY=f"127.0.0.1:{program.platform.server_address[1]}")
+        until(lambda: platform.watches > 1)
+
+
 class Starting(unittest.TestCase):
     def test_a_bad_assignment_is_one_line_and_status_2(self) -> None:
         for told in ({}, {"RELAY_CONFIG": "/nowhere"}, {"RELAY_CONFIG": __file__}):
