Spoilt answers: believe only a 200 by its first line; a refusal counts once it is whole

At fault, read in the source: Shots._over told what any whole head said before its body was read, and _close_and_end believed any status whose first line came through, so a spoilt 429, 503 or 410 counted as "never ran" or as over; the body of a 3 GB answer was read for a second at full speed; reports went through float(), which takes nan and inf; bytes that came while the desk was asked could be read as the next answer. Probe with httptools: a 101 without an upgrade ends the parser with an error, so the answer behind it was lost; answers in front are now cut off before the parser. An answer is bounded by 192 KB, and by 0.5 s after its first line. What the test shows: with the old lines, five kinds of spoilt 410 lose an at-most-once envelope.

--- a/cedarwick/net/http.py
+++ b/cedarwick/net/http.py
@@ -7,6 +7,8 @@
 from cedarwick.net.buffer import Buffer
 
 LONGEST_HEAD = 1 << 16
+LONGEST_ANSWER = LONGEST_HEAD + (1 << 17)  # head and body of one that is not passed on as it comes
+INTERIM = (b"HTTP/1.1 1", b"HTTP/1.0 1")  # how answers in front of the real one begin
 
 
 class Unreadable(Exception):
@@ -17,9 +19,10 @@
     """An answer as it comes in; the parser calls the `on_` methods."""
 
     def __init__(self, on_body: Callable[[bytes], None] | None = None) -> None:
-        self.status = 0
+        self.status = 0  # of the first line, as soon as that was read
         self.headers: dict[str, str] = {}
         self.fed = 0
+        self.begun = False  # the real answer; what stood in front of it is left out
         self.headed = False
         self.complete = False
         self.keep_alive = False
@@ -31,37 +34,58 @@
             raise Unreadable("bytes after the answer")
 
     def on_status(self, _: bytes) -> None:
-        code = self.parser.get_status_code()
-        self.status = code if code >= 200 else 0
+        self.status = self.parser.get_status_code()
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self.on_status(b"")  # a first line without a phrase has no call of its own
         if len(self.headers) < 100:
             self.headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
 
     def on_headers_complete(self) -> None:
         self.on_status(b"")
-        self.headed = self.status > 0
-        if not self.headed:
-            self.headers.clear()  # an interim answer; the real one follows
+        self.headed = True
 
     def on_body(self, part: bytes) -> None:
         if self.pass_on is not None:
             self.pass_on(part)
 
     def on_message_complete(self) -> None:
-        if self.status:
-            self.complete = True
-            self.keep_alive = self.parser.should_keep_alive()
+        self.complete = True
+        self.keep_alive = self.parser.should_keep_alive()
 
     def feed(self, buffer: Buffer) -> None:
         """Use up what the buffer holds."""
+        self.begun = self.begun or self._nothing_in_front(buffer)
+        if not self.headed and self.fed + len(buffer) > LONGEST_HEAD:
+            raise Unreadable("a head without an end")
+        if not self.begun:
+            return
         part = buffer.take(len(buffer))
         self.fed += len(part)
-        if not self.headed and self.fed > LONGEST_HEAD:
-            raise Unreadable("a head without an end")
+        if self.pass_on is None and self.fed > LONGEST_ANSWER and not self.complete:
+            raise Unreadable("an answer without an end")
         try:
             self.parser.feed_data(part)
         except (Unreadable, httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
             if not self.complete:
                 raise Unreadable(str(error) or type(error).__name__) from None
             self.keep_alive = False  # bytes after a whole answer: nobody asked for them
+
+    def _nothing_in_front(self, buffer: Buffer) -> bool:
+        """Leave out interim answers; whether the real one begins here.
+
+        Danger: the parser takes a 101 for the end of HTTP.
+        """
+        while any(begin.startswith(buffer.peek(0, len(begin))) for begin in INTERIM):
+            end = buffer.find(b"\r\n\r\n")
+            if end < 0:
+                return False
+            self.fed += end + 4
+            buffer.skip(end + 4)
+        return True
+
+    def ended(self) -> bool:
+        """The connection has ended; whether the answer is whole by that."""
+        if self.headed and not self.complete:
+            self.complete = not {"content-length", "transfer-encoding"} & self.headers.keys()
+        return self.complete
--- a/cedarwick/net/shots.py
+++ b/cedarwick/net/shots.py
@@ -1,5 +1,6 @@
 """One call over one link: writing, reading, time-out, outcome."""
 
+import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -11,10 +12,12 @@
 from cedarwick.net.counters import Counters
 from cedarwick.net.http import Answer, Unreadable
 from cedarwick.net.links import Link, Links, NoDescriptor
+from cedarwick.net.sockets import ended
 from cedarwick.net.store import Kept
 
 REPORT_HEADER = "x-pressure"
-REST_OF_ANSWER = 1_000_000  # for what follows the head of an answer; the outcome is known by then
+REST_OF_ANSWER = 500_000  # for what follows the first line of an answer
+FIGURE = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,30})?(e-[0-9]{1,2})?")  # of a report
 
 
 @dataclass(slots=True)
@@ -88,6 +91,10 @@
             return
         usable = False
         try:
+            if link.idle_since and ended(link.sock):
+                # Danger: what came while the desk was asked would be read as the answer to this call.
+                self._end(call, Outcome.MOOT)
+                return
             usable = self._over(call, link)
         finally:
             self.links.give_back(link, usable)
@@ -95,43 +102,48 @@
     def _over(self, call: Call, link: Link) -> bool:
         """Write the request, read the answer; whether the link can be used again."""
         answer = Answer()
+        broken: Outcome | None = Outcome.CONNECT_FAILED
         try:
             self._wait_until(link, call.until)
             link.sock.sendall(request(call, self.clock.now()))
+            self.counters.add("shots sent")
+            broken = self._read(call, link, answer)
         except OSError:
             # The last byte was never handed over, so nothing ran; an early answer tells more.
             self._read_what_lies_there(link, answer)
-            self._close_and_end(call, link, answer, Outcome.CONNECT_FAILED)
-            return False
-        self.counters.add("shots sent")
-        broken = Outcome.RESET
+        if answer.complete or answer.status == 200:
+            usable = answer.complete and answer.keep_alive and broken is None
+            if not call.told:
+                self._tell(call, answer)
+            return usable
+        # Danger: with the link still open, a further shot would be a second copy out. Danger: what follows a
+        # refusal's head may show that it was spoilt, and then the shot may have run.
+        self.links.give_back(link, usable=False)
+        self._end(call, broken or Outcome.RESET)
+        return False
+
+    def _read(self, call: Call, link: Link, answer: Answer) -> Outcome | None:
+        """Read the answer to its end; how the shot ended if it broke before that."""
+        until = call.until
         try:
-            while not answer.headed:
-                self._wait_until(link, call.until)
+            while not answer.complete:
+                self._wait_until(link, until)
                 if not link.buffer.fill(link.sock):
-                    break
+                    return None if answer.ended() else Outcome.RESET
+                begun = answer.status
                 answer.feed(link.buffer)
+                if answer.status and not begun:
+                    until = min(until, self.clock.now() + REST_OF_ANSWER)
+                if answer.headed and answer.status == 200 and not call.told:
+                    self._tell(call, answer)  # it is true, whatever becomes of the rest
         except TimeoutError:
             # Danger: after a pause of the process, answers that came in time lie unread.
             self._read_what_lies_there(link, answer)
-            broken = Outcome.TIME_OUT
+            return Outcome.RESET if answer.status else Outcome.TIME_OUT
         except (OSError, Unreadable) as error:
             self.counters.trouble("a link broke during a shot", error)
-        if not answer.headed:
-            # Danger: with the link still open, a further shot would be a second copy out.
-            self._close_and_end(call, link, answer, broken)
-            return False
-        self._tell(call, answer)
-        try:
-            rest_until = self.clock.now() + REST_OF_ANSWER
-            while not answer.complete:
-                self._wait_until(link, rest_until)
-                if not link.buffer.fill(link.sock):
-                    return False
-                answer.feed(link.buffer)
-        except (OSError, Unreadable):
-            return False
-        return answer.keep_alive
+            return Outcome.RESET
+        return None
 
     def _wait_until(self, link: Link, until: int) -> None:
         left = until - self.clock.now()
@@ -142,20 +154,13 @@
     def _read_what_lies_there(self, link: Link, answer: Answer) -> None:
         link.sock.settimeout(0.0)
         try:
-            while not answer.headed and link.buffer.fill(link.sock):
+            while not answer.complete and link.buffer.fill(link.sock):
                 answer.feed(link.buffer)
         except (OSError, Unreadable):
             pass
 
-    def _close_and_end(self, call: Call, link: Link, answer: Answer, broken: Outcome) -> None:
-        self.links.give_back(link, usable=False)
-        if answer.status:
-            self._tell(call, answer)
-        else:
-            self._end(call, broken)
-
     def _tell(self, call: Call, answer: Answer) -> None:
-        """What the head of an answer says."""
+        """What an answer says: its first line at least."""
         took = self.clock.now() - call.ordered_at
         report = self._report(answer.headers.get(REPORT_HEADER, ""))
         if answer.status == 200:
@@ -186,15 +191,13 @@
         """The values that an answer reports, in the order of the settings; nothing if it cannot be read."""
         if not text:
             return ()
-        told = {}
-        for pair in text.split(","):
-            name, _, value = pair.partition("=")
-            try:
-                told[name.strip()] = float(value)
-            except ValueError:
-                self.counters.trouble("a report that cannot be read", text[:100])
-                return ()
-        return [told.get(name, 0.0) for name in self.columns]
+        told = {name.strip(): value for name, _, value in (pair.partition("=") for pair in text.split(","))}
+        figures = [told.get(name, "") for name in self.columns]
+        # Danger: one "nan" or "1e300" would stay in the pace of a destination for ever.
+        if not all(FIGURE.fullmatch(figure) for figure in figures):
+            self.counters.trouble("a report that cannot be read", text[:100])
+            return ()
+        return [float(figure) for figure in figures]
 
 
 def wait_of(text: str) -> int:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -26,7 +26,7 @@
 from cedarwick.net.http import Answer, Unreadable
 from cedarwick.net.links import Descriptors, NoDescriptor
 from cedarwick.net.notices import Notices
-from cedarwick.net.shots import Call, Ending, wait_of
+from cedarwick.net.shots import Call, Ending, Shots, wait_of
 from cedarwick.net.sockets import ended
 from cedarwick.net.store import Kept, NoRoom, Store
 from tests.build import NESTED, reply, words
@@ -283,11 +283,25 @@
         answer.feed(buffer)
         self.assertEqual((answer.status, answer.complete, answer.keep_alive), (500, True, False))
 
-    def test_an_interim_answer_is_skipped(self) -> None:
-        answer, buffer = Answer(), Buffer()
-        buffer.append(b"HTTP/1.1 100 Continue\r\n\r\n" + reply(429, "X-Backoff-Ms: 70"))
-        answer.feed(buffer)
-        self.assertEqual((answer.status, answer.headers["x-backoff-ms"]), (429, "70"))
+    def test_interim_answers_are_left_out_wherever_they_are_split(self) -> None:
+        for code in (100, 101, 102, 103):
+            text = b"HTTP/1.1 %d Wait\r\nLink: x\r\n\r\n" % code * 2 + reply(429, "X-Backoff-Ms: 70")
+            for at in range(len(text)):
+                with self.subTest(code=code, at=at):
+                    answer, buffer = Answer(), Buffer()
+                    for part in (text[:at], text[at:]):
+                        buffer.append(part)
+                        answer.feed(buffer)
+                    self.assertEqual((answer.status, answer.headers, answer.complete), (
+                        429, {"content-length": "0", "x-backoff-ms": "70"}, True))
+
+    def test_a_report_that_cannot_be_read_reaches_no_decision(self) -> None:
+        made = Shots(Clock(), Counters(), None, ["x0", "x1"], None, None)  # type: ignore[arg-type]
+        for text, expected in (("x0=0.4,x1=25", [0.4, 25.0]), ("x1=25, x0=-1e-07", [-1e-07, 25.0]),
+                               ("x0=nan,x1=25", ()), ("x0=0.1,x1=inf", ()), ("x0=0.1,x1=" + "9" * 30, ()),
+                               ("x0=1", ()), ("x0=1_0,x1=2", ()), ("\xff,==,", ())):
+            with self.subTest(text=text):
+                self.assertEqual(made._report(text), expected)
 
     def test_a_head_without_an_end_is_given_up(self) -> None:
         answer, buffer = Answer(), Buffer()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -109,6 +109,31 @@
         self.assertEqual(program.platform.notices, [{"id": "a", "state": "failed"}])
         self.assertEqual(len(program.receivers[0].calls), 1)
 
+    def test_only_a_200_is_believed_when_its_answer_is_spoilt(self) -> None:
+        def head(status: int, rest: bytes) -> bytes:
+            return b"HTTP/1.1 %d X\r\n" % status + rest
+
+        endless = b"Content-Length: 3000000000\r\n\r\n" + bytes(400_000)
+        for rest in (b"\x00\xff\r\n\r\n", b"Content-Length: -5\r\n\r\n", b"Content-Length: 9\r\n\r\nshort",
+                     b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", b"X: never ends", endless):
+            spoilt = [head(status, rest) for status in (200, 429, 410, 503, 504)]
+            with self.subTest(rest=rest[:40]):
+                program = self.begin(*spoilt)
+                self.hand_in(program, *(submit(str(dest), band="once", dest=dest) for dest in range(5)))
+                until(lambda: len(program.platform.notices) == 4)  # noqa: B023
+                self.assertEqual({(told["id"], told["state"]) for told in program.platform.notices},
+                                 {(str(dest), "failed") for dest in range(1, 5)})
+                self.assertEqual([len(receiver.calls) for receiver in program.receivers], [1] * 5)
+
+    def test_a_good_answer_that_brings_more_counts_and_its_link_goes(self) -> None:
+        program = self.begin(reply(200) + reply(503), reply(200) + b"\x00")
+        for number in range(2):
+            self.hand_in(program, submit(f"a{number}"), submit(f"b{number}", dest=1))
+            until(lambda: all(len(receiver.calls) > number for receiver in program.receivers))  # noqa: B023
+            time.sleep(0.1)
+        self.assertEqual(([receiver.connections for receiver in program.receivers], program.platform.notices),
+                         ([2, 2], []))
+
     def test_what_never_went_out_is_given_back_before_its_limit(self) -> None:
         program = self.begin(reply(200))
         program.receivers[0].close()
