Bad clients: silent ones go first, begun requests end, copies of ids are refused

A probe that printed the envelope of every 400 shows all of them to be copies: an id whose own envelope had just ended, with the body 'abcd', which Desk._take took for a new one and sent up to twelve times. Ids are now remembered for 15 s with what came with them. Connections that say nothing were never closed, a begun request had 10 s (Intake._next), accepting stopped with nobody idle, and each room cost one cut and 5 ms (seen 860 times: no descriptor for a client). Now 2.2 s for silence, 2 s for a request, 4 s between requests of one that has asked; at the bound the silent ones go first, several at once. Commands wait for each other's greenlets, nonsense is slowed down and let go after eight; what follows a refusal is read up to 256 KB; all buffers together hold 8 MB; a destination that nobody listed is turned away with -BUSY, since the list may be old; no time to live is longer than the settings' own.

--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -19,6 +19,7 @@
 from cedarwick.net.store import Kept, NoRoom, Store
 from cedarwick.policy import Handle, Sender
 
+REMEMBERED = 15_000_000  # for so long after it was handed in, an id is not taken once more
 AFTER_ERROR = 100_000  # until the next round: an error that comes again must not fill the core
 
 
@@ -28,6 +29,8 @@
     KEPT = "kept"
     BUSY = "busy"  # with an advised wait in milliseconds, or 0
     UNKNOWN_BAND = "unknown band"
+    UNKNOWN_DESTINATION = "unknown destination"  # as far as the list tells, which may be old
+    REPEATED = "repeated"  # an id that was handed in before, and not the same request
 
 
 @dataclass(slots=True)
@@ -57,6 +60,7 @@
         self.sender.per_call = []
         self.handles: dict[int, Handle] = {}
         self.numbers: dict[str, int] = {}  # by id: envelopes that are kept
+        self.recent: dict[str, tuple[int, int]] = {}  # ids of late: when, and what came with it
         self.fresh: dict[int, Submission] = {}  # taken in this round
         self.queue: gevent.queue.Queue = gevent.queue.Queue()
         self.wake_at: int | None = None
@@ -158,10 +162,22 @@
         if band is None:
             submission.answered(Answered.UNKNOWN_BAND)
             return
-        known = self.numbers.get(kept.id)
-        if known is not None:  # the same request once more
-            submission.answered(Answered.BUSY if known in self.fresh else Answered.KEPT)
+        if kept.destination not in self.sender.destinations:
+            self.counters.add("turned away: a destination that nobody listed")
+            submission.answered(Answered.UNKNOWN_DESTINATION)
             return
+        now = self.clock.now()
+        # Danger: a copy of an id that has ended would go out again, with whatever body it brings.
+        copied = hash((kept.key, kept.turn, kept.band, kept.tenant, kept.destination, kept.body))
+        known = self.recent.get(kept.id)
+        if known is not None or kept.id in self.numbers:
+            same = known is not None and known[1] == copied and kept.id in self.numbers
+            same = same and self.numbers[kept.id] not in self.fresh
+            submission.answered(Answered.KEPT if same else Answered.REPEATED)
+            return
+        while self.recent and next(iter(self.recent.values()))[0] < now - REMEMBERED:
+            del self.recent[next(iter(self.recent))]
+        self.recent[kept.id] = now, copied
         if not self.store.has_room(kept):
             self.counters.add("turned away: no room in the folder")
             submission.answered(Answered.BUSY)
@@ -170,8 +186,10 @@
         self.store.next_number += 1
         self.fresh[number] = submission
         self.numbers[kept.id] = number
+        # Danger: an absurd time to live would be held, and take up its room, for ever.
+        kept.outer_limit = min(kept.outer_limit, now + self.sender.bands[band].outer_limit)
         self.handles[number] = self.sender.take(
-            self.clock.now(), number, kept.destination, band, kept.outer_limit,
+            now, number, kept.destination, band, kept.outer_limit,
             place(self.tenants, kept.tenant), kept.turn)
 
     def _withdraw(self, kept: Kept) -> None:
--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -21,32 +21,54 @@
 # A client waits 400 ms for its answer, and an end counts as in time for 300 ms: what was read late, after a
 # pause of the process, must not be taken to have so much longer.
 READ_LATE = 100_000
-STALLED = 10.0  # seconds in which the rest of a begun request, or room for an answer, must come
+# An error or a close is owed within three seconds of connecting; one with nothing open may go after two.
+SILENT = 2.2  # seconds in which the first request must begin; later ones may take QUIET
+QUIET = 4.0
+STALLED = 2.0  # seconds in which the rest of a begun request, or room for an answer, must come
+SLOW = 0.3  # seconds without a byte of a begun request, after which it may have to make way
 LINGER = 1.0  # seconds in which a client that was let go may close by itself
+WASTED = 1 << 18  # bytes that are read after a refusal, so that the client can read its error
+UNUSABLE = 8  # so many requests in a row that cannot be used end the connection
+PAUSE = 0.02  # seconds after the first of them, doubling up to LONGEST_PAUSE
+LONGEST_PAUSE = 0.5
+MOST_BUFFERED = 1 << 23  # bytes in the buffers of all clients together; what needs more is turned away
+SMALL = 1 << 13  # a buffer up to this size needs no look at the others
 BACKLOG = 1024
 WORD = re.compile(rb"[!-~]{1,200}")
 NUMBER = re.compile(rb"[0-9]{1,9}")
 TURN = re.compile(rb"[0-9a-fA-F]{1,16}")
 
 BUSY, PONG, LOADING = b"-BUSY\r\n", b"+PONG\r\n", b"-LOADING not ready yet\r\n"
-REPLIES = {Answered.KEPT: b"+OK\r\n", Answered.BUSY: BUSY, Answered.UNKNOWN_BAND: b"-ERR unknown class\r\n"}
+REPLIES = {Answered.KEPT: b"+OK\r\n", Answered.BUSY: BUSY, Answered.UNKNOWN_BAND: b"-ERR unknown class\r\n",
+           Answered.UNKNOWN_DESTINATION: BUSY, Answered.REPEATED: BUSY}
 
 
 class Malformed(Exception):
     """Bytes that are no RESP2 command."""
 
 
+class Crowded(Exception):
+    """The buffers of all clients together are as large as they may be."""
+
+
 class Client:
     """One connection from a client."""
 
-    __slots__ = ("sock", "buffer", "waiting", "cut", "idle_since")
+    __slots__ = ("sock", "buffer", "waiting", "cut", "idle_since", "begun_at", "served", "unusable")
 
     def __init__(self, sock: gevent.socket.socket, now: int) -> None:
         self.sock = sock
         self.buffer = Buffer()
         self.waiting = True  # between requests: nothing of a next one has been read
         self.cut = False
-        self.idle_since = now
+        self.idle_since = now  # the last byte read, or the last answer
+        self.begun_at = 0  # when the first byte of a request came that is not whole yet; 0: none has
+        self.served = False  # it has handed in something that could be used
+        self.unusable = 0  # requests in a row that could not
+
+    def patience(self) -> float:
+        """For how many seconds nothing need come."""
+        return SILENT if not self.served else QUIET
 
 
 class Intake:
@@ -61,6 +83,7 @@
         self.clients: set[Client] = set()
         self.ready = ready  # whether the folder is read and the list known
         self.closing = False
+        self.waste = bytearray(1 << 16)
         self.listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
         self.listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
         self.listener.bind(listen)
@@ -69,6 +92,8 @@
     def accept(self) -> None:
         """Never returns: accepts clients as long as there are descriptors for them."""
         while True:
+            # Danger: accepting one after another would never let those read that were accepted before.
+            gevent.sleep(0)
             try:
                 self._make_room()
                 self.descriptors.claim()
@@ -96,14 +121,20 @@
                 self._let_go(client)
 
     def _make_room(self) -> None:
-        """Clients hold half of the descriptors at most; the one idle longest goes, between requests."""
+        """Clients hold half of the descriptors at most; who has nothing open goes, the silent ones first."""
         if len(self.clients) * 2 < self.descriptors.limit:
             return
-        idle = [client for client in self.clients if client.waiting]
         # Danger: one that was cut counts until its greenlet has run; cutting on would reach the newest.
-        if idle and not any(client.cut for client in self.clients):
-            self._cut(min(idle, key=lambda client: client.idle_since))
-        raise NoDescriptor
+        if not any(client.cut for client in self.clients):
+            slow = self.clock.now() - round(SLOW * 1_000_000)
+            idle = [client for client in self.clients
+                    if client.waiting or client.begun_at and client.idle_since < slow]
+            # Danger: connections that say nothing would take the place of clients that use theirs again.
+            idle.sort(key=lambda client: (client.served, client.idle_since))
+            for client in idle[:1 + len(idle) // 8]:
+                self._cut(client)
+        if len(self.clients) * 2 >= self.descriptors.limit + 16 or not any(each.cut for each in self.clients):
+            raise NoDescriptor
 
     def _let_go(self, client: Client) -> None:
         """The client reads the end and goes; what crosses it is read, so that the close is no reset."""
@@ -134,9 +165,21 @@
                     self._let_go(client)
                     self._read_out(client)
                     return
+                if client.unusable >= UNUSABLE:
+                    raise Malformed("too many requests that cannot be used")
+                if client.unusable:
+                    # Danger: who sends the same again as soon as it is turned away would fill the core.
+                    client.waiting, client.idle_since = True, self.clock.now()
+                    gevent.sleep(min(LONGEST_PAUSE, PAUSE * (1 << client.unusable - 1)))
+                elif len(client.buffer):
+                    gevent.sleep(0)  # hundreds of commands at once must not hold up all others
+            self._refuse(client, b"")
         except Malformed as error:
             self.counters.trouble("a malformed request", error)
             self._refuse(client, f"-ERR {error}\r\n".encode())
+        except Crowded:
+            self.counters.trouble("no memory for a request", len(client.buffer))
+            self._refuse(client, BUSY)
         except OSError as error:
             self.counters.add(f"clients lost: {type(error).__name__}")
         finally:
@@ -145,14 +188,29 @@
             self.descriptors.give_back()
 
     def _next(self, client: Client) -> list[bytes] | None:
-        """The next request; None at the end of the connection."""
+        """The next request; None at the end of the connection, or where none came for long enough."""
         while (parts := command(client.buffer)) is None:
             begun = len(client.buffer) > 0
             client.waiting, client.idle_since = not begun, self.clock.now()
-            client.sock.settimeout(STALLED if begun else None)
-            if not client.buffer.fill(client.sock):
+            left = client.patience()
+            if begun:
+                client.begun_at = client.begun_at or client.idle_since
+                left = STALLED - (client.idle_since - client.begun_at) / 1_000_000
+                if len(client.buffer.data) > SMALL and MOST_BUFFERED < sum(
+                        len(other.buffer.data) for other in self.clients):
+                    raise Crowded
+            try:
+                if left <= 0:
+                    raise TimeoutError
+                client.sock.settimeout(left)
+                if not client.buffer.fill(client.sock):
+                    return None
+            except TimeoutError:
+                if begun:
+                    raise Malformed("Protocol error: the request did not end") from None
+                self.counters.add("clients let go that asked for nothing")
                 return None
-        client.waiting = False
+        client.waiting, client.begun_at = False, 0
         return parts
 
     def _refuse(self, client: Client, reply: bytes) -> None:
@@ -166,14 +224,17 @@
             pass
 
     def _read_out(self, client: Client) -> None:
+        """Danger: 60 MB at full speed would take the core from everyone; then a reset is good enough."""
         client.buffer.skip(len(client.buffer))
-        while client.buffer.fill(client.sock):
-            client.buffer.skip(len(client.buffer))
+        wasted = 0
+        while wasted < WASTED and (got := client.sock.recv_into(self.waste)):
+            wasted += got
 
     def _answer(self, client: Client, parts: list[bytes]) -> bytes:
         name = parts[0].upper() if parts else b""
         if name == b"PING":
             return PONG if self.ready() else LOADING
+        client.unusable += 1
         if name != b"SUBMIT":
             self.counters.add("unknown commands")
             return b"-ERR unknown command\r\n"
@@ -189,6 +250,8 @@
         submission = Submission(kept)
         self.desk.submit(submission)
         answered, wait_ms = submission.answer.get()
+        if answered in (Answered.KEPT, Answered.BUSY):
+            client.served, client.unusable = True, 0
         if answered is Answered.KEPT and kept.number and lies_there(client.sock) == b"":
             # Danger: who has gone before the answer hands it in elsewhere; nothing has gone out yet.
             self.counters.add("clients gone before their answer")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -192,9 +192,10 @@
         self.desk.free_links = lambda receiver: None
         self.desk._listed(ListChange.SAVED, [Listing(1, 0, 0, 0, Phase.READY, 0.0)])
 
-    def taken(self, band: str = "free", size: int = 1) -> Submission:
-        limit = self.desk.clock.now() + 8_000_000
-        submission = Submission(Kept(0, "a", "", 0, band, "second", 0, limit, bytes(size)))
+    def taken(self, band: str = "free", size: int = 1, name: str = "a", destination: int = 0,
+              life: int = 8_000_000) -> Submission:
+        limit = self.desk.clock.now() + life
+        submission = Submission(Kept(0, name, "", 0, band, "second", destination, limit, bytes(size)))
         self.desk._take(submission)
         self.desk._decide()
         return submission
@@ -222,6 +223,30 @@
         self.assertEqual((self.store.kept, self.desk.handles, self.desk.numbers, self.desk.sender.open),
                          ({}, {}, {}, 0))
 
+    def test_a_copy_of_an_id_that_has_ended_is_not_taken(self) -> None:
+        self.test_a_completed_envelope_leaves_nothing_behind()
+        self.assertEqual(self.taken(size=4).answer.get(block=False), (Answered.REPEATED, 0))
+        self.assertEqual((self.store.kept, len(self.calls)), ({}, 1))
+
+    def test_another_body_under_an_open_id_is_not_taken_for_the_same(self) -> None:
+        self.taken()
+        self.assertEqual(self.taken().answer.get(block=False), (Answered.KEPT, 0))
+        self.assertEqual(self.taken(size=4).answer.get(block=False), (Answered.REPEATED, 0))
+
+    def test_ids_are_remembered_for_a_while_only(self) -> None:
+        for number in range(3):
+            with mock.patch.object(self.desk.clock, "now", return_value=number * 10_000_000):
+                self.taken(name=f"a{number}")
+        self.assertEqual(list(self.desk.recent), ["a1", "a2"])
+
+    def test_a_destination_that_nobody_listed_is_turned_away(self) -> None:
+        self.assertEqual(self.taken(destination=9).answer.get(block=False), (Answered.UNKNOWN_DESTINATION, 0))
+        self.assertEqual((self.store.kept, list(self.desk.sender.destinations)), ({}, [0]))
+
+    def test_no_time_to_live_is_longer_than_the_settings_allow(self) -> None:
+        self.taken(life=10**15)
+        self.assertLess(self.desk.handles[1].outer_limit, self.desk.clock.now() + 17_000_000)
+
     def test_a_withdrawn_envelope_does_not_go_out(self) -> None:
         self.desk.withdraw(self.taken())
         call, told = self.desk.queue.get()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,5 +1,6 @@
 """The program itself, spoken to over sockets by small stand-ins."""
 
+import contextlib
 import json
 import os
 import signal
@@ -170,6 +171,51 @@
             self.addCleanup(sock.close)
         self.assertEqual(self.hand_in(program, submit("a")), [OK])
 
+    def test_who_says_nothing_or_never_ends_is_let_go_within_three_seconds(self) -> None:
+        program = self.begin(reply(200))
+        usual = program.connect()
+        self.addCleanup(usual.close)
+        usual.sendall(submit("a"))
+        self.assertEqual(line_of(usual), OK)
+        begun = time.monotonic()
+        rude = [program.connect() for _ in range(3)]
+        for sock, sent in zip(rude, (b"", b"*5\r\n$6\r\nSUBMIT\r\n", words(b"PING")), strict=True):
+            self.addCleanup(sock.close)
+            sock.sendall(sent)
+        self.assertEqual([sock.makefile("rb").read()[:4] for sock in rude], [b"", b"-ERR", b"+PON"])
+        self.assertLess(time.monotonic() - begun, 3.0)
+        self.assertEqual(ask(usual, b"PING"), b"+PONG\r\n")
+
+    def test_a_body_that_is_too_long_is_refused_while_it_is_still_sent(self) -> None:
+        program = self.begin(reply(200))
+        with program.connect() as sock, contextlib.suppress(OSError):
+            sock.sendall(b"*5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$1\r\na\r\n$1\r\nc\r\n$60000000\r\n")
+            self.assertTrue(line_of(sock).startswith(b"-ERR"))
+            for _ in range(60):
+                sock.sendall(bytes(1_000_000))
+            self.fail("all of it was read")
+
+    def test_who_sends_the_same_nonsense_again_is_slowed_down_and_let_go(self) -> None:
+        program = self.begin(reply(200))
+        with program.connect() as rude:
+            rude.sendall(submit("a", band="unheard-of") * 300)
+            self.assertTrue(line_of(rude).startswith(b"-ERR"))
+            begun = time.monotonic()
+            self.assertEqual(self.hand_in(program, submit("b")), [OK])
+            self.assertLess(time.monotonic() - begun, 0.1)
+            with contextlib.suppress(ConnectionResetError):
+                self.assertLess(len(rude.makefile("rb").read().splitlines()), 20)
+
+    def test_silent_connections_make_way_before_those_that_asked(self) -> None:
+        program = self.begin(reply(200), sockets=84)
+        usual = program.connect()
+        self.addCleanup(usual.close)
+        usual.sendall(submit("a"))
+        self.assertEqual(line_of(usual), OK)
+        for sock in [program.connect() for _ in range(40)]:
+            self.addCleanup(sock.close)
+        self.assertEqual(ask(usual, b"PING"), b"+PONG\r\n")
+
     def test_a_full_folder_turns_envelopes_away(self) -> None:
         program = self.begin(None, disk_mb=0.2)
         answers = [self.hand_in(program, submit(f"e{number}", body=bytes(30_000)))[0] for number in range(4)]
