Rounds cost less under load, the folder holds what the decisions may, the gone are forgotten

Envelopes of one destination that ask alike now ask once a round; one that found no room is passed over until its own next look, one that found no slot only moves the rotation on; an envelope's rank is kept until it can change; shedding looks at one destination. A trace of the slots showed the second cause: 857 to 860 envelopes kept all the time, -BUSY for 40 % of all, and Sender._shed never acting: store.KEPT_BACK kept 1 KB back for each envelope where twelve shots need 0.6, so the folder was full below the decisions' own bound of 1000, and turned away what could go while it held what could not.

--- a/cedarwick/__main__.py
+++ b/cedarwick/__main__.py
@@ -8,7 +8,7 @@
 import gevent.event
 from loguru import logger
 
-from cedarwick.interface import span
+from cedarwick.interface import number, span
 from cedarwick.net.assignment import Assignment, BadAssignment, read
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -21,6 +21,7 @@
 from cedarwick.net.store import NoRoom, Store
 
 STAY = 1.2  # seconds from SIGTERM in which clients may still come, and the decisions go on with what is kept
+MOST_SHOTS = 64  # of an envelope, where the settings name no bound; the folder keeps room for their records
 DRAIN = 3.2  # seconds from SIGTERM to the end; SIGKILL may come half a second later
 
 
@@ -41,7 +42,8 @@
     """Start the parts, wait for SIGTERM, end them; `replaced` tells of a new configuration."""
     clock, counters = Clock(), Counters()
     descriptors = Descriptors(assignment.descriptors)
-    store = Store(assignment.folder, assignment.disk_bytes)
+    store = Store(assignment.folder, assignment.disk_bytes,
+                  round(number(assignment.settings, "policy-limits.most-tries", MOST_SHOTS)))
     try:
         desk = Desk(assignment, clock, counters, store)
         directory = Directory(assignment, counters, desk.listed, desk.list_call_failed)
--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -1,6 +1,7 @@
 """The platform's list of receivers: its watch, and uids to numbers and back."""
 
 import json
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -19,6 +20,7 @@
 SILENT = 5.0  # seconds: an empty line comes every two, so two of them are missing
 AGAIN = 0.25  # seconds before a broken watch is opened anew
 LONGEST_LINE = 1 << 22
+FORGET = 60.0  # seconds after a receiver has gone: longer than any shot to it, and than the decisions know it
 
 
 class Directory:
@@ -34,7 +36,9 @@
         self.tell_failed = tell_failed
         self.version = 0
         self.numbers: dict[str, int] = {}
+        self.next_number = 1  # never used twice: a new receiver must not inherit what is known of a gone one
         self.addresses: dict[int, tuple[str, int]] = {}
+        self.gone_since: dict[str, float] = {}  # by uid
         self.asked = gevent.event.Event()
         self.following: gevent.Greenlet | None = None
         self.known = False  # whether any receiver has been learned of
@@ -45,17 +49,33 @@
             entries, version, whole = list(news["targets"]), int(news["rev"]), bool(news["all"])
         except (KeyError, TypeError) as error:
             raise ValueError(f"list news without {error}") from None
-        listings = []
+        listings, named = [], set()
         for entry in entries:
             try:
                 listings.append(self._listing(entry))
+                if listings[-1].phase is not Phase.GONE:
+                    named.add(entry["uid"])
             except (KeyError, TypeError, ValueError, AttributeError) as error:
                 # Danger: one line that cannot be read would keep all others from being heard.
                 self.counters.trouble("a line of the list cannot be read", f"{type(error).__name__}: {error}")
+        self._forget(named, whole)
         self.version = version
         self.known = self.known or bool(listings)
         self.tell(ListChange.SAVED if saved else ListChange.WHOLE if whole else ListChange.CHANGES, listings)
 
+    def _forget(self, named: set[str], whole: bool) -> None:
+        """Danger: where receivers are replaced all day, those that have gone add up."""
+        now = time.monotonic()
+        for uid in named:
+            self.gone_since.pop(uid, None)
+        if whole:
+            for uid in self.numbers.keys() - named:
+                self.gone_since.setdefault(uid, now)
+        for uid, since in list(self.gone_since.items()):
+            if now - since > FORGET:
+                del self.gone_since[uid]
+                self.addresses.pop(self.numbers.pop(uid), None)
+
     def address_of(self, receiver: int) -> tuple[str, int]:
         return self.addresses[receiver]
 
@@ -118,7 +138,12 @@
         phase = PHASES.get(entry["state"])
         if phase is None:
             raise ValueError(f"unknown state {entry['state']!r}")
-        number = self.numbers.setdefault(uid, len(self.numbers) + 1)
+        if uid not in self.numbers:
+            self.numbers[uid] = self.next_number
+            self.next_number += 1
+        number = self.numbers[uid]
+        if phase is Phase.GONE:
+            self.gone_since.setdefault(uid, time.monotonic())
         if phase is not Phase.GONE or "endpoint" in entry:
             self.addresses[number] = address(str(entry["endpoint"]))
         return Listing(number, place(self.zones, entry.get("az")), place(self.kinds, entry.get("model")),
--- a/cedarwick/net/store.py
+++ b/cedarwick/net/store.py
@@ -18,7 +18,8 @@
 END_BODY = struct.Struct("<BQBI")
 OVER_BODY = struct.Struct("<BQ")
 OUTCOMES = list(Outcome)
-KEPT_BACK = 1024  # bytes for the short records of each kept envelope, so that they always find room
+OF_A_SHOT = 2 * HEAD.size + SHOT_BODY.size + OUTCOME_BODY.size  # bytes in the folder
+OF_AN_END = 2 * HEAD.size + END_BODY.size + OVER_BODY.size
 LONGEST = 1 << 20
 
 
@@ -51,16 +52,15 @@
     shots: list[Shot] = field(default_factory=list)  # never two out at once: the last one is the one out
     end: tuple[bool, int] | None = None  # nacked (not written off), advised wait in ms; its notice is owed
 
-    def weight(self) -> int:
-        texts = len(self.id) + len(self.key) + len(self.band) + len(self.tenant)
-        return KEPT_BODY.size + texts + len(self.body) + KEPT_BACK
-
 
 class Store:
     """Owns the folder. Records of live envelopes are also held in memory, for the rewriting."""
 
-    def __init__(self, folder: str, disk_bytes: int) -> None:
+    def __init__(self, folder: str, disk_bytes: int, most_shots: int) -> None:
         self.folder = folder
+        # Danger: where more is kept back for these than they need, the folder turns envelopes away of which
+        # the decisions, that know their own bound only, have long given up the like.
+        self.kept_back = OF_A_SHOT * most_shots + OF_AN_END  # they must always find room
         self.kept: dict[int, Kept] = {}
         self.weight = 0
         self.set_limit(disk_bytes)
@@ -95,7 +95,7 @@
                         # Danger: one record of another version would keep the sender from starting.
                         logger.error("a record that cannot be read is left out: {}", error)
         self.restarted = bool(numbers)
-        self.weight = sum(kept.weight() for kept in self.kept.values())
+        self.weight = sum(self.weighed(kept) for kept in self.kept.values())
         self.file_number = max(numbers, default=0)
         self._rewrite()
         for number in numbers:
@@ -134,9 +134,14 @@
 
     # ---- in service ----
 
+    def weighed(self, kept: Kept) -> int:
+        """The bytes that an envelope may come to take."""
+        texts = len(kept.id) + len(kept.key) + len(kept.band) + len(kept.tenant)
+        return HEAD.size + KEPT_BODY.size + texts + len(kept.body) + self.kept_back
+
     def has_room(self, kept: Kept) -> bool:
         """Whether an envelope can be kept, with room for the short records that it will need."""
-        return self.weight + kept.weight() <= self.most_weight
+        return self.weight + self.weighed(kept) <= self.most_weight
 
     def keep(self, kept: Kept) -> None:
         """Write the record of a taken envelope; `NoRoom` where there is none for it."""
@@ -144,7 +149,7 @@
             raise NoRoom("too much is kept")
         self._write(kept_record(kept))
         self.kept[kept.number] = kept
-        self.weight += kept.weight()
+        self.weight += self.weighed(kept)
 
     def shot(self, number: int, sent_at: int, zone: int) -> None:
         """A shot is about to go out."""
@@ -179,7 +184,7 @@
             self.file = -1
 
     def _drop(self, number: int) -> None:
-        self.weight -= self.kept.pop(number).weight()
+        self.weight -= self.weighed(self.kept.pop(number))
 
     # ---- the files ----
 
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -1,10 +1,4 @@
-"""All decisions: which envelope goes where and when, and what becomes of those that cannot go.
-
-Make a `Sender` from settings, seed and clock; `take` gives a handle; outcomes and withdrawals are calls on
-it; list news is a call on the sender; `decide` ends each round and returns verdicts. The call surface is in
-`cedarwick/interface.py`, the records are in `cedarwick/state.py`, the reasons in `docs/design.md`. Times are
-whole microseconds.
-"""
+"""All decisions; the calls are in `interface.py`, the records in `state.py`, reasons in `docs/design.md`."""
 
 from collections import deque
 from collections.abc import Mapping, Sequence
@@ -14,7 +8,6 @@
 
 SECOND = 1_000_000
 
-# The design's own figures: the doubling window of waits, and the pace.
 WINDOW_BASE = SECOND // 2
 WINDOW_CAP = 60 * SECOND
 CANCELLED_CAP = 2  # shots with an unclassified end
@@ -29,7 +22,6 @@
 HEADROOM = 1.2  # a sender starts at this multiple of its even part of a listed rate
 DEPTH = 1.0  # seconds of the pace that may go at once after a pause
 
-# Health.
 FEW = 8  # outcomes that judge a receiver
 MANY = 16  # where senders are more, each sees too few outcomes of a receiver to gather them
 STALE = 5 * SECOND  # completions older than this say little of a receiver's health
@@ -43,6 +35,7 @@
 CANARY_LATEST = 6 * SECOND  # and where it is small or the senders are many
 FIRST_CALLS = 2  # calls out at a destination from which nothing has been completed yet
 RAMP_PART = 0.8  # of what the fail-back rule allows
+FORGET = 20 * SECOND  # after a receiver has left the list; its outage is told to a replacement until then
 LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
@@ -93,8 +86,7 @@
         # A moot shot is no evidence against the destination, so there is no backing off from it.
         wait = told_wait if told_wait and not sender.many else told_wait + sender.chance.below(window)
         self.due = now + (1 if outcome is Outcome.MOOT else wait)
-        # A wait must not outlast the window of repeats.
-        self.due = max(now, min(self.due, self.repeat_until() - sender.tick * 4))
+        self.due = max(now, min(self.due, self.repeat_until() - sender.tick * 4))  # the window must not close
         sender.hold(now, self)
 
     def withdrawn(self, now: int) -> None:
@@ -128,6 +120,9 @@
         self.most_shots = int(number(settings, "policy-limits.most-tries", 1 << 30))
         self.most_open = int(number(settings, "policy-limits.max-open", 1 << 30))
         self.per_call = [int(part) for part in row(settings, "family-info.per-call")]
+        self.ramp_time = max(SECOND, span(settings, "rules.ramp-time-ms", 10_000))
+        self.locality = int(number(settings, "locality"))
+        self.far_fee = number(settings, "tariffs.cross-zone")
         self.apart = [part == "true" for part in row(settings, "family-info.kind-apart")]
         self.columns = row(settings, "report.columns")
         self.fees = dict(enumerate(row(settings, "family-info.fee-by-zone")))
@@ -149,8 +144,6 @@
         self.subscribe_at = now if settings.get("discovery") == "ask" else FAR
         self.verdicts = Verdicts()
 
-    # ---- what a protocol tells ----
-
     def take(self, now: int, envelope: int, destination: int, band: int, outer_limit: int, tenant: int,
              key: int) -> Handle:
         kept = self.bands[band]
@@ -201,6 +194,12 @@
             if self.settings.get("weight-source", "off") != "off" and listing.rate > 0:
                 self._list_rate(known.pace, listing.rate)
         self.changed.update(self.destinations)
+        # Danger: where receivers are replaced all day, the records of those that have gone add up.
+        for record in list(self.receivers.values()):
+            record.left_at = 0 if record.ready else record.left_at or now
+            if record.left_at and now - record.left_at > FORGET and not record.calls:
+                self.destinations[record.destination].members.remove(record.id)
+                del self.receivers[record.id]
 
     def list_call_failed(self, now: int) -> None:
         if self.settings.get("discovery") == "ask":
@@ -211,16 +210,28 @@
         self.changed.update(self.looks.due(now))
         places = [self.destinations[each] for each in sorted(self.changed)]
         self.changed.clear()
+        for place in places:
+            place.ready = [self.receivers[each] for each in place.members if self.receivers[each].ready]
+            place.quickest = min((member.mean for member in place.ready), default=0.0)
+            place.waits_until = min((member.pace.wait_until for member in place.ready), default=0)
+            place.room.clear()
         next_look: dict[int, int] = {}
+        alone = max(self.per_call, default=1) == 1
         waiting = [held for place in places for held in place.held if not (held.out or held.ended)]
         for envelope in sorted(waiting, key=lambda held: self._urgency(now, held)):
-            next_look[envelope.destination] = min(self.advance(now, envelope),
-                                                  next_look.get(envelope.destination, FAR))
+            place = self.destinations[envelope.destination]
+            known = now < envelope.look_at and place.room.get(envelope.asks)
+            if known and (alone or not known[0]):  # no room, or no slot
+                place.turn(envelope.asks)
+                look_at = envelope.look_at if known[0] else min(known[1], envelope.look_at)
+            else:
+                look_at = self.advance(now, envelope)
+            next_look[place.id] = min(look_at, next_look.get(place.id, FAR))
         self._shed(now)
         for place in places:
             place.held = [held for held in place.held if not (held.out or held.ended)]
             self.looks.plan(place.id, max(next_look.get(place.id, FAR), now + self.tick))
-        for each in sorted(self.idle):
+        for each in sorted(self.idle & self.receivers.keys()):
             record = self.receivers[each]
             crowded = self.unlinked.get(record.kind, 0.0) > UNLINKED
             if not record.calls and (crowded or self.many and record.gap > self.links_last):
@@ -233,17 +244,13 @@
         verdicts.wake_at = wake_at if wake_at < FAR else None
         return verdicts
 
-    # ---- the ordinary path ----
-
     def advance(self, now: int, envelope: Handle) -> int:
         """Take a held envelope as far as it goes now; the time of its next look, FAR when it needs none."""
         band = envelope.band
         place = self.destinations[envelope.destination]
-        members = [self.receivers[member] for member in place.members if self.receivers[member].ready]
-        quickest = min((member.mean for member in members), default=0.0)
-        last_start = envelope.outer_limit - max(self.tick * 4, round(quickest / 2))
+        last_start = envelope.outer_limit - max(self.tick * 4, round(place.quickest / 2))
         last_start = min(last_start, envelope.repeat_until() - 1)
-        start = max(now, envelope.due, min((member.pace.wait_until for member in members), default=0))
+        start = max(now, envelope.due, place.waits_until)
         # Terminal: out of shots, or a further one could take effect twice, or cannot finish in time.
         if (envelope.shots >= self.most_shots or envelope.cancelled >= CANCELLED_CAP
                 or (band.at_most_once and envelope.ran_at) or start > last_start):
@@ -252,19 +259,23 @@
         if start > now:
             return min(start, last_start + 1)
         if band.in_turn and envelope.key:
-            turn = self.turns.turn_at(envelope.key, envelope)
-            if turn > now:
-                return min(turn, last_start + 1)
-        # The receiver whose turn it is among those with room.
-        if envelope.ran_at and band.one_zone and not band.reissuable:
-            members = [member for member in members if member.zone == envelope.ran_zone]
-        receiver, room_at = self._in_rotation(now, envelope, members)
+            turn_at = self.turns.turn_at(envelope.key, envelope)
+            if turn_at > now:
+                return min(turn_at, last_start + 1)
+        zone = envelope.ran_zone if envelope.ran_at and band.one_zone and not band.reissuable else None
+        asking = zone, band.at_most_once
+        if asking not in place.room:  # Danger: each event would cost a full look for everything that is held
+            members = [member for member in place.ready if zone is None or member.zone == zone]
+            place.room[asking] = self._with_room(now, envelope, members)
+        envelope.look_at, envelope.asks = last_start + 1, asking
+        receiver = place.turn(asking)
         if receiver is None:
-            return min(room_at, last_start + 1)
+            return min(place.room[asking][1], last_start + 1)
         joins = self._joins(now, receiver)
         if not joins and self.calls_out >= self.slots:
             self.starved.add(place.id)
             return last_start + 1
+        place.room.clear()
         self._spend(now, receiver, joins)
         envelope.out, envelope.sent_at = True, now
         envelope.shots += 1
@@ -286,6 +297,7 @@
     def hold(self, now: int, envelope: Handle) -> None:
         self._destination(envelope.destination).held.append(envelope)
         self.changed.add(envelope.destination)
+        envelope.look_at = envelope.rank_until = 0
 
     def close(self, now: int, envelope: Handle) -> None:
         """The envelope has ended and none of its shots is out: let its key go on."""
@@ -297,8 +309,6 @@
             rest = (envelope.doubtful_at or -FAR) + span(self.settings, "rules.turn-gap-ms")
             self.turns.leave(envelope.key, envelope, now, rest)
 
-    # ---- what outcomes teach ----
-
     def learn(self, now: int, envelope: Envelope, receiver: Receiver, outcome: Outcome, took: int,
               told_wait: int, report: Sequence[float]) -> None:
         pace = receiver.pace
@@ -315,8 +325,7 @@
         if told.get("x1", 0.0) > 0:
             self._list_rate(pace, told["x1"])
             pace.left = told.get("x0", 0.0)
-        # Danger: idle links of many senders fill a receiver's table, and nobody else gets a connection.
-        # A dead machine fails many connections and returns once; a full table lets some pass between.
+        # Danger: idle links of many senders fill a receiver's table; unlike a dead machine it lets some pass.
         place = self.destinations[receiver.destination]
         if outcome is Outcome.CONNECT_FAILED:
             place.unlinked_at = now
@@ -346,8 +355,7 @@
             receiver.recent.append(False)
             receiver.distrust = self._distrust(now, receiver) + 1
             receiver.distrust_at = now
-            # Danger: one lost call among good ones (a lossy path, a full table of connections) is no
-            # outage, and a ramp after each would cost more than the losses do.
+            # Danger: one lost call among good ones is no outage; a ramp after each would cost more.
             judged = list(receiver.recent)
             ill = (outcome is Outcome.CONNECT_FAILED and len(judged) > 1 and not any(judged[-2:])
                    and receiver.completed_sent_at < envelope.sent_at)
@@ -400,8 +408,7 @@
             recent = sum(sent >= now - SPAN for sent in pace.sends) * SECOND / SPAN
             held_to = recent if pace.rate is None else pace.rate
             if self.many:
-                # Danger: a pace above what this sender sends here binds nothing, and where each calls a few
-                # times a minute, their refused calls alone use up the limit.
+                # Danger: a pace above what this sender sends binds nothing: refused calls use up the limit.
                 since = max(SPAN, now - (pace.sends[0] if len(pace.sends) > GATHER else self.started))
                 recent = len(pace.sends) * SECOND / since
                 held_to = min(held_to, max(recent, pace.reference))
@@ -422,8 +429,7 @@
         self.verdicts.freed_links.append(receiver.id)
 
     def _next_canary(self, now: int, receiver: Receiver) -> int:
-        """Danger: the canaries of many senders add up and push over what comes back. Those that hold
-        something grow in number with the outage, so the gaps grow with its age."""
+        """Danger: the canaries of many senders add up and push over what comes back; gaps grow with age."""
         dead = receiver.provable and not receiver.fulls  # nothing weighs on what takes no connection
         aged = round((now - receiver.out_since) * (0.0 if dead else CANARY_AGE))
         gap = max(CANARY_SOONEST, round(SECOND / self._returning_rate(receiver, 0)))
@@ -436,9 +442,8 @@
 
     def _returning_rate(self, receiver: Receiver, since: int) -> float:
         """Calls a second that this sender may send so long after the receiver's return."""
-        ramp = max(SECOND, span(self.settings, "rules.ramp-time-ms", 10_000))
         cold = number(self.settings, "rules.cold-share", 0.25)
-        share = cold + (1 - cold) * min(1.0, since / ramp)
+        share = cold + (1 - cold) * min(1.0, since / self.ramp_time)
         managed = max(receiver.managed, receiver.pace.limit * PART / self.senders)
         multiple = number(self.settings, "rules.fall-multiple", 1.5)
         return max(self.slowest, RAMP_PART * multiple * share * managed)
@@ -452,14 +457,12 @@
             pace.rate = max(part, min(rate, 4 * LONE))  # whether it is crowded shows in refusals
         pace.reference, pace.limit = part, rate
 
-    # ---- where and how ----
-
-    def _in_rotation(self, now: int, envelope: Envelope,
-                     members: list[Receiver]) -> tuple[Receiver | None, int]:
-        """The receiver whose turn it is, or the time at which one may have room."""
+    def _with_room(self, now: int, envelope: Envelope,
+                   members: list[Receiver]) -> tuple[list[tuple[Receiver, float]], int]:
+        """Who takes turns now, by weight (a canary alone), and the time at which one has or may have room."""
         open_now: list[tuple[Receiver, float]] = []
+        canary: list[tuple[Receiver, float]] = []
         soonest = FAR
-        canary: Receiver | None = None
         for member in members:
             if not member.out_since and self._silent(now, member):
                 # Danger: a hanging destination fills the slots with calls that nobody answers.
@@ -467,21 +470,14 @@
                 member.canary_at = self._next_canary(now, member)
             if member.out_since:
                 room_at = self._canary_room(now, envelope, member)
-                if room_at <= now and canary is None:
-                    canary = member
+                if room_at <= now:
+                    canary = canary or [(member, 0.0)]
             else:
                 room_at = self._room(now, member)
                 if room_at <= now:
                     open_now.append((member, self._weight(now, member)))
             soonest = min(soonest, room_at)
-        if canary is not None or not open_now:
-            return canary, soonest
-        total = sum(weight for _, weight in open_now)
-        for member, weight in open_now:
-            member.credit += weight
-        chosen = max(open_now, key=lambda pair: pair[0].credit)[0]
-        chosen.credit -= total
-        return chosen, now
+        return canary or open_now, soonest
 
     def _weight(self, now: int, receiver: Receiver) -> float:
         """A receiver's share of the turns: what it has been seen to manage, less what it costs."""
@@ -489,8 +485,7 @@
         success = (sum(judged) + 1) / (len(judged) + 1)
         pace = SECOND / (receiver.mean or SECOND / 2)
         fee = float(self.fees.get(receiver.zone, 0.0)) if self._apart(receiver.kind) else 0.0
-        if receiver.zone != int(number(self.settings, "locality")):
-            fee += number(self.settings, "tariffs.cross-zone")
+        fee += self.far_fee if receiver.zone != self.locality else 0.0
         return float(pace * success * 2.0 ** -self._distrust(now, receiver) / (1 + fee * 50))
 
     def _apart(self, kind: int) -> bool:
@@ -506,7 +501,6 @@
         return 0 < joined < (COLD_BATCH if receiver.back_at or receiver.fulls else FAR)
 
     def _room(self, now: int, receiver: Receiver) -> int:
-        """When a receiver in service may take a further call."""
         pace = receiver.pace
         if pace.wait_until > now:
             return pace.wait_until
@@ -521,7 +515,7 @@
         if pace.rate is not None:
             room_at = now + pace.bucket.fill(now, pace.rate, max(1.0, pace.rate * DEPTH))
             pace.short |= room_at > now
-        if now - receiver.back_at >= span(self.settings, "rules.ramp-time-ms", 10_000):
+        if now - receiver.back_at >= self.ramp_time:
             receiver.back_at = 0
         if receiver.back_at:
             rate = self._returning_rate(receiver, now - receiver.back_at)
@@ -529,7 +523,6 @@
         return room_at
 
     def _canary_room(self, now: int, envelope: Envelope, receiver: Receiver) -> int:
-        """When a receiver that is out may take this envelope as its canary."""
         # An at-most-once canary could be lost without a second try.
         lost = envelope.band.at_most_once and not receiver.provable
         soonest = max(now, receiver.canary_at, receiver.pace.canary_at, receiver.pace.wait_until)
@@ -550,10 +543,7 @@
         return len(receiver.calls) > 1 and now - since > max(SILENCE, usual)  # one lost call says too little
 
     def _patience(self, now: int, envelope: Envelope, receiver: Receiver, members: list[Receiver]) -> int:
-        """How long a shot may take. A call that times out may run on, so patience costs only a slot.
-
-        Danger: where slots are few, calls and canaries that a dead destination swallows hold them all.
-        """
+        """How long a shot may take. Danger: where slots are few, a dead destination holds them all."""
         left = envelope.outer_limit - now - 2 * self.tick
         usual = receiver.mean + 4 * receiver.stray if receiver.mean else 2 * SECOND
         soon = max(SECOND, round(2 * usual)) << min(envelope.shots - 1, 4)
@@ -566,10 +556,10 @@
         patience = min(window - SECOND // 2, soon if short else FAR)
         return min(left, patience) if patience >= SECOND and envelope.shots < self.most_shots else left
 
-    # ---- what goes first, and what makes way ----
-
     def _urgency(self, now: int, envelope: Envelope) -> tuple[float, int, int]:
         """Sorts the envelope first that loses most by waiting; over-share tenants go last."""
+        if now < envelope.rank_until:
+            return envelope.rank
         band = envelope.band
         fades = max(SECOND, band.outer_limit - band.expected_time) / SECOND
         loses = band.importance * (1 - band.late_share) / fades
@@ -581,7 +571,10 @@
             loses += band.importance  # its window of repeats is running out
         if envelope.over_share:
             loses *= number(self.settings, "over-share-worth", 1.0)
-        return -loses, envelope.expected_by, envelope.order
+        times = envelope.expected_by - SECOND, envelope.outer_limit - 3 * SECOND + 1  # else only a shot tells
+        envelope.rank_until = min((time for time in times if time > now), default=FAR)
+        envelope.rank = -loses, envelope.expected_by, envelope.order
+        return envelope.rank
 
     def _over_share(self, now: int, tenant: int) -> bool:
         allowance = number(self.settings, f"realms.{tenant}.allowance-per-s") / self.senders
@@ -595,13 +588,13 @@
         """Danger: a backlog for one lost destination fills the sender and turns all others away."""
         while self.open >= max(2, self.most_open - 1):
             places = [self.destinations[each] for each in sorted(self.destinations)]
-            drains = {place.id: self._drain(now, place) for place in places if place.held}
-            spare = [held for place in places for held in place.held
-                     if not (held.out or held.ended or held.ran_at)]
-            if not spare:
+            for place in sorted(places, key=lambda each: -self._drain(now, each)):
+                spare = [held for held in place.held if not (held.out or held.ended or held.ran_at)]
+                if spare:
+                    self.give_up(now, max(spare, key=lambda held: self._urgency(now, held)))
+                    break
+            else:
                 return
-            last = max(spare, key=lambda held: (drains[held.destination], self._urgency(now, held)))
-            self.give_up(now, last)
 
     def _drain(self, now: int, place: Destination) -> float:
         """About how many seconds the backlog of a destination takes to leave."""
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -52,6 +52,7 @@
     def __init__(self) -> None:
         self.lines: dict[int, deque[Any]] = {}
         self.rests: dict[int, int] = {}
+        self.resting: deque[int] = deque()  # keys as their envelopes ended
         self.all_rest = 0  # no key goes before this
 
     def join(self, key: int, envelope: Any) -> None:
@@ -62,8 +63,12 @@
         line = self.lines[key]
         line.remove(envelope)
         self.rests[key] = max(rest, self.rests.get(key, 0))
-        if not line and self.rests[key] <= now:
-            del self.lines[key], self.rests[key]
+        self.resting.append(key)
+        # Danger: keys are always new, and one that nobody uses again would rest for ever.
+        while self.resting and self.rests.get(self.resting[0], 0) <= now:
+            rested = self.resting.popleft()
+            if not self.lines.get(rested, True):
+                del self.lines[rested], self.rests[rested]
 
     def turn_at(self, key: int, envelope: Any) -> int:
         """When it is this envelope's turn; FAR while another stands before it."""
@@ -145,6 +150,7 @@
     destination: int
     pace: Pace
     ready: bool = True
+    left_at: int = 0  # since when it is not; 0: it is
     credit: float = 0.0  # its place in the rotation
     mean: float = 0.0  # time to answer, and how far it strays; 0: nothing seen
     stray: float = 0.0
@@ -207,6 +213,10 @@
     ran_zone: int = 0
     doubtful_at: int = 0  # when a shot ended that may still be running
     ended: bool = False
+    rank: tuple[float, int, int] = (0.0, 0, 0)  # sorts the most urgent first, and until when it holds
+    rank_until: int = 0
+    look_at: int = 0  # where it found no room: its next look even if there is none, and what it asked for
+    asks: tuple[int | None, bool] = (None, False)
 
 
 @dataclass(slots=True)
@@ -217,4 +227,23 @@
     pace: Pace
     members: list[int] = field(default_factory=list)
     held: list[Any] = field(default_factory=list)
+    # Of the round under way: who may be sent to, the shortest time to answer, the first end of a wait, and
+    # who has room or when one may have, by the zone asked for and by whether they go at most once.
+    ready: list[Receiver] = field(default_factory=list)
+    quickest: float = 0.0
+    waits_until: int = 0
+    room: dict[tuple[int | None, bool], tuple[list[tuple[Receiver, float]], int]] = field(
+        default_factory=dict)
     unlinked_at: int = 0  # when a connection failed, until the next completion
+
+    def turn(self, asking: tuple[int | None, bool]) -> Receiver | None:
+        """One step of a weighted rotation among those with room; None where nobody has any."""
+        chosen, total = None, 0.0
+        for member, weight in self.room[asking][0]:
+            member.credit += weight
+            total += weight
+            if chosen is None or member.credit > chosen.credit:
+                chosen = member
+        if chosen is not None:
+            chosen.credit -= total
+        return chosen
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -43,7 +43,7 @@
         self.folder = folder.name
 
     def store(self, disk_bytes: int = 1 << 20) -> Store:
-        made = Store(self.folder, disk_bytes)
+        made = Store(self.folder, disk_bytes, 12)
         made.load()
         self.addCleanup(made.close)
         return made
@@ -162,6 +162,10 @@
         made.over(1)
         self.assertEqual(list(self.store(100_000).kept), [])
 
+    def test_the_folder_holds_as_many_small_envelopes_as_the_decisions_may(self) -> None:
+        made = Store(self.folder, 3 << 20, 12)
+        self.assertGreater(made.most_weight / made.weighed(kept(1, bytes(300))), 1000)
+
     def test_no_room_for_a_body_leaves_room_for_the_short_records(self) -> None:
         made = self.store(disk_bytes=100_000)
         with self.assertRaises(NoRoom):
@@ -181,7 +185,7 @@
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.store = Store(folder.name, 100_000)
+        self.store = Store(folder.name, 100_000, 12)
         self.store.load()
         self.addCleanup(self.store.close)
         made = Assignment("n", ("", 0), ("", 0), "", 1, 64, 100_000, {}, assignment.plain(NESTED))
@@ -389,6 +393,16 @@
                                 (ListChange.CHANGES, [line._replace(phase=Phase.GONE)])])
         self.assertEqual((made.version, made.address_of(1)), (5, ("127.0.0.1", 9)))
 
+    def test_receivers_that_have_gone_are_forgotten_and_their_numbers_not_used_again(self) -> None:
+        made, told = self.directory()
+        for day in range(1, 51):
+            with mock.patch("time.monotonic", return_value=day * 10.0):
+                entry = {"uid": f"s-{day}", "endpoint": "127.0.0.1:9", "state": "up"}
+                gone = {"uid": f"s-{day - 1}", "state": "removed"}
+                made.learn({"rev": day, "all": day % 2 > 0, "targets": [entry] if day % 2 else [gone, entry]})
+        self.assertEqual((told[-1][1][-1].receiver, made.address_of(50)), (50, ("127.0.0.1", 9)))
+        self.assertEqual((sorted(made.numbers.values()), len(made.addresses)), ([*range(43, 51)], 8))
+
     def test_list_news_that_cannot_be_read_changes_nothing(self) -> None:
         made, told = self.directory()
         for news in ({}, {"rev": "x", "all": True, "targets": []}, json.loads("[]"), {"rev": 1, "all": True}):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,6 +1,7 @@
 """One failure or guard a test: a state, one call, what came of it."""
 
 import unittest
+from unittest import mock
 
 from cedarwick.interface import EarlierShot, ListChange, Listing, Outcome, Owed, Phase
 from cedarwick.policy import SPAN, STEP_EVERY, WINDOW_BASE, Sender
@@ -247,6 +248,36 @@
         self.assertEqual(made.turns.rests[9], NOW + 390 * MS)
 
 
+class Bounds(unittest.TestCase):
+    def test_what_is_held_does_not_ask_for_room_one_by_one(self) -> None:
+        made = sender(receivers=2)
+        for envelope in range(60):
+            take(made, envelope, (FREE, ONCE)[envelope % 2])
+        with mock.patch.object(made, "_with_room", wraps=made._with_room) as asked:
+            self.assertEqual(len(made.decide(NOW).shots), 2)
+            self.assertLess(asked.call_count, 10)
+
+    def test_a_receiver_that_has_left_is_forgotten_once_nothing_is_out_there(self) -> None:
+        made = sender(receivers=3)
+        handle = out(made, 1)
+        held = next(each for each in made.receivers if made.receivers[each].calls)
+        for after in (0, 21):
+            made.listed(NOW + after * 1000 * MS, ListChange.WHOLE, [Listing(9, 0, 0, 7, Phase.READY, 0.0)])
+        self.assertEqual((sorted(made.receivers), made.destinations[7].members), ([held, 9], [held, 9]))
+        end(handle, Outcome.COMPLETED, NOW + 21_000 * MS, receiver=held)
+        made.listed(NOW + 22_000 * MS, ListChange.CHANGES, [])
+        made.decide(NOW + 22_000 * MS)
+        self.assertEqual((list(made.receivers), made.destinations[7].members), ([9], [9]))
+
+    def test_keys_that_nobody_uses_again_are_forgotten(self) -> None:
+        made = sender()
+        for key in range(1, 40):
+            handle = out(made, key, NUMBERED, key=key, now=NOW + key * 1000 * MS)
+            handle.doubtful_at = NOW + key * 1000 * MS
+            end(handle, Outcome.COMPLETED, NOW + (key * 1000 + 100) * MS)
+        self.assertEqual((list(made.turns.rests), list(made.turns.lines)), ([39], [39]))
+
+
 class WaitsAndPace(unittest.TestCase):
     def test_a_told_wait_binds_every_receiver_and_envelope(self) -> None:
         made = sender(receivers=2)
