--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -549,11 +549,11 @@
         left = envelope.outer_limit - now - 2 * self.tick
         usual = receiver.mean + 4 * receiver.stray if receiver.mean else 2 * SECOND
         soon = max(SECOND, round(2 * usual)) << min(envelope.shots - 1, 4)
+        crowded = 2 * self.calls_out >= self.slots
         if envelope.band.at_most_once or envelope.band.reissuable:
-            return min(left, soon if envelope.band.reissuable else FAR)  # or nothing can follow a time-out
+            return min(left, soon if envelope.band.reissuable else 3 * soon if crowded else FAR)
         window = envelope.band.window if not envelope.ran_at else envelope.ran_at + envelope.band.window - now
-        short = receiver.out_since or 2 * self.calls_out >= self.slots
-        patience = min(window - SECOND // 2, soon if short else 2 * soon)
+        patience = min(window - SECOND // 2, soon if receiver.out_since or crowded else 2 * soon)
         return min(left, patience) if patience >= SECOND and envelope.shots < self.most_shots else left
 
     def _urgency(self, now: int, envelope: Envelope) -> tuple[float, int, int]:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -60,6 +60,13 @@
         take(made, 1, NUMBERED)
         self.assertLess(made.decide(NOW).shots[0][2], 6_000 * MS)
 
+    def test_where_slots_are_short_at_most_once_does_not_wait_to_the_end(self) -> None:
+        made = sender(family_info__max_calls="2")
+        made.receivers[1].mean = 500.0 * MS
+        take(made, 1, ONCE)
+        take(made, 2, ONCE)
+        self.assertEqual([shot[2] for shot in made.decide(NOW).shots], [3_000 * MS, 3_000 * MS])
+
     def test_a_lone_numbered_shot_does_not_hold_its_slot_to_the_end(self) -> None:
         made = sender(classes__1__dedup_window_ms="16000")
         made.receivers[1].mean = 500.0 * MS
