Read the status of an answer once, not at each header; one spelling of a uid

Found in reading the change again: Answer.on_header asked the parser for the status at every header, on each answer's path; the first line is read once. Directory named uids as they came beside numbers kept by their text: a uid that is no text would have counted as gone in a whole list. Texts behave as before. Not mended: Ending.kept_link repeats Call.kept_link for 200s and breaks only; the share of broken kept links counts refused calls not at all by that, so folding the two would change a figure that was measured.

--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -54,7 +54,7 @@
             try:
                 listings.append(self._listing(entry))
                 if listings[-1].phase is not Phase.GONE:
-                    named.add(entry["uid"])
+                    named.add(str(entry["uid"]))
             except (KeyError, TypeError, ValueError, AttributeError) as error:
                 # Danger: one line that cannot be read would keep all others from being heard.
                 self.counters.trouble("a line of the list cannot be read", f"{type(error).__name__}: {error}")
--- a/cedarwick/net/http.py
+++ b/cedarwick/net/http.py
@@ -37,7 +37,8 @@
         self.status = self.parser.get_status_code()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.on_status(b"")  # a first line without a phrase has no call of its own
+        if not self.status:
+            self.on_status(b"")  # a first line without a phrase has no call of its own
         if len(self.headers) < 100:
             self.headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
 
