--- a/cedarwick/lab/audit.py
+++ b/cedarwick/lab/audit.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from cedarwick.lab.history import NEVER, Called, Handed, Heard, History, Noticed
+from cedarwick.lab.history import NEVER, Away, Called, Handed, Heard, History, Noticed
 from cedarwick.lab.partner import budget
 from cedarwick.lab.scenario import Scenario
 
@@ -352,8 +352,10 @@
 def pushed_over(scenario: Scenario, history: History) -> Iterator[Finding]:
     """A cold endpoint is not sent more than it bears in any window, by senders that saw its outage.
 
-    Seen: a call of the sender there, in the outage, that failed or was refused. Senders that saw nothing of it
-    cannot know; it is broken where two thirds of the window's calls came from those that did.
+    Seen: a call of the sender there, in the outage, that failed or was refused; or, since nobody sees a refused
+    connection, an envelope that it took on for a destination no other endpoint of which answered meanwhile.
+    Senders that saw nothing of it cannot know; it is broken where two thirds of the window's calls came from
+    those that did.
     """
     calls: defaultdict[str, list[Called]] = defaultdict(list)
     for call in sorted(history.called, key=lambda call: call.whole):
@@ -365,7 +367,12 @@
             continue
         warm_at = away.ended + round(partner.cold.warm_s * SECOND)
         mine = calls.get(away.endpoint, [])
-        knew = {call.sender for call in mine if away.began <= call.whole <= away.ended + SECOND and call.status != 200}
+        knew = {
+            call.sender
+            for call in mine
+            if call.status != 200 and away.began <= max(call.whole, call.ended) and call.whole <= away.ended + SECOND
+        }
+        knew |= tried_in_vain(history, away)
         after = [call for call in mine if away.ended <= call.whole <= warm_at]
         for last, call in enumerate(after):
             first = bisect_right([each.whole for each in after[: last + 1]], call.whole - window)
@@ -386,6 +393,23 @@
                     break
 
 
+def tried_in_vain(history: History, away: Away) -> set[int]:
+    """Senders that must have knocked during an outage: they had something for it, and a second to try."""
+    served = any(
+        call.destination == away.destination and call.status == 200 and away.began < call.ended <= away.ended
+        for call in history.called
+    )
+    if served:
+        return set()
+    return {
+        handed.sender
+        for handed in history.handed
+        if handed.destination == away.destination
+        and handed.answer == "ok"
+        and away.began <= handed.answered <= away.ended - SECOND
+    }
+
+
 # ---- rule 5: order ----
 
 
--- a/cedarwick/lab/clients.py
+++ b/cedarwick/lab/clients.py
@@ -83,6 +83,13 @@
             gevent.spawn(self._thing, arrival)
         self.done = True
 
+    def close(self) -> None:
+        """Let the kept connections go."""
+        for waiting in self.idle.values():
+            for sock in waiting:
+                sock.close()
+        self.idle.clear()
+
     def notice(self, id: str, state: str, after: int) -> None:
         """The platform passes on what became of an envelope."""
         again = self.returned.pop(id, None)
--- a/cedarwick/lab/run.py
+++ b/cedarwick/lab/run.py
@@ -144,6 +144,7 @@
     gevent.killall(watches)
     jobs = [gevent.spawn(instance.terminate) for instance in instances if instance.running()]
     gevent.joinall(jobs, timeout=5.0)
+    clients.close()
     gc.unfreeze()
     return ended
 
--- /dev/null
+++ b/tests/broken.py
@@ -0,0 +1,95 @@
+"""`python -m tests.broken FAULT`: a sender that is broken on purpose, so that the audit can be seen to notice."""
+
+import sys
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import gevent
+
+from cedarwick import policy, state
+from cedarwick.interface import ListChange, Listing, Phase
+from cedarwick.net import desk, notices, program, shots
+from cedarwick.net.sockets import connected
+
+
+def repeats_at_most_once() -> None:
+    """Every band is taken for a reissuable one."""
+    honest = policy.band_of
+
+    def band_of(settings: Any, index: int) -> state.Band:
+        band = honest(settings, index)
+        band.reissuable, band.at_most_once = True, False
+        return band
+
+    policy.band_of = band_of
+
+
+def ignores_waits() -> None:
+    """No told wait is read."""
+    shots.wait_of = lambda text: 0
+
+
+def ignores_drains() -> None:
+    """What drains or goes is taken for ready."""
+    honest = policy.Sender.listed
+
+    def listed(self: policy.Sender, now: int, change: ListChange, listings: Sequence[Listing]) -> None:
+        honest(self, now, ListChange.CHANGES, [each._replace(phase=Phase.READY) for each in listings])
+
+    policy.Sender.listed = listed  # type: ignore[method-assign]
+
+
+def loses_envelopes() -> None:
+    """Every tenth envelope is answered +OK and forgotten."""
+    honest, count = desk.Desk._take, [0]
+
+    def take(self: desk.Desk, submission: desk.Submission) -> None:
+        count[0] += 1
+        if count[0] % 10 == 0:
+            submission.answered(desk.Answered.KEPT)
+        else:
+            honest(self, submission)
+
+    desk.Desk._take = take  # type: ignore[method-assign]
+
+
+def tells_no_end() -> None:
+    """No notice is ever posted."""
+    notices.Notices.post = lambda *_: None  # type: ignore[method-assign]
+
+
+def overtakes() -> None:
+    """It is everyone's turn."""
+    state.Keys.turn_at = lambda self, key, envelope: 0  # type: ignore[method-assign]
+
+
+def pushes_the_cold() -> None:
+    """No outage is noticed, so a destination that returns gets everything at once."""
+    policy.Sender._out = lambda self, now, receiver, provable: None  # type: ignore[method-assign]
+    policy.Sender._silent = lambda self, now, receiver: False  # type: ignore[method-assign]
+
+
+def two_out() -> None:
+    """Every shot goes out a second time over a link of its own, while the first one is out."""
+    honest = shots.Shots._over
+
+    def over(self: shots.Shots, call: shots.Call, link: Any) -> bool:
+        gevent.spawn(copy, self, call)
+        return honest(self, call, link)
+
+    def copy(self: shots.Shots, call: shots.Call) -> None:
+        with connected(self.links.address_of(call.receiver), 1.0) as sock:
+            sock.sendall(shots.request(call, self.clock.now()))
+            sock.recv(100)
+
+    shots.Shots._over = over  # type: ignore[method-assign]
+
+
+FAULTS: dict[str, Callable[[], None]] = {
+    each.__name__: each for each in (repeats_at_most_once, ignores_waits, ignores_drains, loses_envelopes,
+                                     tells_no_end, overtakes, pushes_the_cold, two_out)}
+
+if __name__ == "__main__":
+    if sys.argv[1] != "nothing":
+        FAULTS[sys.argv[1]]()
+    sys.exit(program.main())
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -192,6 +192,16 @@
         self.broken(4, *self.calls(60), *self.knew(0))
         self.kept(*self.calls(20), *self.knew(0))
 
+    def test_a_call_that_was_out_when_it_began_tells_of_it(self) -> None:
+        self.broken(4, *self.calls(60), handed("out", sent=0),
+                    called("out", at=900 * MS, took=200 * MS, status=0), Noticed("out", "failed", 0, 2 * SECOND, 0))
+
+    def test_who_held_something_for_it_must_have_knocked_unless_another_endpoint_served(self) -> None:
+        held = handed("held", sent=1500 * MS, sender=0), Noticed("held", "returned", 0, 2900 * MS, 0)
+        self.broken(4, *self.calls(60), *held)
+        self.kept(*self.calls(60), *held, handed("other", sent=2 * SECOND),
+                  called("other", at=2 * SECOND, endpoint="f"))
+
     def test_who_saw_nothing_cannot_know(self) -> None:
         self.kept(*self.calls(60, sender=1), *self.knew(0))
 
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,243 @@
+"""Short days in the laboratory against real senders: honest ones, and ones broken on purpose."""
+
+import os
+import sys
+import tempfile
+import unittest
+from typing import Any
+
+import gevent
+import msgspec
+
+from cedarwick.lab import scenario as scenarios
+from cedarwick.lab.clients import command
+from cedarwick.lab.day import Day
+from cedarwick.lab.draw import schedule
+from cedarwick.lab.history import read
+from cedarwick.lab.partner import Effect
+from cedarwick.lab.run import Result, play, read_head
+from cedarwick.lab.scenario import (
+    Band,
+    Cold,
+    Drawn,
+    Limit,
+    Limits,
+    Load,
+    Partner,
+    Scenario,
+    Service,
+    Trouble,
+)
+from cedarwick.lab.stands import host_of, listen_at_all
+from cedarwick.lab.world import World
+
+FREE = Band(name="free", outer_ms=2500, expected_ms=800)
+ONCE = Band(name="once", repeat="at-most-once", outer_ms=2500, expected_ms=800)
+HOTEL = Partner(name="hotel", destinations=3, workers=4, service=Service(mean_ms=20))
+
+
+def day(**told: Any) -> Scenario:
+    """A day of four seconds, one sender, one band, three destinations."""
+    return Scenario(**{"name": "t", "length_s": 4, "short_s": 4, "senders": 1, "news_ms": [1, 5],
+                       "load": Load(rate=60), "band": [FREE], "partner": [HOTEL], **told})
+
+
+def broken(fault: str, told: Scenario) -> Result:
+    return play(told, 1, command=(sys.executable, "-m", "tests.broken", fault))
+
+
+def both(fault: str, told: Scenario) -> list[Result]:
+    """The same day with a fault and without one, side by side."""
+    days = [gevent.spawn(broken, each, told) for each in (fault, "nothing")]
+    gevent.joinall(days, raise_error=True)
+    return [each.value for each in days]
+
+
+class BrokenSenders(unittest.TestCase):
+    """For each rule that sockets can show: the fault is found, and without the fault the same day is clean."""
+
+    def check(self, fault: str, rule: int, told: Scenario) -> None:
+        found, clean = both(fault, told)
+        self.assertIn(rule, found.verdict.broken(), found.verdict.account)
+        self.assertEqual((found.status, found.void), (3, ""))
+        self.assertEqual((clean.verdict.findings, clean.status), ([], 0))
+
+    def test_an_at_most_once_shot_that_is_repeated(self) -> None:
+        self.check("repeats_at_most_once", 2, day(
+            band=[ONCE], partner=[msgspec.structs.replace(HOTEL, error_share=0.2)]))
+
+    def test_a_wait_that_is_ignored(self) -> None:
+        self.check("ignores_waits", 6, day(
+            load=Load(rate=80), partner=[msgspec.structs.replace(HOTEL, limit=Limit(calls=10, tells=1.0))]))
+
+    def test_a_drain_that_is_ignored(self) -> None:
+        self.check("ignores_drains", 3, day(
+            partner=[msgspec.structs.replace(HOTEL, endpoints=2)],
+            trouble=[Trouble(kind="replace", begin_s=0.3, length_s=3.5, part=1.0)]))
+
+    def test_envelopes_that_are_lost(self) -> None:
+        self.check("loses_envelopes", 1, day())
+
+    def test_ends_that_are_never_told(self) -> None:
+        self.check("tells_no_end", 1, day(
+            band=[ONCE], partner=[msgspec.structs.replace(HOTEL, error_share=0.2)]))
+
+    def test_an_order_that_is_not_kept(self) -> None:
+        line = Band(name="line", repeat="numbered", in_turn=True, keys=3, outer_ms=2500, expected_ms=800)
+        self.check("overtakes", 5, day(
+            band=[line], partner=[msgspec.structs.replace(HOTEL, service=Service(mean_ms=80))]))
+
+    def test_two_shots_out_at_once(self) -> None:
+        self.check("two_out", 2, day(partner=[msgspec.structs.replace(
+            HOTEL, service=Service(kind="fixed", mean_ms=60))]))
+
+    def test_a_returning_destination_that_is_pushed(self) -> None:
+        cold = Cold(share=0.1, warm_s=6, falls=False)
+        self.check("pushes_the_cold", 4, day(
+            length_s=6, short_s=6, load=Load(rate=40), limits=Limits(slots=300),
+            partner=[msgspec.structs.replace(HOTEL, destinations=1, cold=cold, queue=1000,
+                                              service=Service(mean_ms=80))],
+            trouble=[Trouble(kind="crash", begin_s=1, length_s=1.8, part=1.0)]))
+
+
+class ADay(unittest.TestCase):
+    def test_a_killed_sender_owes_nothing_that_is_not_paid(self) -> None:
+        told = day(senders=2, band=[FREE, ONCE], trouble=[
+            Trouble(kind="kill", begin_s=1, length_s=0.8, part=0.5),
+            Trouble(kind="term", begin_s=1.5, length_s=0.8, part=1.0)])
+        with tempfile.TemporaryDirectory() as folder:
+            result = play(told, 3, out=folder)
+            self.assertEqual((result.verdict.findings, result.void), ([], ""))
+            events = [life.event for life in result.history.life]
+            # The one that is down already is not ended again; both are at the end of the day.
+            self.assertEqual((events.count("killed"), events.count("termed")), (1, 3))
+            self.assertEqual(events.count("started"), events.count("ready"))
+            self.assertGreater(result.verdict.account.delivered, 100)
+            # What was written says the same as what was seen.
+            self.assertEqual(len(read(os.path.join(folder, "history.jsonl")).handed), len(result.history.handed))
+            self.assertEqual(read_head(folder).account, result.verdict.account)
+
+    def test_the_emulators_own_lateness_makes_a_day_void(self) -> None:
+        late = Day()
+        self.assertEqual(late.void(), "")
+        watch = gevent.spawn(late.watch_lag)
+        gevent.sleep(0.01)
+        begun = late.now()
+        while late.now() < begun + 300_000:
+            pass  # the loop stands still
+        gevent.sleep(0.05)
+        watch.kill()
+        self.assertIn("ms late", late.void())
+
+
+class Stands(unittest.TestCase):
+    """What a partner does on its sockets."""
+
+    def setUp(self) -> None:
+        self.day = Day()
+        self.world = World(self.day, day(partner=[msgspec.structs.replace(HOTEL, destinations=1)]), 1, 1)
+        self.addCleanup(self.world.close)
+        self.stand = self.world.stands[0]
+        self.address = host_of(0), self.stand.port
+
+    def call(self, seconds: float = 1.0) -> bytes:
+        with gevent.socket.create_connection(self.address, seconds) as sock:
+            sock.settimeout(seconds)
+            sock.sendall(b"POST /receive HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 1\r\n\r\nx")
+            return bytes(sock.recv(100))
+
+    def test_a_crash_refuses_and_resets_and_the_return_is_at_the_same_address(self) -> None:
+        held = gevent.socket.create_connection(self.address)
+        self.addCleanup(held.close)
+        gevent.sleep(0.01)
+        end = self.stand.begin(Effect("crash"))
+        gevent.sleep(0.01)
+        with self.assertRaises(ConnectionResetError):
+            held.recv(1)
+        with self.assertRaises(ConnectionRefusedError):
+            self.call()
+        end(True)
+        self.assertTrue(self.call().startswith(b"HTTP/1.1 200"))
+        self.assertEqual([(each.cold, each.ended > 0) for each in self.stand.aways()], [(True, True)])
+
+    def test_a_silent_cut_brings_no_connection_up_and_answers_nothing(self) -> None:
+        held = gevent.socket.create_connection(self.address)
+        self.addCleanup(held.close)
+        gevent.sleep(0.01)
+        end = self.stand.begin(Effect("cut"))
+        held.sendall(b"POST /receive HTTP/1.1\r\nX-Txn: b\r\nContent-Length: 1\r\n\r\nx")
+        held.settimeout(0.2)
+        with self.assertRaises(TimeoutError):
+            held.recv(1)
+        with self.assertRaises(TimeoutError):
+            self.call(0.2)
+        end(False)
+        held.settimeout(1.0)
+        with self.assertRaises(ConnectionResetError):
+            held.recv(1)
+        self.assertTrue(self.call().startswith(b"HTTP/1.1 200"))
+        self.assertNotIn("b", [call.id for call in self.day.history.called])
+
+    def test_an_endpoint_can_follow_another_at_its_address(self) -> None:
+        self.world.remove(self.stand)
+        follower = self.world.add(0, self.stand.port, cold=True)
+        self.assertTrue(self.stand.closed)
+        self.assertTrue(self.call().startswith(b"HTTP/1.1 200"))
+        self.assertEqual(self.day.history.called[-1].endpoint, follower.endpoint.uid)
+
+    def test_a_call_that_its_caller_gives_up_has_an_end(self) -> None:
+        self.stand.begin(Effect("hang"))
+        with self.assertRaises(TimeoutError):
+            self.call(0.1)
+        gevent.sleep(0.1)
+        call = self.day.history.called[-1]
+        self.assertEqual((call.status, 0 < call.ended - call.whole < 200_000), (0, True))
+
+    def test_a_port_that_stays_taken_is_an_error_that_names_it(self) -> None:
+        from cedarwick.lab import stands
+
+        usual, stands.PATIENCE = stands.PATIENCE, 2
+        self.addCleanup(setattr, stands, "PATIENCE", usual)
+        with self.assertRaisesRegex(OSError, str(self.stand.port)):
+            listen_at_all([host_of(0)], self.stand.port)
+
+
+class Drawing(unittest.TestCase):
+    def test_a_seed_draws_the_same_day_again_and_another_seed_another(self) -> None:
+        for name in scenarios.shipped():
+            told = scenarios.load(name)
+            drawn = [msgspec.json.encode(schedule(told, seed, 2, True)) for seed in (1, 1, 2)]
+            self.assertEqual(drawn[0], drawn[1], name)
+            self.assertNotEqual(drawn[0], drawn[2], name)
+
+    def test_drawn_troubles_are_as_many_as_wanted_and_each_a_kind_of_its_own(self) -> None:
+        told = day(drawn=Drawn(count=3, kinds=["crash", "hang", "kill", "burst", "platform-silent"]))
+        for seed in range(20):
+            kinds = [each.kind for each in schedule(told, seed, 2, False).troubles]
+            self.assertEqual((len(kinds), len(set(kinds))), (3, 3))
+
+    def test_rates_bursts_clumps_and_hot_destinations_are_what_was_asked(self) -> None:
+        told = day(length_s=100, short_s=10, load=Load(rate=50, hot=0.4, skew=0.0, clumps=0.2, clump=5),
+                   trouble=[Trouble(kind="burst", begin_s=50, length_s=10, size=3.0)])
+        arrivals = schedule(told, 1, 1, False).arrivals
+        self.assertAlmostEqual(len(arrivals) / 6000, 1, delta=0.05)
+        burst = sum(50_000_000 <= each.due < 60_000_000 for each in arrivals)
+        self.assertAlmostEqual(burst / 1500, 1, delta=0.1)
+        self.assertEqual([each.due for each in arrivals], sorted(each.due for each in arrivals))
+        hot = sum(each.destination == 0 for each in arrivals) / len(arrivals)
+        self.assertAlmostEqual(hot, 0.4 + 0.6 / 3, delta=0.07)
+
+    def test_the_short_form_is_the_same_day_in_less_time(self) -> None:
+        told = scenarios.load("outage")
+        long, short = schedule(told, 1, 2, False), schedule(told, 1, 2, True)
+        self.assertEqual(long.troubles[0].destinations, short.troubles[0].destinations)
+        self.assertAlmostEqual(long.troubles[0].begin / long.length, short.troubles[0].begin / short.length, 3)
+
+
+class CommandsAsSent(unittest.TestCase):
+    def test_an_array_of_bulk_strings(self) -> None:
+        self.assertEqual(command(b"PING", b""), b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n")
+
+
+if __name__ == "__main__":
+    unittest.main()
