--- a/cedarwick/lab/load.py
+++ b/cedarwick/lab/load.py
@@ -3,6 +3,7 @@
 A sender that stands still for a second is charged for all that was due in that second, not for one slow answer.
 """
 
+import gc
 import itertools
 import secrets
 from collections import Counter, deque
@@ -18,9 +19,11 @@
 from cedarwick.lab.clients import command
 from cedarwick.lab.day import Day, body_of
 from cedarwick.lab.draw import source
-from cedarwick.lab.figures import Quantiles, quantiles, recorder
+from cedarwick.lab.figures import LONGEST, Quantiles, quantiles, recorder
 
 LATE = 10_000  # microseconds: a request begun so much after it was due was late by the tool's own fault
+SPARE = 1_500  # microseconds until the next request in which histograms may be filled
+AT_ONCE = 40  # times that are brought into them then
 MOST_LATE = 0.01  # a larger part of these makes the run void
 
 
@@ -71,6 +74,7 @@
         self.lines = [Line(address, gevent.lock.BoundedSemaphore(plan.connections)) for address in plan.addresses]
         self.answers: Counter[str] = Counter()
         self.took, self.service = recorder(), recorder()
+        self.seen: deque[tuple[int, int]] = deque()  # times that are not in the histograms yet
         self.late = 0
         self.sent = 0
         self.out = 0
@@ -84,11 +88,14 @@
             chance.exponential(1_000_000 / plan.rate, 1024).tolist() for _ in itertools.count()
         )
         turns = itertools.cycle(self.lines)
+        gc.collect()
+        gc.freeze()  # Danger: a collection over everything at hand makes requests late that were not the sender's
         self.day.begin()
         watch = gevent.spawn(self.day.watch_lag)
         due, end = 0.0, plan.seconds * 1_000_000
         while due < end:
             if due - self.day.now() > 500:
+                self._record(AT_ONCE if due - self.day.now() > SPARE else 0)
                 self.day.sleep_until(round(due))
                 progress(self)
             self.sent += 1
@@ -100,6 +107,8 @@
         while self.out:
             gevent.sleep(0.01)
         watch.kill()
+        gc.unfreeze()
+        self._record(len(self.seen))
         took = self.day.now() / 1_000_000
         answered = sum(self.answers.values())
         return Report(
@@ -113,6 +122,13 @@
             self.void(),
         )
 
+    def _record(self, count: int) -> None:
+        """Bring some of what was seen into the histograms, when there is time for it."""
+        for _ in range(min(count, len(self.seen))):
+            took, service = self.seen.popleft()
+            self.took.record_value(min(LONGEST, took))
+            self.service.record_value(min(LONGEST, service))
+
     def void(self) -> str:
         if self.late > MOST_LATE * max(1, self.sent):
             return (
@@ -133,8 +149,7 @@
         now = self.day.now()
         self.answers[answer] += 1
         if answer in ("ok", "busy", "error"):
-            self.took.record_value(max(1, now - due))
-            self.service.record_value(max(1, now - sent))
+            self.seen.append((max(1, now - due), max(1, now - sent)))
         self.out -= 1
 
     def _ask(self, line: Line, request: bytes) -> str:
--- a/cedarwick/lab/serve.py
+++ b/cedarwick/lab/serve.py
@@ -1,5 +1,6 @@
 """A scenario's parties without clients or troubles, for a load from outside."""
 
+import gc
 import signal
 import tempfile
 from collections.abc import Callable
@@ -28,7 +29,11 @@
             gevent.joinall([gevent.spawn(instance.start) for instance in instances], raise_error=True)
             for instance in instances:
                 say(f"{instance.address[0]}:{instance.address[1]}")
+            gc.collect()
+            gc.freeze()
+            watch = gevent.spawn(day.watch_lag)
             ended.wait(seconds)
+            watch.kill()
             gevent.joinall(
                 [gevent.spawn(instance.terminate) for instance in instances if instance.running()],
                 timeout=5.0,
@@ -37,4 +42,5 @@
             for instance in instances:
                 instance.end()
             world.close()
-    say(f"{sum(stand.calls for stand in world.stands)} calls were answered")
+    calls = sum(stand.calls for stand in world.stands)
+    say(f"{calls} calls were answered; the emulator was at most {day.worst_lag / 1000:.0f} ms late")
