--- a/cedarwick/lab/clients.py
+++ b/cedarwick/lab/clients.py
@@ -15,6 +15,7 @@
 from cedarwick.lab.history import Handed, Rude
 from cedarwick.lab.scenario import Band, Scenario
 from cedarwick.lab.senders import Instance
+from cedarwick.net.sockets import connected
 
 MS = 1000
 BACK_IN = 0.2  # seconds after readiness until the front uses a sender again
@@ -208,15 +209,10 @@
             except OSError:
                 pass
             sock.close()
-        sock = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
         try:
-            sock.settimeout(CONNECT)
-            sock.connect(address)
-            sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+            return connected(address, CONNECT), False
         except OSError:
-            sock.close()
             return None, False
-        return sock, False
 
 
 def rude_forms(band: str) -> dict[str, bytes]:
--- a/cedarwick/lab/load.py
+++ b/cedarwick/lab/load.py
@@ -20,6 +20,7 @@
 from cedarwick.lab.day import Day, body_of
 from cedarwick.lab.draw import source
 from cedarwick.lab.figures import LONGEST, Quantiles, quantiles, recorder
+from cedarwick.net.sockets import connected
 
 LATE = 10_000  # microseconds: a request begun so much after it was due was late by the tool's own fault
 SPARE = 1_500  # microseconds until the next request in which histograms may be filled
@@ -158,9 +159,7 @@
         kept = sock is not None
         try:
             if sock is None:
-                sock = gevent.socket.create_connection(line.address, self.plan.patience)
-                sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
-                sock.settimeout(self.plan.patience)
+                sock = connected(line.address, self.plan.patience)
         except OSError:
             return "down"
         try:
