The clients' socket from RELAY_SOCKET_FD, the folder handed over at SIGTERM, PAUSE/RESUME

Change: cedarwick/ops/ (calls without I/O, the management address, the inherited listener, the answers). A replacing process says yes on STATUS, waits for the folder (a look every 10 ms) and accepts only then; the process that is replaced stops accepting at SIGTERM, answers what it read, fires no new shot, waits for its shots, lets the folder go, then waits for let-go clients. PAUSE lets clients go between requests and PING says no; RESUME undoes it. The saved list is now told before any watch's news (it replaced them). tests/test_ops.py: a replacement without doubles, silent callers, bad calls, pause and resume.

--- a/cedarwick/net/assignment.py
+++ b/cedarwick/net/assignment.py
@@ -24,10 +24,11 @@
     disk_bytes: int
     known: dict[str, Any]
     settings: dict[str, str]
+    management: tuple[str, int] | None = None  # where the operators' staff call; None: nowhere
 
     def fixed_and_other(self, told: "Assignment") -> list[str]:
         """What another configuration changes that only a start takes over."""
-        return [name for name in ("name", "listen", "settings", "seed", "known")
+        return [name for name in ("name", "listen", "settings", "seed", "known", "management")
                 if getattr(self, name) != getattr(told, name)]
 
 
@@ -57,6 +58,9 @@
             disk_bytes=int(float(limits["disk_mb"]) * (1 << 20)),
             known=dict(told.get("known") or {}),
             settings=plain(told["settings"]),
+            # Danger: a replacing process is started with the same file and an address of its own.
+            management=address(manage) if (manage := environment.get("RELAY_MANAGEMENT")
+                                           or told.get("management")) else None,
         )
     except KeyError as error:
         raise BadAssignment(f"{path}: {error.args[0]} is missing") from None
--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -40,6 +40,7 @@
 TURN = re.compile(rb"[0-9a-fA-F]{1,16}")
 
 BUSY, PONG, LOADING = b"-BUSY\r\n", b"+PONG\r\n", b"-LOADING not ready yet\r\n"
+PAUSED = b"-LOADING paused by the operators\r\n"
 REPLIES = {Answered.KEPT: b"+OK\r\n", Answered.BUSY: BUSY, Answered.UNKNOWN_BAND: b"-ERR unknown class\r\n",
            Answered.UNKNOWN_DESTINATION: BUSY, Answered.REPEATED: BUSY}
 
@@ -76,7 +77,7 @@
     """Accepts clients, reads their requests one after another, and writes each one's answer."""
 
     def __init__(self, listen: tuple[str, int], clock: Clock, counters: Counters, descriptors: Descriptors,
-                 desk: Desk, ready: Callable[[], bool]) -> None:
+                 desk: Desk, ready: Callable[[], bool], listener: gevent.socket.socket | None = None) -> None:
         self.clock = clock
         self.counters = counters
         self.descriptors = descriptors
@@ -84,7 +85,13 @@
         self.clients: set[Client] = set()
         self.ready = ready  # whether the folder is read and the list known
         self.closing = False
+        self.answering = 0  # requests read and not answered
+        self.paused = False  # drained by the operators: PING says no, clients are let go between requests
+        self.still_taking = False  # while closing: requests that were read are still kept, for a hand-over
         self.waste = bytearray(1 << 16)
+        if listener is not None:
+            self.listener = listener  # the platform's, shared with a process that replaces this one
+            return
         self.listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
         self.listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
         self.listener.bind(listen)
@@ -114,6 +121,20 @@
             self.clients.add(client)
             gevent.spawn(self._serve, client)
 
+    def mid_request(self) -> bool:
+        """Whether a client has begun a request that is not answered yet."""
+        return self.answering > 0 or any(client.begun_at for client in self.clients)
+
+    def pause(self) -> None:
+        """The front is to send clients elsewhere: what is read is served, every connection goes when idle."""
+        self.paused = True
+        for client in list(self.clients):
+            if client.waiting:
+                self._let_go(client)
+
+    def resume(self) -> None:
+        self.paused = False
+
     def stop(self) -> None:
         """New requests are turned away from now on; clients that ask for nothing are let go."""
         self.closing = True
@@ -163,10 +184,14 @@
         try:
             client.sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
             while (parts := self._next(client)) is not None:
-                reply = self._answer(client, parts)
+                self.answering += 1
+                try:
+                    reply = self._answer(client, parts)
+                finally:
+                    self.answering -= 1
                 client.sock.settimeout(STALLED)
                 client.sock.sendall(reply)
-                if self.closing and not len(client.buffer):
+                if (self.closing or self.paused) and not len(client.buffer):
                     self._let_go(client)
                     self._read_out(client)
                     return
@@ -238,7 +263,7 @@
     def _answer(self, client: Client, parts: list[bytes]) -> bytes:
         name = parts[0].upper() if parts else b""
         if name == b"PING":
-            return PONG if self.ready() else LOADING
+            return PAUSED if self.paused else PONG if self.ready() else LOADING
         client.unusable += 1
         if name != b"SUBMIT":
             self.counters.add("unknown commands")
@@ -249,7 +274,7 @@
             self.counters.trouble("a request that cannot be taken", error)
             return f"-ERR {error}\r\n".encode()
         self.counters.add("handed in again" if again else "handed in")
-        if self.closing or not self.ready():
+        if self.closing and not self.still_taking or not self.ready():
             self.counters.add("turned away at a start or an end")
             return BUSY
         submission = Submission(kept)
--- a/cedarwick/net/program.py
+++ b/cedarwick/net/program.py
@@ -19,6 +19,9 @@
 from cedarwick.net.links import Descriptors, Links
 from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Shots
+from cedarwick.ops.address import Management
+from cedarwick.ops.handover import inherited_listener
+from cedarwick.ops.staff import Staff
 from cedarwick.store.files import InUse
 from cedarwick.store.journal import BODIES, NoRoom, Store
 
@@ -28,6 +31,10 @@
 OPERATOR = "CEDARWICK_OPERATOR"  # names the operator file; without it nothing of that is loaded
 STAY = 1.2  # seconds from SIGTERM in which clients may still come, and the decisions go on with what is kept
 DRAIN = 3.2  # seconds from SIGTERM to the end; SIGKILL may come half a second later
+# At a replacement: seconds for requests that were read to be answered, then for shots that are out to end,
+# then for clients that were let go to close, before the folder is the next process's.
+ANSWERING, HANDOVER, LINGERING = 0.3, 0.6, 1.1
+LOOK = 0.01  # seconds between two looks at a folder that another process still holds
 
 
 def main() -> int:
@@ -74,6 +81,10 @@
     """Start the parts, wait for SIGTERM, end them; `replaced` tells of a new configuration."""
     clock, counters = Clock(), Counters()
     obey(operator, counters)
+    try:
+        inherited = inherited_listener(os.environ)
+    except ValueError as error:
+        raise BadAssignment(str(error)) from None
     descriptors = Descriptors(assignment.descriptors)
     lasting = operator.store if operator is not None else None
     store = Store(assignment.folder, assignment.disk_bytes, now=clock.now,
@@ -83,22 +94,40 @@
     try:
         desk = Desk(assignment, clock, counters, store)
         directory = Directory(assignment, counters, desk.listed, desk.list_call_failed)
-        intake = Intake(assignment.listen, clock, counters, descriptors, desk, lambda: directory.known)
-        store.load()
+        intake = Intake(assignment.listen, clock, counters, descriptors, desk, lambda: directory.known,
+                        listener=inherited)
+        staff = Staff(lambda: directory.known, intake)
+        staff.taking = True
+        management = Management(assignment.management, counters, staff.answer) if assignment.management else None
+        held = hold(store, replacing=inherited is not None)
     except InUse as error:
         raise BadAssignment(f"cannot start: {error}") from None
     except (OSError, ValueError, KeyError, NoRoom) as error:
         raise BadAssignment(f"cannot start: {type(error).__name__}: {error}") from None
-    links = Links(clock, counters, descriptors, directory.address_of, desk.sender.link_life,
-                  span(assignment.settings, "policy-limits.connect-timeout-ms", 1000.0))
-    notices = desk.notices = Notices(assignment.platform, counters, desk.acknowledged)
-    desk.shots = Shots(clock, counters, links, desk.sender.columns, desk.clear, desk.shot_ended)
-    desk.free_links, desk.ask_for_list = links.free, directory.ask
     if assignment.known:
+        # Danger: the saved list replaces the whole list; told after the watch's news it would undo them.
         try:
             directory.learn(assignment.known, saved=True)
         except ValueError as error:
             raise BadAssignment(f"the known list cannot be read: {error}") from None
+    early = []
+    if management is not None:
+        early.append(gevent.spawn(management.serve))
+    if not held:
+        # Danger: the process that is replaced ends only once this one says yes, and holds the folder until then.
+        logger.info("{} waits for the folder of the process it replaces", assignment.name)
+        early.append(gevent.spawn(directory.watch))
+        try:
+            while not hold(store, replacing=True):
+                gevent.sleep(LOOK)
+        except (OSError, ValueError, KeyError, NoRoom) as error:
+            raise BadAssignment(f"cannot start: {type(error).__name__}: {error}") from None
+        logger.info("{} holds the folder", assignment.name)
+    links = Links(clock, counters, descriptors, directory.address_of, desk.sender.link_life,
+                  span(assignment.settings, "policy-limits.connect-timeout-ms", 1000.0))
+    notices = desk.notices = Notices(assignment.platform, counters, desk.acknowledged)
+    desk.shots = Shots(clock, counters, links, desk.sender.columns, desk.clear, desk.shot_ended)
+    desk.free_links, desk.ask_for_list = links.free, directory.ask
     desk.resume()
 
     def follow_configuration() -> None:
@@ -127,14 +156,25 @@
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
     gevent.signal_handler(signal.SIGUSR1, counters.print)
-    parts = [gevent.spawn(part) for part in (desk.run, intake.accept, links.sweep, notices.run, directory.watch,
-                                             counters.watch_lag, counters.report, follow_configuration)]
+    later = (desk.run, intake.accept, links.sweep, notices.run, counters.watch_lag, counters.report,
+             follow_configuration)
+    parts = early + [gevent.spawn(part) for part in (*later, *((directory.watch,) if held else ()))]
     for part in parts:
         part.link_exception(broken)
     logger.info("{} listens on {}:{}", assignment.name, *assignment.listen)
     stopping.wait()
 
+    staff.taking = False
     logger.info("ending: {} envelopes kept", len(store.kept))
+    if inherited is not None:
+        hand_over(parts[len(early) + later.index(intake.accept)], intake, desk, store)
+        gevent.killall(parts)
+        store.close()  # the next process takes the folder from here on
+        with gevent.Timeout(LINGERING, False):
+            while intake.clients:
+                gevent.sleep(LOOK)
+        counters.print()
+        return 0
     intake.stop()
     gevent.sleep(STAY)
     desk.hold_fire()
@@ -147,6 +187,35 @@
     return 0
 
 
+def hold(store: Store, replacing: bool) -> bool:
+    """Whether the folder is held and read; False where the process that is replaced holds it still."""
+    try:
+        store.load()
+    except InUse:
+        if not replacing:
+            raise
+        return False
+    return True
+
+
+def hand_over(accepting: gevent.Greenlet, intake: Intake, desk: Desk, store: Store) -> None:
+    """At SIGTERM with the platform's socket: new clients go to the next process, this one lets the folder go."""
+    accepting.kill()
+    intake.listener.close()  # only this process's descriptor: the platform's socket stays open
+    intake.still_taking = True
+    intake.stop()
+    with gevent.Timeout(ANSWERING, False):
+        while intake.mid_request():
+            gevent.sleep(LOOK)
+    intake.still_taking = False
+    desk.hold_fire()
+    with gevent.Timeout(HANDOVER, False):
+        while not desk.idle():
+            gevent.sleep(LOOK)
+    logger.info("handing over: {} envelopes kept, {} shots without an outcome", len(store.kept),
+                len(desk.shots.out))
+
+
 def broken(part: gevent.Greenlet) -> None:
     """A part that should never return has failed: without it the sender only seems to live."""
     logger.error("a part of the sender ended: {!r}", part.exception)
--- /dev/null
+++ b/cedarwick/ops/address.py
@@ -0,0 +1,99 @@
+"""The management address: one greenlet a caller, each with a bounded line and a deadline."""
+
+from collections.abc import Callable
+
+import gevent
+import gevent.socket
+
+from cedarwick.net.buffer import Buffer
+from cedarwick.net.counters import Counters
+from cedarwick.ops.calls import LONGEST_LINE, BadCall, Call, parse
+
+DEADLINE = 2.0  # seconds in which a caller must finish its line; a few connect and say nothing for 4 s
+MOST_CALLERS = 64  # connections at once; those beyond are answered NO and closed, so none holds up STATUS
+BACKLOG = 64
+LINGER, WASTED = 0.5, 1 << 16  # at most so long and so many bytes are read after the answer
+
+Answer = Callable[[Call], str]  # the answer to a call: a line beginning with YES or NO, or figures ending in END
+
+
+class Management:
+    """Listens where the operators' staff call; answers from its own greenlets, never through the desk's queue."""
+
+    def __init__(self, where: tuple[str, int], counters: Counters, answer: Answer) -> None:
+        self.counters = counters
+        self.answer = answer
+        self.callers = 0
+        self.listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+        try:
+            self.listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
+            self.listener.bind(where)
+            self.listener.listen(BACKLOG)
+        except OSError:
+            self.listener.close()
+            raise
+
+    def serve(self) -> None:
+        """Never returns: accepts callers."""
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as error:
+                self.counters.trouble("accepting a management call failed", error)
+                gevent.sleep(0.02)
+                continue
+            gevent.spawn(self._serve, sock)
+
+    def _serve(self, sock: gevent.socket.socket) -> None:
+        self.callers += 1
+        try:
+            # Danger: a caller that never finishes its line would hold its descriptor and greenlet for ever.
+            sock.settimeout(DEADLINE)
+            if self.callers > MOST_CALLERS:
+                sock.sendall(b"NO too many callers\n")
+                return
+            with gevent.Timeout(DEADLINE):
+                reply = self._reply(sock)
+            sock.sendall(reply.encode("ascii", "replace"))
+            read_out(sock)
+        except gevent.Timeout:
+            self.counters.trouble("a management call that cannot be read", "the line did not come in time")
+            with gevent.Timeout(0.1, False):
+                sock.sendall(b"NO the line did not come in time\n")
+        except OSError as error:
+            self.counters.add(f"management callers lost: {type(error).__name__}")
+        finally:
+            self.callers -= 1
+            sock.close()
+
+    def _reply(self, sock: gevent.socket.socket) -> str:
+        """The answer to the one line of this connection."""
+        buffer = Buffer()
+        while (end := buffer.find(b"\n")) < 0:
+            if len(buffer) > LONGEST_LINE:
+                self.counters.trouble("a management call that cannot be read", "the line is too long")
+                return "NO the line is too long\n"
+            if not buffer.fill(sock):
+                self.counters.trouble("a management call that cannot be read", "the caller left mid-line")
+                return "NO the line did not end\n"
+        line = buffer.take(end + 1).rstrip(b"\r\n")
+        try:
+            call = parse(line)
+        except BadCall as error:
+            self.counters.trouble("a management call that cannot be read", error)
+            return f"NO {error}\n"
+        self.counters.add(f"management calls: {call.name}")
+        try:
+            return self.answer(call)
+        except Exception:  # one failing call must not end the address: STATUS is still owed to others
+            self.counters.failed(f"the management call {call.name} failed")
+            return "NO the call failed\n"
+
+
+def read_out(sock: gevent.socket.socket) -> None:
+    """Danger: a close with unread input is a reset, and the caller would lose its answer; read a little on."""
+    sock.shutdown(gevent.socket.SHUT_WR)
+    wasted = 0
+    with gevent.Timeout(LINGER, False):
+        while wasted < WASTED and (got := sock.recv(4096)):
+            wasted += len(got)
--- /dev/null
+++ b/cedarwick/ops/calls.py
@@ -0,0 +1,62 @@
+"""The management address's line protocol and the counted suspensions: no sockets, no files, no clock."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+LONGEST_LINE = 256  # bytes of a call with its line end; what is longer is refused and the connection closed
+ARGUMENTS = {"STATUS": 0, "METRICS": 0, "SUSPEND": 1, "RESTORE": 1, "PAUSE": 0, "RESUME": 0}
+
+
+class BadCall(Exception):
+    """A line that is no call; its text is the reason given after `NO`."""
+
+
+class Call(NamedTuple):
+    """One call: its name in capitals and its argument, empty where it takes none."""
+
+    name: str
+    argument: str
+
+
+def parse(line: bytes) -> Call:
+    """The call on one line, without its line end; `BadCall` says what is wrong with it."""
+    if len(line) > LONGEST_LINE:
+        raise BadCall("the line is too long")
+    try:
+        text = line.decode("ascii")
+    except UnicodeDecodeError:
+        raise BadCall("the line is not ASCII text") from None
+    if not text.isprintable():
+        raise BadCall("the line holds control characters")
+    words = text.split()
+    if not words:
+        raise BadCall("an empty line")
+    name = words[0].upper()
+    wanted = ARGUMENTS.get(name)
+    if wanted is None:
+        raise BadCall(f"unknown call {words[0][:40]!r}")
+    if len(words) - 1 != wanted:
+        raise BadCall(f"{name} takes {'one argument' if wanted else 'no argument'}")
+    return Call(name, words[1] if wanted else "")
+
+
+class Suspensions:
+    """Receivers taken out by hand, by uid, with the number of calls out; one call back restores."""
+
+    def __init__(self, counted: Iterable[tuple[str, int]] = ()) -> None:
+        self.calls: dict[str, int] = {uid: count for uid, count in counted if count > 0}
+
+    def suspend(self, uid: str) -> int:
+        """The calls out for this receiver, this one counted."""
+        self.calls[uid] = self.calls.get(uid, 0) + 1
+        return self.calls[uid]
+
+    def restore(self, uid: str) -> bool:
+        """Whether the receiver was out by hand; it is not any more."""
+        return self.calls.pop(uid, None) is not None
+
+    def __contains__(self, uid: object) -> bool:
+        return uid in self.calls
+
+    def __len__(self) -> int:
+        return len(self.calls)
--- /dev/null
+++ b/cedarwick/ops/handover.py
@@ -0,0 +1,29 @@
+"""Replacing the process: the clients' socket that the platform holds, and the folder handed from the old one."""
+
+from collections.abc import Mapping
+
+import gevent.socket
+
+SOCKET_FD = "RELAY_SOCKET_FD"
+
+
+def inherited_listener(environment: Mapping[str, str]) -> gevent.socket.socket | None:
+    """The listening socket named in `$RELAY_SOCKET_FD`; None where it is not set, ValueError where it is unusable."""
+    text = environment.get(SOCKET_FD, "")
+    if not text:
+        return None
+    if not text.isdecimal() or int(text) < 3:
+        raise ValueError(f"{SOCKET_FD} is no descriptor: {text!r}")
+    try:
+        sock = gevent.socket.socket(fileno=int(text))
+    except OSError as error:
+        raise ValueError(f"{SOCKET_FD} {text}: {error.strerror}") from None
+    try:
+        usable = (sock.family == gevent.socket.AF_INET and sock.type == gevent.socket.SOCK_STREAM
+                  and sock.getsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_ACCEPTCONN) == 1)
+    except OSError:
+        usable = False
+    if not usable:
+        sock.detach()  # Danger: closing a descriptor that is not ours could end another file of the process.
+        raise ValueError(f"{SOCKET_FD} {text} is no listening TCP socket")
+    return sock
--- a/tests/build.py
+++ b/tests/build.py
@@ -226,12 +226,16 @@
         return {"uid": f"s-{index}", "endpoint": f"127.0.0.1:{self.receivers[index].port}", "az": "here",
                 "model": "plain", "pod_group": index, "state": state, "capacity_hint": 1.0, "boot_ms": 0}
 
-    def start(self, **variables: str) -> None:
-        told = {"RELAY_CONFIG": self.path("config.json"), "RELAY_STATE": self.path("state"), **variables}
-        self.process = subprocess.Popen([sys.executable, "-m", "cedarwick"], env={**os.environ, **told},
-                                        text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    def start(self, fds: tuple[int, ...] = (), **variables: str) -> None:
+        self.process = self.spawn(fds, **variables)
         until(self._ready)
 
+    def spawn(self, fds: tuple[int, ...] = (), **variables: str) -> "subprocess.Popen[str]":
+        """One more process of this sender, with these descriptors inherited."""
+        told = {"RELAY_CONFIG": self.path("config.json"), "RELAY_STATE": self.path("state"), **variables}
+        return subprocess.Popen([sys.executable, "-m", "cedarwick"], env={**os.environ, **told}, pass_fds=fds,
+                                text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+
     def _ready(self) -> bool:
         try:
             with self.connect() as sock:
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,184 @@
+"""The operators' parts: the management address, the drain, the replacement of the process."""
+
+import signal
+import socket
+import time
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cedarwick.ops.calls import LONGEST_LINE, BadCall, Call, Suspensions, parse
+from tests.build import Program, Receiver, ask, free_port, line_of, reply, submit, until
+
+OK = b"+OK\r\n"
+
+
+def call(port: int, line: bytes, seconds: float = 1.0) -> bytes:
+    """The whole answer of the management address to one line."""
+    with socket.create_connection(("127.0.0.1", port), seconds) as sock:
+        sock.settimeout(seconds)
+        sock.sendall(line)
+        got = b""
+        while chunk := sock.recv(4096):
+            got += chunk
+        return got
+
+
+class Calls(unittest.TestCase):
+    def test_calls_are_read_with_their_arguments(self) -> None:
+        self.assertEqual(parse(b"STATUS"), Call("STATUS", ""))
+        self.assertEqual(parse(b"suspend s-1"), Call("SUSPEND", "s-1"))
+        self.assertEqual(parse(b"  RESUME  "), Call("RESUME", ""))
+
+    def test_bad_lines_say_why(self) -> None:
+        for line, why in ((b"", "empty"), (b"HELLO", "unknown call"), (b"SUSPEND", "one argument"),
+                          (b"STATUS now", "no argument"), (b"\xff\xfe", "ASCII"), (b"STATUS\x00", "control"),
+                          (b"S" * (LONGEST_LINE + 1), "too long")):
+            with self.subTest(line=line[:20]), self.assertRaisesRegex(BadCall, why):
+                parse(line)
+
+    @given(st.binary(max_size=2 * LONGEST_LINE))
+    def test_any_bytes_are_a_call_or_a_reason(self, line: bytes) -> None:
+        try:
+            made = parse(line)
+        except BadCall as error:
+            self.assertTrue(str(error))
+        else:
+            self.assertIn(made.name, ("STATUS", "METRICS", "SUSPEND", "RESTORE", "PAUSE", "RESUME"))
+
+    def test_two_calls_out_need_one_call_back(self) -> None:
+        out = Suspensions()
+        self.assertEqual((out.suspend("a"), out.suspend("a")), (1, 2))
+        self.assertIn("a", out)
+        self.assertTrue(out.restore("a"))
+        self.assertNotIn("a", out)
+        self.assertFalse(out.restore("a"))
+
+
+class Address(unittest.TestCase):
+    def begin(self, **variables: str) -> Program:
+        program = Program([Receiver(reply(200))])
+        self.addCleanup(program.close)
+        self.manage = free_port()
+        program.start(RELAY_MANAGEMENT=f"127.0.0.1:{self.manage}", **variables)
+        return program
+
+    def test_status_says_yes_while_silent_callers_hold_their_connections(self) -> None:
+        self.begin()
+        silent = [socket.create_connection(("127.0.0.1", self.manage)) for _ in range(8)]
+        self.addCleanup(lambda: [each.close() for each in silent])
+        began = time.monotonic()
+        self.assertTrue(call(self.manage, b"STATUS\n").startswith(b"YES"))
+        self.assertLess(time.monotonic() - began, 0.5)
+
+    def test_bad_calls_are_answered_no_and_the_address_goes_on(self) -> None:
+        self.begin()
+        for line in (b"NONSENSE\n", b"SUSPEND\n", b"\x00\xff\n", b"X" * 5000, b"PAUSE now\n"):
+            with self.subTest(line=line[:10]):
+                self.assertTrue(call(self.manage, line).startswith(b"NO "))
+        with socket.create_connection(("127.0.0.1", self.manage)) as sock:
+            sock.sendall(b"STAT")  # and leaves mid-line
+        self.assertTrue(call(self.manage, b"STATUS\r\n").startswith(b"YES"))
+
+    def test_a_caller_that_never_ends_its_line_is_told_and_closed(self) -> None:
+        self.begin()
+        with socket.create_connection(("127.0.0.1", self.manage)) as sock:
+            sock.settimeout(4)
+            sock.sendall(b"STAT")
+            self.assertTrue(line_of(sock).startswith(b"NO "))
+
+    def test_a_pause_sends_clients_away_and_serves_what_was_read(self) -> None:
+        program = self.begin()
+        idle = program.connect()
+        self.addCleanup(idle.close)
+        self.assertEqual(ask(idle, b"PING"), b"+PONG\r\n")
+        self.assertEqual(call(self.manage, b"PAUSE\n"), b"YES paused\n")
+        self.assertEqual(call(self.manage, b"PAUSE\n"), b"YES already paused\n")
+        idle.settimeout(2)
+        self.assertEqual(idle.recv(10), b"")  # the idle connection is let go
+        with program.connect() as sock:
+            self.assertEqual(ask(sock, b"PING")[:1], b"-")
+        with program.connect() as sock:
+            sock.settimeout(2)
+            sock.sendall(submit("a"))
+            self.assertEqual(line_of(sock), OK)  # what was read is served
+            self.assertEqual(sock.recv(10), b"")  # and the connection goes then
+        until(lambda: program.receivers[0].calls)
+        self.assertEqual(call(self.manage, b"RESUME\n"), b"YES resumed\n")
+        self.assertEqual(call(self.manage, b"RESUME\n"), b"YES not paused\n")
+        with program.connect() as sock:
+            self.assertEqual(ask(sock, b"PING"), b"+PONG\r\n")
+
+    def test_an_unusable_management_address_stops_the_start(self) -> None:
+        program = Program([Receiver(reply(200))])
+        self.addCleanup(program.close)
+        process = program.spawn(RELAY_MANAGEMENT="nowhere")
+        _, log = process.communicate(timeout=20)
+        self.assertEqual(process.returncode, 2)
+        self.assertEqual(len(log.strip().splitlines()), 1)
+        self.assertIn("nowhere", log)
+
+
+class Replacing(unittest.TestCase):
+    def test_a_second_process_takes_over_the_socket_and_the_folder(self) -> None:
+        calls: list[int] = []
+
+        def answer(number: int) -> bytes:
+            calls.append(number)
+            return reply(200)
+
+        program = Program([Receiver(answer)])
+        self.addCleanup(program.close)
+        listener = socket.create_server(("127.0.0.1", program.port), backlog=64)
+        self.addCleanup(listener.close)
+        fd = listener.fileno()
+        first, second = free_port(), free_port()
+        program.start(fds=(fd,), RELAY_SOCKET_FD=str(fd), RELAY_MANAGEMENT=f"127.0.0.1:{first}")
+        self.assertTrue(call(first, b"STATUS\n").startswith(b"YES"))
+        with program.connect() as sock:
+            self.assertEqual(ask(sock, b"PING"), b"+PONG\r\n")
+        newer = program.spawn((fd,), RELAY_SOCKET_FD=str(fd), RELAY_MANAGEMENT=f"127.0.0.1:{second}")
+        self.addCleanup(lambda: newer.poll() is None and newer.kill())
+        until(lambda: self._says_yes(second), 6)  # while the first still holds the folder
+        with program.connect() as sock:
+            self.assertEqual(line_of_submit(sock, "before"), OK)
+        program.signal(signal.SIGTERM)
+        assert program.process is not None
+        self.assertEqual(program.process.wait(5), 0)
+        answers = []
+        for number in range(20):
+            with program.connect() as sock:
+                sock.settimeout(2)
+                answers.append(line_of_submit(sock, f"after-{number}"))
+            time.sleep(0.02)
+        self.assertEqual(answers, [OK] * 20)
+        until(lambda: len(program.receivers[0].calls) >= 21)
+        time.sleep(0.3)
+        ids = [head.split(b"X-Txn: ")[1].split(b"\r\n")[0] for _, head, _ in program.receivers[0].calls]
+        self.assertEqual(sorted(set(ids)), sorted(ids))  # none twice
+        self.assertIn(b"before", ids)
+        newer.terminate()
+        self.assertEqual(newer.wait(10), 0)
+
+    def _says_yes(self, port: int) -> bool:
+        try:
+            return call(port, b"STATUS\n").startswith(b"YES")
+        except OSError:
+            return False
+
+    def test_a_descriptor_that_is_no_listener_stops_the_start(self) -> None:
+        program = Program([Receiver(reply(200))])
+        self.addCleanup(program.close)
+        for told in ("seven", "1", "999"):
+            with self.subTest(told=told):
+                process = program.spawn(RELAY_SOCKET_FD=told)
+                _, log = process.communicate(timeout=20)
+                self.assertEqual(process.returncode, 2)
+                self.assertIn("RELAY_SOCKET_FD", log)
+                self.assertEqual(len(log.strip().splitlines()), 1)
+
+
+def line_of_submit(sock: socket.socket, envelope: str) -> bytes:
+    sock.sendall(submit(envelope))
+    return line_of(sock)
