Design: SUSPEND as a drain told to the module, kept in a file, and a cold return

Design (docs/design/operations.md part 5, docs/design.md 'Back from a drain'): the directory keeps the last line of each receiver and tells the module a suspended one as draining, whatever the list says, until RESTORE; the calls out are counted in $RELAY_STATE/suspended.json, read again when a replacing process takes the folder, and changed in the file itself, so that both processes of a replacement agree. The module gives a receiver back after more than rules.fall-ms its ramp.

--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -42,6 +42,8 @@
         self.asked = gevent.event.Event()
         self.following: gevent.Greenlet | None = None
         self.known = False  # whether any receiver has been learned of
+        self.last: dict[str, Listing] = {}  # by uid: the newest line of the list as the platform gave it
+        self.held_out: set[str] = set()  # uids that the operators took out: draining, whatever the list says
 
     def learn(self, news: dict[str, Any], saved: bool = False) -> None:
         """Pass on one piece of list news; ValueError where it cannot be read."""
@@ -52,8 +54,9 @@
         listings, named = [], set()
         for entry in entries:
             try:
-                listings.append(self._listing(entry))
-                if listings[-1].phase is not Phase.GONE:
+                listing = self.last[str(entry["uid"])] = self._listing(entry)
+                listings.append(self._as_held(str(entry["uid"]), listing))
+                if listing.phase is not Phase.GONE:
                     named.add(str(entry["uid"]))
             except (KeyError, TypeError, ValueError, AttributeError) as error:
                 # Danger: one line that cannot be read would keep all others from being heard.
@@ -74,8 +77,25 @@
         for uid, since in list(self.gone_since.items()):
             if now - since > FORGET:
                 del self.gone_since[uid]
+                self.last.pop(uid, None)
                 self.addresses.pop(self.numbers.pop(uid), None)
 
+    def knows(self, uid: str) -> bool:
+        """Whether the list has named this receiver, and not so long ago that it is forgotten."""
+        return uid in self.last
+
+    def hold_out(self, uids: set[str]) -> None:
+        """From now on these receivers are draining for the decisions, until they are left out of a later set."""
+        changed = self.held_out ^ uids
+        self.held_out = set(uids)
+        told = [self._as_held(uid, self.last[uid]) for uid in sorted(changed) if uid in self.last]
+        if told:
+            self.tell(ListChange.CHANGES, told)
+
+    def _as_held(self, uid: str, listing: Listing) -> Listing:
+        held = uid in self.held_out and listing.phase is Phase.READY
+        return listing._replace(phase=Phase.DRAINING) if held else listing
+
     def address_of(self, receiver: int) -> tuple[str, int]:
         return self.addresses[receiver]
 
--- a/cedarwick/net/program.py
+++ b/cedarwick/net/program.py
@@ -96,7 +96,7 @@
         directory = Directory(assignment, counters, desk.listed, desk.list_call_failed)
         intake = Intake(assignment.listen, clock, counters, descriptors, desk, lambda: directory.known,
                         listener=inherited)
-        staff = Staff(lambda: directory.known, intake)
+        staff = Staff(lambda: directory.known, intake, directory, assignment.folder)
         staff.taking = True
         management = Management(assignment.management, counters, staff.answer) if assignment.management else None
         held = hold(store, replacing=inherited is not None)
@@ -110,6 +110,7 @@
             directory.learn(assignment.known, saved=True)
         except ValueError as error:
             raise BadAssignment(f"the known list cannot be read: {error}") from None
+    staff.take_over()
     early = []
     if management is not None:
         early.append(gevent.spawn(management.serve))
@@ -123,6 +124,7 @@
         except (OSError, ValueError, KeyError, NoRoom) as error:
             raise BadAssignment(f"cannot start: {type(error).__name__}: {error}") from None
         logger.info("{} holds the folder", assignment.name)
+        staff.take_over()
     links = Links(clock, counters, descriptors, directory.address_of, desk.sender.link_life,
                   span(assignment.settings, "policy-limits.connect-timeout-ms", 1000.0))
     notices = desk.notices = Notices(assignment.platform, counters, desk.acknowledged)
@@ -214,6 +216,8 @@
             gevent.sleep(LOOK)
     logger.info("handing over: {} envelopes kept, {} shots without an outcome", len(store.kept),
                 len(desk.shots.out))
+    # Danger: a call still out on an open link, sent again by the next process, would be a second copy.
+    gevent.killall(list(desk.shots.out))
 
 
 def broken(part: gevent.Greenlet) -> None:
--- a/cedarwick/ops/staff.py
+++ b/cedarwick/ops/staff.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from cedarwick.ops.calls import Call
+from loguru import logger
+
+from cedarwick.ops import lasting
+from cedarwick.ops.calls import Call, Suspensions
 
 
 class Door(Protocol):
@@ -16,12 +19,22 @@
     def resume(self) -> None: ...
 
 
+class List(Protocol):
+    """The platform's list as far as taking receivers out concerns it."""
+
+    def knows(self, uid: str) -> bool: ...
+
+    def hold_out(self, uids: set[str]) -> None: ...
+
+
 class Staff:
     """Answers the operators' calls; STATUS reads a flag and never waits on the desk."""
 
-    def __init__(self, ready: Callable[[], bool], door: Door) -> None:
+    def __init__(self, ready: Callable[[], bool], door: Door, listed: List, folder: str) -> None:
         self.ready = ready
         self.door = door
+        self.listed = listed
+        self.folder = folder
         self.taking = False  # whether this process takes clients, or will once the folder is handed over
 
     def answer(self, call: Call) -> str:
@@ -37,4 +50,37 @@
                 return "YES not paused\n"
             self.door.resume()
             return "YES resumed\n"
+        if call.name in ("SUSPEND", "RESTORE"):
+            return self._take_out(call)
         return f"NO {call.name} is not served by this sender\n"
+
+    def take_over(self) -> None:
+        """Take the receivers out that the file names: at the start, and once the folder is this process's."""
+        try:
+            self.listed.hold_out(set(lasting.read(self.folder)))
+        except lasting.Unreadable as error:
+            logger.error("the receivers taken out by hand cannot be read: {}", error)
+
+    def _take_out(self, call: Call) -> str:
+        uid = call.argument
+        try:
+            # Danger: a process that replaces this one, or is replaced, may have changed the file meanwhile.
+            out = Suspensions(lasting.read(self.folder).items())
+        except lasting.Unreadable as error:
+            logger.error("the receivers taken out by hand cannot be read: {}", error)
+            out = Suspensions()
+        if call.name == "SUSPEND":
+            if not self.listed.knows(uid) and uid not in out:
+                return f"NO nobody has {uid}\n"
+            count = out.suspend(uid)
+            answer = f"YES {uid} suspended, {count} calls out\n"
+        elif out.restore(uid):
+            answer = f"YES {uid} restored\n"
+        else:
+            return f"NO {uid} is not suspended\n"
+        try:
+            lasting.write(self.folder, out.calls)
+        except OSError as error:
+            logger.error("the receivers taken out by hand cannot be kept: {}", error)
+        self.listed.hold_out(set(out.calls))
+        return answer
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -197,7 +197,11 @@
                     new.canary_at = max(now, pace.canary_at)
                 place.members.append(listing.receiver)
             known = self.receivers[listing.receiver]
+            back = listing.phase is Phase.READY and not known.ready and known.left_at
             known.ready = listing.phase is Phase.READY
+            if back and now - known.left_at > span(self.settings, "rules.fall-ms"):
+                # Danger: a receiver that was taken out for a while has been restarted, and returns cold.
+                known.back_at, known.ramp = now, Bucket(0.0, now)
             if self.settings.get("weight-source", "off") != "off" and listing.rate > 0:
                 self._list_rate(known.pace, listing.rate)
         self.changed.update(self.destinations)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -2,14 +2,16 @@
 
 import signal
 import socket
+import subprocess
 import time
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cedarwick.interface import ListChange, Listing, Phase
 from cedarwick.ops.calls import LONGEST_LINE, BadCall, Call, Suspensions, parse
-from tests.build import Program, Receiver, ask, free_port, line_of, reply, submit, until
+from tests.build import NOW, Program, Receiver, ask, free_port, line_of, reply, sender, submit, until
 
 OK = b"+OK\r\n"
 
@@ -57,17 +59,18 @@
 
 
 class Address(unittest.TestCase):
-    def begin(self, **variables: str) -> Program:
+    def begin(self) -> Program:
         program = Program([Receiver(reply(200))])
         self.addCleanup(program.close)
         self.manage = free_port()
-        program.start(RELAY_MANAGEMENT=f"127.0.0.1:{self.manage}", **variables)
+        program.start(RELAY_MANAGEMENT=f"127.0.0.1:{self.manage}")
         return program
 
     def test_status_says_yes_while_silent_callers_hold_their_connections(self) -> None:
         self.begin()
         silent = [socket.create_connection(("127.0.0.1", self.manage)) for _ in range(8)]
-        self.addCleanup(lambda: [each.close() for each in silent])
+        for each in silent:
+            self.addCleanup(each.close)
         began = time.monotonic()
         self.assertTrue(call(self.manage, b"STATUS\n").startswith(b"YES"))
         self.assertLess(time.monotonic() - began, 0.5)
@@ -139,7 +142,7 @@
         with program.connect() as sock:
             self.assertEqual(ask(sock, b"PING"), b"+PONG\r\n")
         newer = program.spawn((fd,), RELAY_SOCKET_FD=str(fd), RELAY_MANAGEMENT=f"127.0.0.1:{second}")
-        self.addCleanup(lambda: newer.poll() is None and newer.kill())
+        self.addCleanup(stop, newer)
         until(lambda: self._says_yes(second), 6)  # while the first still holds the folder
         with program.connect() as sock:
             self.assertEqual(line_of_submit(sock, "before"), OK)
@@ -179,6 +182,52 @@
                 self.assertEqual(len(log.strip().splitlines()), 1)
 
 
-def line_of_submit(sock: socket.socket, envelope: str) -> bytes:
-    sock.sendall(submit(envelope))
+def stop(process: "subprocess.Popen[str]") -> None:
+    if process.poll() is None:
+        process.kill()
+    process.communicate()
+
+
+def line_of_submit(sock: socket.socket, envelope: str, dest: int = 0) -> bytes:
+    sock.sendall(submit(envelope, dest=dest))
     return line_of(sock)
+
+
+class ColdReturn(unittest.TestCase):
+    def test_a_receiver_back_after_a_drain_is_ramped(self) -> None:
+        made = sender()
+        made.listed(NOW, ListChange.CHANGES, [Listing(1, 0, 0, 7, Phase.DRAINING, 0.0)])
+        made.decide(NOW)
+        later = NOW + 3_000_000  # longer than rules.fall-ms
+        made.listed(later, ListChange.CHANGES, [Listing(1, 0, 0, 7, Phase.READY, 0.0)])
+        self.assertEqual(made.receivers[1].back_at, later)
+
+    def test_a_moment_out_is_no_return(self) -> None:
+        made = sender()
+        made.listed(NOW, ListChange.CHANGES, [Listing(1, 0, 0, 7, Phase.DRAINING, 0.0)])
+        made.decide(NOW)
+        made.listed(NOW + 500_000, ListChange.CHANGES, [Listing(1, 0, 0, 7, Phase.READY, 0.0)])
+        self.assertEqual(made.receivers[1].back_at, 0)
+
+
+class Suspending(unittest.TestCase):
+    def test_a_suspended_receiver_gets_nothing_until_it_is_restored_even_after_a_restart(self) -> None:
+        program = Program([Receiver(reply(200)), Receiver(reply(200))])
+        self.addCleanup(program.close)
+        manage = free_port()
+        program.start(RELAY_MANAGEMENT=f"127.0.0.1:{manage}")
+        self.assertEqual(call(manage, b"SUSPEND s-nobody\n"), b"NO nobody has s-nobody\n")
+        self.assertEqual(call(manage, b"RESTORE s-0\n"), b"NO s-0 is not suspended\n")
+        self.assertEqual(call(manage, b"SUSPEND s-0\n"), b"YES s-0 suspended, 1 calls out\n")
+        self.assertEqual(call(manage, b"SUSPEND s-0\n"), b"YES s-0 suspended, 2 calls out\n")
+        time.sleep(0.1)
+        with program.connect() as sock:
+            self.assertEqual(line_of_submit(sock, "a", dest=0), OK)
+            self.assertEqual(line_of_submit(sock, "b", dest=1), OK)
+        until(lambda: program.receivers[1].calls)
+        program.terminate()
+        program.start(RELAY_MANAGEMENT=f"127.0.0.1:{manage}")  # the platform still lists s-0 as up
+        time.sleep(0.5)
+        self.assertEqual(program.receivers[0].calls, [])
+        self.assertEqual(call(manage, b"RESTORE s-0\n"), b"YES s-0 restored\n")  # one call back for two out
+        until(lambda: program.receivers[0].calls)
