--- a/cedarwick/net/counters.py
+++ b/cedarwick/net/counters.py
@@ -8,6 +8,8 @@
 import gevent
 from loguru import logger
 
+from cedarwick.ops.figures import Figures
+
 QUIET = 10.0  # seconds between two log lines on the same kind of trouble, where the operator names no other
 LOOK = 0.1  # seconds between two looks at the lag of the loop
 
@@ -21,6 +23,7 @@
         self.logged: dict[str, float] = {}
         self.quiet = QUIET
         self.every = 0.0  # seconds between two reports of all counters; 0: only when asked
+        self.figures = Figures()  # the operators' figures, by band
 
     def add(self, name: str) -> None:
         self.counts[name] += 1
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -62,6 +62,7 @@
         self.tenants = [assignment.settings.get(f"realms.{index}.name", "")
                         for index in range(int(assignment.settings.get("realms.count") or 0))]
         self.sender = Sender(assignment.settings, assignment.seed, clock.now())
+        counters.figures.bands = list(self.bands)
         # Danger: shots that the decisions hold to share a call would each count at the destination's limit.
         self.sender.per_call = []
         self.handles: dict[int, Handle] = {}
@@ -249,6 +250,8 @@
                           ending.told_wait, ending.last, ending.report, ending.kept_link)
         if handle.ended:
             self.counters.add(f"envelopes over: {ending.outcome.value}")
+            if ending.outcome is Outcome.COMPLETED:
+                self.counters.figures.passed[call.kept.band] += 1
             del self.handles[number]
             self._over(call.kept)
 
@@ -366,4 +369,5 @@
             return
         self._recorded("the record of an end", self.store.ended, number, nacked, wait_ms)
         self.counters.add("nacked" if nacked else "written off")
+        (self.counters.figures.dropped if nacked else self.counters.figures.bad_gateway)[kept.band] += 1
         self.notices.post(number, kept.id, nacked, wait_ms)
--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -189,6 +189,8 @@
                     reply = self._answer(client, parts)
                 finally:
                     self.answering -= 1
+                if reply.startswith(BUSY[:5]) and len(parts) == 5:
+                    self._dropped(parts[3])
                 client.sock.settimeout(STALLED)
                 client.sock.sendall(reply)
                 if (self.closing or self.paused) and not len(client.buffer):
@@ -260,6 +262,16 @@
         while wasted < WASTED and (got := client.sock.recv_into(self.waste)):
             wasted += got
 
+    def _dropped(self, pairs: bytes) -> None:
+        """A SUBMIT that was refused at the door, counted by its band where that is one of ours."""
+        for pair in pairs.split(b","):
+            name, _, value = pair.partition(b"=")
+            if name == b"c":
+                band = value.decode("ascii", "replace")
+                if band in self.counters.figures.bands:
+                    self.counters.figures.dropped[band] += 1
+                return
+
     def _answer(self, client: Client, parts: list[bytes]) -> bytes:
         name = parts[0].upper() if parts else b""
         if name == b"PING":
--- a/cedarwick/net/program.py
+++ b/cedarwick/net/program.py
@@ -9,7 +9,7 @@
 import gevent.event
 from loguru import logger
 
-from cedarwick.interface import span
+from cedarwick.interface import Phase, span
 from cedarwick.net.assignment import Assignment, BadAssignment, read
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -96,7 +96,8 @@
         directory = Directory(assignment, counters, desk.listed, desk.list_call_failed)
         intake = Intake(assignment.listen, clock, counters, descriptors, desk, lambda: directory.known,
                         listener=inherited)
-        staff = Staff(lambda: directory.known, intake, directory, assignment.folder)
+        staff = Staff(lambda: directory.known, intake, directory, assignment.folder,
+                      lambda: counters.figures.text(*gauges(desk, directory)))
         staff.taking = True
         management = Management(assignment.management, counters, staff.answer) if assignment.management else None
         held = hold(store, replacing=inherited is not None)
@@ -189,6 +190,14 @@
     return 0
 
 
+def gauges(desk: Desk, directory: Directory) -> tuple[int, int, int]:
+    """Envelopes taken and not ended, receivers listed, and those of them avoided by hand or by choice."""
+    listed = {directory.numbers[uid] for uid, listing in directory.last.items() if listing.phase is not Phase.GONE}
+    avoided = {directory.numbers[uid] for uid in directory.held_out if uid in directory.numbers}
+    avoided |= {receiver.id for receiver in desk.sender.receivers.values() if receiver.out_since}
+    return len(desk.handles), len(listed), len(avoided & listed)
+
+
 def hold(store: Store, replacing: bool) -> bool:
     """Whether the folder is held and read; False where the process that is replaced holds it still."""
     try:
--- a/cedarwick/net/shots.py
+++ b/cedarwick/net/shots.py
@@ -112,6 +112,7 @@
             self._wait_until(link, call.until)
             link.sock.sendall(request(call, self.clock.now()))
             self.counters.add("shots sent")
+            self.counters.figures.tries += 1
             broken = self._read(call, link, answer)
         except OSError:
             # The last byte was never handed over, so nothing ran; an early answer tells more.
--- /dev/null
+++ b/cedarwick/ops/figures.py
@@ -0,0 +1,47 @@
+"""The figures of the operators' page: counts kept where the events happen, from 0 at the start of the process."""
+
+from collections import Counter
+
+
+class Figures:
+    """Counts by band name; the gauges are read when the figures are asked for."""
+
+    __slots__ = ("bands", "passed", "dropped", "bad_gateway", "tries")
+
+    def __init__(self, bands: list[str] | None = None) -> None:
+        self.bands = list(bands or [])
+        self.passed: Counter[str] = Counter()  # envelopes completed
+        self.dropped: Counter[str] = Counter()  # refused at the door, or nacked later
+        self.bad_gateway: Counter[str] = Counter()  # written off
+        self.tries = 0  # requests written whole to receivers
+
+    def text(self, in_progress: int, known: int, skipped: int) -> str:
+        """All figures in Prometheus's text format, by prometheus_client; imported here, used only when asked."""
+        from prometheus_client.core import CollectorRegistry, CounterMetricFamily, GaugeMetricFamily, Metric
+        from prometheus_client.exposition import generate_latest
+
+        figures = self
+
+        class Now:
+            def collect(self) -> list[Metric]:
+                made: list[Metric] = []
+                for name, counted, meaning in (
+                        ("sender_passed", figures.passed, "envelopes completed"),
+                        ("sender_dropped", figures.dropped, "envelopes refused at the door or nacked"),
+                        ("sender_bad_gateway", figures.bad_gateway, "envelopes written off")):
+                    family = CounterMetricFamily(name, meaning, labels=["category"])
+                    for band in sorted(set(figures.bands) | set(counted)):
+                        family.add_metric([band], counted[band])
+                    made.append(family)
+                made.append(CounterMetricFamily("sender_upstream_tries", "requests written whole to receivers",
+                                                value=figures.tries))
+                for name, value, meaning in (
+                        ("sender_in_progress", in_progress, "envelopes taken and not ended"),
+                        ("sender_known_receivers", known, "receivers in the list"),
+                        ("sender_skipped_receivers", skipped, "listed receivers avoided, by hand or by choice")):
+                    made.append(GaugeMetricFamily(name, meaning, value=value))
+                return made
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(Now())
+        return generate_latest(registry).decode("utf-8")
--- a/cedarwick/ops/staff.py
+++ b/cedarwick/ops/staff.py
@@ -30,8 +30,10 @@
 class Staff:
     """Answers the operators' calls; STATUS reads a flag and never waits on the desk."""
 
-    def __init__(self, ready: Callable[[], bool], door: Door, listed: List, folder: str) -> None:
+    def __init__(self, ready: Callable[[], bool], door: Door, listed: List, folder: str,
+                 figures: Callable[[], str]) -> None:
         self.ready = ready
+        self.figures = figures
         self.door = door
         self.listed = listed
         self.folder = folder
@@ -52,7 +54,7 @@
             return "YES resumed\n"
         if call.name in ("SUSPEND", "RESTORE"):
             return self._take_out(call)
-        return f"NO {call.name} is not served by this sender\n"
+        return self.figures() + "END\n"
 
     def take_over(self) -> None:
         """Take the receivers out that the file names: at the start, and once the folder is this process's."""
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -231,3 +231,44 @@
         self.assertEqual(program.receivers[0].calls, [])
         self.assertEqual(call(manage, b"RESTORE s-0\n"), b"YES s-0 restored\n")  # one call back for two out
         until(lambda: program.receivers[0].calls)
+
+
+def figures(port: int) -> dict[str, float]:
+    """The figures by name and labels, as the management address gives them."""
+    text = call(port, b"METRICS\n").decode()
+    lines = text.splitlines()
+    if lines[-1:] != ["END"]:
+        raise AssertionError(f"no END: {text[-80:]!r}")
+    found = {}
+    for line in lines[:-1]:
+        if line and not line.startswith("#"):
+            name, value = line.rsplit(" ", 1)
+            found[name] = float(value)
+    return found
+
+
+class Metrics(unittest.TestCase):
+    def test_the_figures_count_what_happened(self) -> None:
+        program = Program([Receiver(reply(200)), Receiver(reply(500))])
+        self.addCleanup(program.close)
+        manage = free_port()
+        program.start(RELAY_MANAGEMENT=f"127.0.0.1:{manage}")
+        first = figures(manage)
+        self.assertEqual(first['sender_passed_total{category="free"}'], 0)
+        self.assertEqual(first["sender_known_receivers"], 2)
+        with program.connect() as sock:
+            for number in range(3):
+                self.assertEqual(line_of_submit(sock, f"good-{number}"), OK)
+            sock.sendall(submit("nowhere", dest=9))
+            self.assertEqual(line_of(sock)[:5], b"-BUSY")
+            sock.sendall(submit("bad", band="once", dest=1))
+            self.assertEqual(line_of(sock), OK)
+        until(lambda: figures(manage)['sender_bad_gateway_total{category="once"}'] == 1)
+        last = figures(manage)
+        self.assertEqual(last['sender_passed_total{category="free"}'], 3)
+        self.assertEqual(last['sender_dropped_total{category="free"}'], 1)
+        self.assertEqual(last['sender_passed_total{category="once"}'], 0)
+        self.assertEqual(last["sender_upstream_tries_total"], 4)
+        self.assertEqual(last["sender_in_progress"], 0)
+        self.assertEqual(call(manage, b"SUSPEND s-1\n")[:3], b"YES")
+        self.assertEqual(figures(manage)["sender_skipped_receivers"], 1)
