A hand-over keeps what comes for 0.2 s at most, then the folder is the next process's

Ruled out: the start itself (ready after 0.1 to 0.2 s), the list (told before the watch), doubles (none since the links close at hand-over).

Change: at SIGTERM with the platform's socket the desk holds fire at once but still keeps what comes on kept connections (answered +OK, shot by the next process); the old process waits at most 0.2 s for its shots, then lets idle clients go, closes what is still out and lets the folder go. tests/test_net.py: kept and not shot while handing over, turned away at a plain end.

--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -73,6 +73,7 @@
         self.after_flush: list[tuple[Callable[[], None], Callable[[], None]]] = []  # once on the disk; if it fails
         self.wake_at: int | None = None
         self.holding_fire = False
+        self.keeping = False  # while holding fire: envelopes that come are still kept, for the next process
         self.shots: Shots
         self.notices: Notices
         self.free_links: Callable[[int], None]
@@ -104,9 +105,10 @@
     def acknowledged(self, numbers: list[int]) -> None:
         self.queue.put((self._acknowledged, (numbers,)))
 
-    def hold_fire(self) -> None:
-        """The end of the process is near: no shot begins any more, what is out goes on."""
-        self.queue.put((self._hold_fire, ()))
+    def hold_fire(self, keeping: bool = False) -> None:
+        """The end of the process is near: no shot begins any more, what is out goes on; envelopes that come
+        are kept where `keeping` says so, else turned away."""
+        self.queue.put((self._hold_fire, (keeping,)))
 
     def idle(self) -> bool:
         """Whether nothing is under way: no shot is out, no call is queued."""
@@ -121,7 +123,8 @@
             while not self.queue.empty():
                 call, told = self.queue.get()
                 self._guarded(call, *told)
-            self._guarded(self._turn_away if self.holding_fire else self._decide)
+            self._guarded(self._decide if not self.holding_fire else self._keep_fresh if self.keeping
+                          else self._turn_away)
             if self.after_flush:
                 self._guarded(self._flush)
             self._guarded(self.store.step)
@@ -261,8 +264,8 @@
     def _list_call_failed(self) -> None:
         self.sender.list_call_failed(self.clock.now())
 
-    def _hold_fire(self) -> None:
-        self.holding_fire = True
+    def _hold_fire(self, keeping: bool = False) -> None:
+        self.holding_fire, self.keeping = True, keeping
         self.wake_at = None
 
     def _acknowledged(self, numbers: list[int]) -> None:
@@ -319,6 +322,12 @@
             self.ask_for_list()
         self.wake_at = verdicts.wake_at
 
+    def _keep_fresh(self) -> None:
+        """At a hand-over: what comes is recorded and answered; the next process decides on it."""
+        for submission in self.fresh.values():
+            self._keep(submission)
+        self.fresh.clear()
+
     def _turn_away(self) -> None:
         for submission in self.fresh.values():
             self.numbers.pop(submission.kept.id, None)
--- a/cedarwick/net/program.py
+++ b/cedarwick/net/program.py
@@ -33,7 +33,7 @@
 DRAIN = 3.2  # seconds from SIGTERM to the end; SIGKILL may come half a second later
 # At a replacement: seconds for requests that were read to be answered, then for shots that are out to end,
 # then for clients that were let go to close, before the folder is the next process's.
-ANSWERING, HANDOVER, LINGERING = 0.3, 0.6, 1.1
+HANDOVER, ANSWERING, LINGERING = 0.2, 0.05, 1.1
 LOOK = 0.01  # seconds between two looks at a folder that another process still holds
 
 
@@ -213,16 +213,18 @@
     """At SIGTERM with the platform's socket: new clients go to the next process, this one lets the folder go."""
     accepting.kill()
     intake.listener.close()  # only this process's descriptor: the platform's socket stays open
-    intake.still_taking = True
+    # Danger: the next process accepts nobody while this one holds the folder; clients wait 400 ms at most.
+    # Kept connections are served meanwhile, each let go after its answer; envelopes are kept, not shot.
+    intake.still_taking = intake.closing = True
+    desk.hold_fire(keeping=True)
+    with gevent.Timeout(HANDOVER, False):
+        while not desk.idle():
+            gevent.sleep(LOOK)
     intake.stop()
     with gevent.Timeout(ANSWERING, False):
         while intake.mid_request():
             gevent.sleep(LOOK)
     intake.still_taking = False
-    desk.hold_fire()
-    with gevent.Timeout(HANDOVER, False):
-        while not desk.idle():
-            gevent.sleep(LOOK)
     logger.info("handing over: {} envelopes kept, {} shots without an outcome", len(store.kept),
                 len(desk.shots.out))
     # Danger: a call still out on an open link, sent again by the next process, would be a second copy.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -128,6 +128,22 @@
         self.assertIs(cleared.get(block=False), False)
         self.assertEqual(self.store.kept[1].shots, 0)
 
+    def test_at_a_hand_over_what_comes_is_kept_and_not_shot(self) -> None:
+        self.desk._hold_fire(keeping=True)
+        submission = Submission(Kept(0, "a", "", 0, "free", "second", 0, self.desk.clock.now() + 8_000_000, b"x"))
+        self.desk._take(submission)
+        self.desk._keep_fresh()
+        self.assertEqual(submission.answer.get(block=False), (Answered.KEPT, 0))
+        self.assertEqual((list(self.store.kept), self.calls), ([1], []))
+
+    def test_at_an_end_what_comes_is_turned_away(self) -> None:
+        self.desk._hold_fire()
+        submission = Submission(Kept(0, "a", "", 0, "free", "second", 0, self.desk.clock.now() + 8_000_000, b"x"))
+        self.desk._take(submission)
+        self.desk._turn_away()
+        self.assertEqual(submission.answer.get(block=False), (Answered.BUSY, 0))
+        self.assertEqual(self.store.kept, {})
+
     def test_an_error_in_one_event_answers_it_and_ends_nothing(self) -> None:
         self.desk.sender = None  # type: ignore[assignment]
         submission = Submission(Kept(0, "a", "", 0, "free", "", 0, 1, b""))
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -146,7 +146,12 @@
         until(lambda: self._says_yes(second), 6)  # while the first still holds the folder
         with program.connect() as sock:
             self.assertEqual(line_of_submit(sock, "before"), OK)
+        kept = program.connect()
+        self.addCleanup(kept.close)
+        self.assertEqual(ask(kept, b"PING"), b"+PONG\r\n")
         program.signal(signal.SIGTERM)
+        kept.settimeout(2)
+        self.assertEqual(kept.recv(10), b"")  # a kept connection is let go, and the client comes again
         assert program.process is not None
         self.assertEqual(program.process.wait(5), 0)
         answers = []
