A replaced process hands its told waits to the next one

Ruled out: the old process itself (it holds fire from SIGTERM on and its links are closed at the hand-over) and late list news (the destination was listed in both). To blame: program.serve started the module as after a restart, which forgets waits by design.

--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -264,6 +264,15 @@
     def _list_call_failed(self) -> None:
         self.sender.list_call_failed(self.clock.now())
 
+    def heed(self, waits: list[tuple[int, int]]) -> None:
+        """Waits told to the process that this one replaces, by receiver."""
+        self.queue.put((self._heed, (waits,)))
+
+    def _heed(self, waits: list[tuple[int, int]]) -> None:
+        now = self.clock.now()
+        for receiver, until in waits:
+            self.sender.heed(now, receiver, until)
+
     def _hold_fire(self, keeping: bool = False) -> None:
         self.holding_fire, self.keeping = True, keeping
         self.wake_at = None
--- a/cedarwick/net/program.py
+++ b/cedarwick/net/program.py
@@ -19,6 +19,7 @@
 from cedarwick.net.links import Descriptors, Links
 from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Shots
+from cedarwick.ops import lasting
 from cedarwick.ops.address import Management
 from cedarwick.ops.handover import inherited_listener
 from cedarwick.ops.staff import Staff
@@ -132,6 +133,7 @@
     desk.shots = Shots(clock, counters, links, desk.sender.columns, desk.clear, desk.shot_ended)
     desk.free_links, desk.ask_for_list = links.free, directory.ask
     desk.resume()
+    take_waits(assignment.folder, directory, desk)
 
     def follow_configuration() -> None:
         """Never returns: takes over what a new configuration changes in service."""
@@ -172,6 +174,7 @@
     if inherited is not None:
         hand_over(parts[len(early) + later.index(intake.accept)], intake, desk, store)
         gevent.killall(parts)
+        leave_waits(assignment.folder, directory, desk)
         store.close()  # the next process takes the folder from here on
         with gevent.Timeout(LINGERING, False):
             while intake.clients:
@@ -198,6 +201,26 @@
     return len(desk.handles), len(listed), len(avoided & listed)
 
 
+def leave_waits(folder: str, directory: Directory, desk: Desk) -> None:
+    """The waits that receivers told this process, for the one that replaces it; written before the folder goes."""
+    uids = {number: uid for uid, number in directory.numbers.items()}
+    waits = {uids[receiver]: until for receiver, until in desk.sender.told_waits(desk.clock.now()) if receiver in uids}
+    try:
+        lasting.write_waits(folder, waits)
+    except OSError as error:
+        logger.error("the told waits cannot be handed over: {}", error)
+
+
+def take_waits(folder: str, directory: Directory, desk: Desk) -> None:
+    """The waits that the replaced process heeded, told to the decisions after the saved list."""
+    try:
+        waits = lasting.take_waits(folder)
+    except lasting.Unreadable as error:
+        logger.error("the told waits of the replaced process cannot be read: {}", error)
+        return
+    desk.heed([(directory.numbers[uid], until) for uid, until in waits.items() if uid in directory.numbers])
+
+
 def hold(store: Store, replacing: bool) -> bool:
     """Whether the folder is held and read; False where the process that is replaced holds it still."""
     try:
--- a/cedarwick/ops/lasting.py
+++ b/cedarwick/ops/lasting.py
@@ -1,10 +1,12 @@
-"""The receivers taken out by hand, kept in `$RELAY_STATE` so that a process that replaces this one keeps them."""
+"""What a process hands to the one that replaces it, in small files of `$RELAY_STATE` beside the folder's segments
+(whose names never match these): the receivers taken out by hand, and the waits that receivers told."""
 
 import os
 
 import msgspec
 
-NAME = "suspended.json"  # beside the folder's segments, which the folder's own names never match
+SUSPENDED = "suspended.json"  # calls out by uid; kept until RESTORE, over restarts too
+WAITS = "waits.json"  # by uid: the end of a told wait in wall microseconds; read once, by the next process
 LARGEST = 1 << 20  # bytes; a larger file is no file of ours
 
 
@@ -14,10 +16,28 @@
 
 def read(folder: str) -> dict[str, int]:
     """The calls out by uid; empty where no file is there."""
-    path = os.path.join(folder, NAME)
+    return _read(os.path.join(folder, SUSPENDED), keep=True)
+
+
+def write(folder: str, calls: dict[str, int]) -> None:
+    _write(os.path.join(folder, SUSPENDED), calls)
+
+
+def write_waits(folder: str, waits: dict[str, int]) -> None:
+    _write(os.path.join(folder, WAITS), waits)
+
+
+def take_waits(folder: str) -> dict[str, int]:
+    """The waits that a replaced process left, and the file gone: a later restart forgets waits."""
+    return _read(os.path.join(folder, WAITS), keep=False)
+
+
+def _read(path: str, keep: bool) -> dict[str, int]:
     try:
         with open(path, "rb") as file:
             data = file.read(LARGEST + 1)
+        if not keep:
+            os.unlink(path)
     except FileNotFoundError:
         return {}
     except OSError as error:
@@ -30,10 +50,9 @@
         raise Unreadable(f"{path}: {error}") from None
 
 
-def write(folder: str, calls: dict[str, int]) -> None:
+def _write(path: str, values: dict[str, int]) -> None:
     """Replace the file whole: a crash leaves the old one or the new one, never a part."""
-    path = os.path.join(folder, NAME)
     fresh = f"{path}.new"
     with open(fresh, "wb") as file:
-        file.write(msgspec.json.encode(dict(sorted(calls.items()))))
+        file.write(msgspec.json.encode(dict(sorted(values.items()))))
     os.replace(fresh, path)
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -177,6 +177,17 @@
                     handle.ran_at, handle.ran_zone, handle.doubtful_at = shot.sent_at, shot.zone, now
         return handles
 
+    def told_waits(self, now: int) -> list[tuple[int, int]]:
+        """Receivers whose told wait is not over, and its end: for a process that replaces this one."""
+        return [(each.id, each.pace.wait_until) for each in self.receivers.values() if each.pace.wait_until > now]
+
+    def heed(self, now: int, receiver: int, until: int) -> None:
+        """A wait told to the process that this one replaces: the two are one sender, unlike at a restart."""
+        if receiver in self.receivers and until > now:
+            known = self.receivers[receiver]
+            known.pace.wait_until = max(known.pace.wait_until, until)
+            self.changed.add(known.destination)
+
     def listed(self, now: int, change: ListChange, listings: Sequence[Listing]) -> None:
         if change is not ListChange.CHANGES:
             named = {listing.receiver for listing in listings}
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -169,6 +169,24 @@
         newer.terminate()
         self.assertEqual(newer.wait(10), 0)
 
+    def test_a_wait_told_to_the_replaced_process_is_heeded_by_the_next(self) -> None:
+        program = Program([Receiver(lambda call: reply(429, "X-Backoff-Ms: 1500") if call == 1 else reply(200))])
+        self.addCleanup(program.close)
+        listener = socket.create_server(("127.0.0.1", program.port), backlog=64)
+        self.addCleanup(listener.close)
+        fd = listener.fileno()
+        second = free_port()
+        program.start(fds=(fd,), RELAY_SOCKET_FD=str(fd), RELAY_MANAGEMENT=f"127.0.0.1:{free_port()}")
+        newer = program.spawn((fd,), RELAY_SOCKET_FD=str(fd), RELAY_MANAGEMENT=f"127.0.0.1:{second}")
+        self.addCleanup(stop, newer)
+        until(lambda: self._says_yes(second), 6)
+        with program.connect() as sock:
+            self.assertEqual(line_of_submit(sock, "a"), OK)
+        told = until(lambda: program.receivers[0].calls)[0][0]
+        program.signal(signal.SIGTERM)
+        calls = until(lambda: len(program.receivers[0].calls) > 1 and program.receivers[0].calls, 6)
+        self.assertGreaterEqual(calls[1][0] - told, 1.5)
+
     def _says_yes(self, port: int) -> bool:
         try:
             return call(port, b"STATUS\n").startswith(b"YES")
