--- a/cedarwick/ops/lasting.py
+++ b/cedarwick/ops/lasting.py
@@ -1,10 +1,9 @@
 """What a process hands to the one that replaces it, in small files of `$RELAY_STATE` beside the folder's segments
 (whose names never match these): the receivers taken out by hand, and the waits that receivers told."""
 
+import json
 import os
 
-import msgspec
-
 SUSPENDED = "suspended.json"  # calls out by uid; kept until RESTORE, over restarts too
 WAITS = "waits.json"  # by uid: the end of a told wait in wall microseconds; read once, by the next process
 LARGEST = 1 << 20  # bytes; a larger file is no file of ours
@@ -44,15 +43,20 @@
         raise Unreadable(f"{path}: {error.strerror}") from None
     if len(data) > LARGEST:
         raise Unreadable(f"{path}: larger than {LARGEST} bytes")
+    # Danger: msgspec would be the only reason for the lean sender to load it; the standard library reads this.
     try:
-        return msgspec.json.decode(data, type=dict[str, int])
-    except msgspec.DecodeError as error:
+        told = json.loads(data)
+    except ValueError as error:
         raise Unreadable(f"{path}: {error}") from None
+    if not isinstance(told, dict) or not all(isinstance(key, str) and type(value) is int
+                                             for key, value in told.items()):
+        raise Unreadable(f"{path}: not an object of whole numbers")
+    return told
 
 
 def _write(path: str, values: dict[str, int]) -> None:
     """Replace the file whole: a crash leaves the old one or the new one, never a part."""
     fresh = f"{path}.new"
     with open(fresh, "wb") as file:
-        file.write(msgspec.json.encode(dict(sorted(values.items()))))
+        file.write(json.dumps(dict(sorted(values.items()))).encode())
     os.replace(fresh, path)
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -179,7 +179,8 @@
 
     def told_waits(self, now: int) -> list[tuple[int, int]]:
         """Receivers whose told wait is not over, and its end: for a process that replaces this one."""
-        return [(each.id, each.pace.wait_until) for each in self.receivers.values() if each.pace.wait_until > now]
+        return [(known.id, known.pace.wait_until) for known in self.receivers.values()
+                if known.pace.wait_until > now]
 
     def heed(self, now: int, receiver: int, until: int) -> None:
         """A wait told to the process that this one replaces: the two are one sender, unlike at a restart."""
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -1,8 +1,10 @@
 """The operators' parts: the management address, the drain, the replacement of the process."""
 
+import os
 import signal
 import socket
 import subprocess
+import tempfile
 import time
 import unittest
 
@@ -10,6 +12,7 @@
 from hypothesis import strategies as st
 
 from cedarwick.interface import ListChange, Listing, Phase
+from cedarwick.ops import lasting
 from cedarwick.ops.calls import LONGEST_LINE, BadCall, Call, Suspensions, parse
 from tests.build import NOW, Program, Receiver, ask, free_port, line_of, reply, sender, submit, until
 
@@ -58,6 +61,21 @@
         self.assertFalse(out.restore("a"))
 
 
+class Lasting(unittest.TestCase):
+    def test_what_is_written_is_read_and_spoilt_files_are_named(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertEqual(lasting.read(folder), {})
+            lasting.write(folder, {"s-1": 2})
+            self.assertEqual(lasting.read(folder), {"s-1": 2})
+            lasting.write_waits(folder, {"s-2": 5})
+            self.assertEqual((lasting.take_waits(folder), lasting.take_waits(folder)), ({"s-2": 5}, {}))
+            for spoilt in (b"\xff{", b"[1]", b'{"s-1": "two"}', b'{"s-1": true}'):
+                with self.subTest(spoilt=spoilt), open(os.path.join(folder, lasting.SUSPENDED), "wb") as file:
+                    file.write(spoilt)
+                with self.assertRaisesRegex(lasting.Unreadable, lasting.SUSPENDED):
+                    lasting.read(folder)
+
+
 class Address(unittest.TestCase):
     def begin(self) -> Program:
         program = Program([Receiver(reply(200))])
