--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -128,9 +128,7 @@
     def pause(self) -> None:
         """The front is to send clients elsewhere: what is read is served, every connection goes when idle."""
         self.paused = True
-        for client in list(self.clients):
-            if client.waiting:
-                self._let_go(client)
+        self._let_go_idle()
 
     def resume(self) -> None:
         self.paused = False
@@ -138,6 +136,10 @@
     def stop(self) -> None:
         """New requests are turned away from now on; clients that ask for nothing are let go."""
         self.closing = True
+        self._let_go_idle()
+
+    def _let_go_idle(self) -> None:
+        """Every client between requests is let go; the others go after their answer."""
         for client in list(self.clients):
             if client.waiting:
                 self._let_go(client)
--- a/cedarwick/net/program.py
+++ b/cedarwick/net/program.py
@@ -87,11 +87,11 @@
     except ValueError as error:
         raise BadAssignment(str(error)) from None
     descriptors = Descriptors(assignment.descriptors)
-    lasting = operator.store if operator is not None else None
+    folder = operator.store if operator is not None else None
     store = Store(assignment.folder, assignment.disk_bytes, now=clock.now,
-                  durable=lasting is not None and lasting.durability == "group",
-                  bodies=round(lasting.bodies_mb * (1 << 20)) if lasting is not None else BODIES,
-                  segment=round(lasting.segment_kb * 1024) if lasting is not None else 0)
+                  durable=folder is not None and folder.durability == "group",
+                  bodies=round(folder.bodies_mb * (1 << 20)) if folder is not None else BODIES,
+                  segment=round(folder.segment_kb * 1024) if folder is not None else 0)
     try:
         desk = Desk(assignment, clock, counters, store)
         directory = Directory(assignment, counters, desk.listed, desk.list_call_failed)
