A told wait holds from its refusal's head on, and for a call given up as the refusal arrives

Change: a call is given up by ending its sending and its link is read for 1 s more; a 429 is heeded as its head ends, the outcome still waits for the rest; a shot whose clearance rests on a look older than 50 ms asks again after the loop has looked, three times, then is decided anew; clearances are given after all that came in the same round; the record of a receiver stays until its wait is over; a wait is heeded for an hour at most, the longest in one head counts. Each has a test that breaks without it.

--- a/cedarwick/interface.py
+++ b/cedarwick/interface.py
@@ -13,7 +13,8 @@
 A protocol on sockets uses besides:
 
     handles = sender.resume(now, owed)            once, at the start after a restart
-    sender.told_waits(now), sender.heed(now, ...) waits handed from a replaced process to its successor
+    sender.heed(now, receiver, until)             a wait that was told, apart from an outcome
+    sender.told_waits(now)                        the waits that a replaced process hands to its successor
     handle.on_new_link()                          whether an ordered shot may not go over a kept link
     handle.may_start(now, receiver)               whether an ordered shot may still go, before its first byte
     sender.link_life                              how long an idle link is used
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -16,6 +16,7 @@
 from cedarwick.net.counters import Counters
 from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Call, Ending, Shots
+from cedarwick.net.sockets import Polled
 from cedarwick.policy import Handle, Sender
 from cedarwick.store.journal import Lost, NoRoom, Store
 from cedarwick.store.records import Kept
@@ -53,9 +54,11 @@
 class Desk:
     """All that happens reaches the decisions here, in the order in which it came."""
 
-    def __init__(self, assignment: Assignment, clock: Clock, counters: Counters, store: Store) -> None:
+    def __init__(self, assignment: Assignment, clock: Clock, counters: Counters, store: Store,
+                 polled: Polled) -> None:
         self.clock = clock
         self.counters = counters
+        self.polled = polled
         self.store = store
         self.bands = {assignment.settings[f"classes.{index}.name"]: index
                       for index in range(int(assignment.settings["classes.count"]))}
@@ -70,6 +73,7 @@
         self.recent: dict[str, tuple[int, int]] = {}  # ids of late: when, and what came with it
         self.fresh: dict[int, Submission] = {}  # taken in this round
         self.queue: gevent.queue.Queue = gevent.queue.Queue()
+        self.asked: list[tuple[Call, gevent.event.AsyncResult]] = []  # shots that want to go in this round
         self.after_flush: list[tuple[Callable[[], None], Callable[[], None]]] = []  # once on the disk; if it fails
         self.wake_at: int | None = None
         self.holding_fire = False
@@ -90,7 +94,7 @@
     def clear(self, call: Call) -> bool:
         """Whether the shot may still go out; its record is written then."""
         answer: gevent.event.AsyncResult = gevent.event.AsyncResult()
-        self.queue.put((self._clear, (call, answer)))
+        self.queue.put((self._asks, (call, answer)))
         return bool(answer.get())
 
     def shot_ended(self, call: Call, ending: Ending) -> None:
@@ -123,6 +127,12 @@
             while not self.queue.empty():
                 call, told = self.queue.get()
                 self._guarded(call, *told)
+            if self.asked:
+                # Danger: a refusal that was read in the same round may stand behind the question in the queue.
+                asked, self.asked = self.asked, []
+                for each in asked:
+                    self._guarded(self._clear, *each)
+                gevent.sleep(0)  # what may go goes now, not after a long round
             self._guarded(self._decide if not self.holding_fire else self._keep_fresh if self.keeping
                           else self._turn_away)
             if self.after_flush:
@@ -213,18 +223,23 @@
                 del self.handles[kept.number]
         self._over(kept)
 
+    def _asks(self, call: Call, answer: gevent.event.AsyncResult) -> None:
+        self.asked.append((call, answer))
+
     def _clear(self, call: Call, answer: gevent.event.AsyncResult) -> None:
+        call.looked_at = self.polled.at
         now, number = self.clock.now(), call.kept.number
         handle = self.handles.get(number)
         may = handle is not None and handle.may_start(now, call.receiver) and not self.holding_fire
-        if may and number in self.store.kept:
+        if may and number in self.store.kept and not call.recorded:
             zone = self.sender.receivers[call.receiver].zone
             may = self._with_body(call)
             may = call.recorded = may and self._recorded("the record of a shot", self.store.shot, number, now, zone)
         if not may:
             answer.set(False)
             self._shot_ended(call, Ending(Outcome.MOOT))
-        elif self.store.durable:
+        elif self.store.durable and not call.flushed:
+            call.flushed = True
             self.after_flush.append((lambda: answer.set(True), lambda: self._held_back(call, answer)))
         else:
             answer.set(True)
--- a/cedarwick/net/links.py
+++ b/cedarwick/net/links.py
@@ -65,6 +65,7 @@
         self.life = life
         self.connect_limit = connect_limit
         self.idle: dict[int, deque[Link]] = {}  # by receiver, the newest last
+        self.ending: dict[Link, None] = {}  # links that are only read any more, the newest last
         descriptors.make_way = self._give_way
 
     def obtain(self, receiver: int, until: int, new: bool = False) -> Link:
@@ -95,6 +96,15 @@
         link.idle_since = self.clock.now()
         self.idle.setdefault(link.receiver, deque()).append(link)
 
+    def end_sending(self, link: Link) -> bool:
+        """Give up the call on a link and read on, until it is given back; False where the link has broken."""
+        try:
+            link.sock.shutdown(gevent.socket.SHUT_WR)
+        except OSError:
+            return False
+        self.ending[link] = None
+        return True
+
     def free(self, receiver: int) -> None:
         """Close what stands idle at a receiver."""
         for link in self.idle.pop(receiver, ()):
@@ -114,6 +124,9 @@
                     self.idle.pop(receiver, None)
 
     def _give_way(self) -> bool:
+        if self.ending:
+            self._close(next(iter(self.ending)))
+            return True
         longest = min((waiting[0] for waiting in self.idle.values() if waiting),
                       key=lambda link: link.idle_since, default=None)
         if longest is not None:
@@ -125,6 +138,7 @@
         if link.closed:
             return
         link.closed = True
+        self.ending.pop(link, None)
         link.sock.close()
         self.descriptors.give_back()
         self.counters.add("links closed")
--- a/cedarwick/net/program.py
+++ b/cedarwick/net/program.py
@@ -19,6 +19,7 @@
 from cedarwick.net.links import Descriptors, Links
 from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Shots
+from cedarwick.net.sockets import Polled
 from cedarwick.ops import lasting
 from cedarwick.ops.address import Management
 from cedarwick.ops.handover import inherited_listener
@@ -93,7 +94,8 @@
                   bodies=round(folder.bodies_mb * (1 << 20)) if folder is not None else BODIES,
                   segment=round(folder.segment_kb * 1024) if folder is not None else 0)
     try:
-        desk = Desk(assignment, clock, counters, store)
+        polled = Polled(clock)
+        desk = Desk(assignment, clock, counters, store, polled)
         directory = Directory(assignment, counters, desk.listed, desk.list_call_failed)
         intake = Intake(assignment.listen, clock, counters, descriptors, desk, lambda: directory.known,
                         listener=inherited)
@@ -130,7 +132,8 @@
     links = Links(clock, counters, descriptors, directory.address_of, desk.sender.link_life,
                   span(assignment.settings, "policy-limits.connect-timeout-ms", 1000.0))
     notices = desk.notices = Notices(assignment.platform, counters, desk.acknowledged)
-    desk.shots = Shots(clock, counters, links, desk.sender.columns, desk.clear, desk.shot_ended)
+    desk.shots = Shots(clock, counters, links, desk.sender.columns, polled, desk.clear, desk.shot_ended,
+                       desk.heed)
     desk.free_links, desk.ask_for_list = links.free, directory.ask
     desk.resume()
     take_waits(assignment.folder, directory, desk)
--- a/cedarwick/net/shots.py
+++ b/cedarwick/net/shots.py
@@ -12,11 +12,17 @@
 from cedarwick.net.counters import Counters
 from cedarwick.net.http import Answer, Unreadable
 from cedarwick.net.links import Link, Links, NoDescriptor
-from cedarwick.net.sockets import ended
+from cedarwick.net.sockets import Polled, ended
 from cedarwick.store.records import Kept
 
 REPORT_HEADER = "x-pressure"
 REST_OF_ANSWER = 500_000  # for what follows the first line of an answer
+# A wait binds from 100 ms after its answer was written (the protocol page): a first byte may rest on a look at the
+# sockets that is half as old.
+FRESH = 50_000
+MOST_ASKED = 3  # times that a shot asks anew because its clearance grew old, before it is decided on anew
+HEARD_OUT = 1_000_000  # for what is on its way as a call is given up; its receiver hears of that and ends sooner
+MILLISECONDS = re.compile(r"([0-9]{1,300})(\.[0-9]{1,300})?")
 FIGURE = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,30})?(e-[0-9]{1,2})?")  # of a report
 
 
@@ -31,6 +37,9 @@
     until: int
     body: bytes = b""  # read from the folder as the shot may go
     recorded: bool = False  # the folder knows that it goes out
+    flushed: bool = False  # and so does the disk, where the folder is durable
+    looked_at: int = 0  # the look at the sockets that its clearance rests on
+    heeded: bool = False  # the wait of its refusal has been told, ahead of the ending
     told: bool = False  # its ending has been told
     new_link: bool = False  # no kept one is good enough
     kept_link: bool = False  # it goes over a link that was used before
@@ -51,15 +60,17 @@
 class Shots:
     """Takes ordered shots to their receivers; each ends in one `Ending`."""
 
-    def __init__(self, clock: Clock, counters: Counters, links: Links, columns: list[str],
-                 clear: Callable[[Call], bool],
-                 tell: Callable[[Call, Ending], None]) -> None:
+    def __init__(self, clock: Clock, counters: Counters, links: Links, columns: list[str], polled: Polled,
+                 clear: Callable[[Call], bool], tell: Callable[[Call, Ending], None],
+                 heed: Callable[[list[tuple[int, int]]], None]) -> None:
         self.clock = clock
         self.counters = counters
         self.links = links
         self.columns = columns
+        self.polled = polled
         self.clear = clear
         self.tell = tell
+        self.heed = heed
         self.out: set[gevent.Greenlet] = set()
 
     def start(self, call: Call) -> None:
@@ -88,10 +99,8 @@
             self._end(call, Outcome.CONNECT_FAILED)
             return
         # Danger: while a link came up, a wait or a drain may have been heard or the envelope have ended.
-        if not self.clear(call):
+        if not self._cleared(call):
             self.links.give_back(link, usable=True)
-            call.told = True
-            self.counters.add("shots held back before their first byte")
             return
         usable = False
         try:
@@ -104,6 +113,21 @@
         finally:
             self.links.give_back(link, usable)
 
+    def _cleared(self, call: Call) -> bool:
+        """Whether it may go now; where it may not, it has ended."""
+        for _ in range(MOST_ASKED):
+            if not self.clear(call):
+                call.told = True
+                self.counters.add("shots held back before their first byte")
+                return False
+            if self.clock.now() - call.looked_at <= FRESH:
+                return True
+            # Danger: the process was stopped, or a round was long: a refusal may lie unread in a socket.
+            self.counters.add("clearances that grew old")
+            self.polled.again()
+        self._end(call, Outcome.MOOT)
+        return False
+
     def _over(self, call: Call, link: Link) -> bool:
         """Write the request, read the answer; whether the link can be used again."""
         answer = Answer()
@@ -116,16 +140,20 @@
             broken = self._read(call, link, answer)
         except OSError:
             # The last byte was never handed over, so nothing ran; an early answer tells more.
-            self._read_what_lies_there(link, answer)
+            self._read_what_lies_there(call, link, answer)
         if answer.complete or answer.status == 200:
             usable = answer.complete and answer.keep_alive and broken is None
             if not call.told:
                 self._tell(call, answer)
             return usable
-        # Danger: with the link still open, a further shot would be a second copy out. Danger: what follows a
+        # Danger: with the call still on its way, a further shot would be a second copy out. Danger: what follows a
         # refusal's head may show that it was spoilt, and then the shot may have run.
-        self.links.give_back(link, usable=False)
+        given_up = self.links.end_sending(link) if broken is Outcome.TIME_OUT else False
+        if not given_up:
+            self.links.give_back(link, usable=False)
         self._end(call, broken or Outcome.RESET)
+        if given_up:
+            self._hear_out(call, link, answer)
         return False
 
     def _read(self, call: Call, link: Link, answer: Answer) -> Outcome | None:
@@ -138,13 +166,14 @@
                     return None if answer.ended() else Outcome.RESET
                 begun = answer.status
                 answer.feed(link.buffer)
+                self._heed_early(call, answer)
                 if answer.status and not begun:
                     until = min(until, self.clock.now() + REST_OF_ANSWER)
                 if answer.headed and answer.status == 200 and not call.told:
                     self._tell(call, answer)  # it is true, whatever becomes of the rest
         except TimeoutError:
             # Danger: after a pause of the process, answers that came in time lie unread.
-            self._read_what_lies_there(link, answer)
+            self._read_what_lies_there(call, link, answer)
             return Outcome.RESET if answer.status else Outcome.TIME_OUT
         except (OSError, Unreadable) as error:
             self.counters.trouble("a link broke during a shot", error)
@@ -157,11 +186,40 @@
             raise TimeoutError
         link.sock.settimeout(left / 1_000_000)
 
-    def _read_what_lies_there(self, link: Link, answer: Answer) -> None:
+    def _read_what_lies_there(self, call: Call, link: Link, answer: Answer) -> None:
         link.sock.settimeout(0.0)
         try:
             while not answer.complete and link.buffer.fill(link.sock):
                 answer.feed(link.buffer)
+                self._heed_early(call, answer)
+        except (OSError, Unreadable):
+            pass
+
+    def _heed_early(self, call: Call, answer: Answer) -> None:
+        """A refusal's wait counts from its head on: whether the rest comes only tells whether the shot may have run."""
+        if answer.headed and not answer.complete and answer.status == 429 and not call.heeded:
+            self._heed(call, answer)
+
+    def _heed(self, call: Call, answer: Answer) -> None:
+        call.heeded = True
+        self.heed([(call.receiver, self.clock.now() + wait_of(answer.headers.get("x-backoff-ms", "")))])
+
+    def _hear_out(self, call: Call, link: Link, answer: Answer) -> None:
+        """Read on for a moment on the link of a call that was given up and has ended.
+
+        Danger: a refusal that crosses the giving up tells a wait all the same, and further shots would break it.
+        """
+        self.out.discard(gevent.getcurrent())
+        until = self.clock.now() + HEARD_OUT
+        try:
+            while not answer.headed:
+                self._wait_until(link, until)
+                if not link.buffer.fill(link.sock):
+                    return
+                answer.feed(link.buffer)
+            if answer.status == 429 and not call.heeded:
+                self.counters.add("waits told after the call was given up")
+                self._heed(call, answer)
         except (OSError, Unreadable):
             pass
 
@@ -207,8 +265,9 @@
 
 
 def wait_of(text: str) -> int:
-    """A told wait in microseconds; 0 where none can be read."""
-    return int(text) * 1000 if text.isascii() and text.isdecimal() and len(text) < 10 else 0
+    """A told wait in microseconds, the longest where a head tells several; 0 where none can be read."""
+    told = [MILLISECONDS.fullmatch(part.strip()) for part in text.split(",")]
+    return max((int(each[1]) * 1000 + bool(each[2]) * 1000 for each in told if each), default=0)
 
 
 def request(call: Call, now: int) -> bytes:
--- a/cedarwick/net/sockets.py
+++ b/cedarwick/net/sockets.py
@@ -1,7 +1,31 @@
-"""Opening a connection, and looking at one without reading it."""
+"""Opening a connection, looking at one without reading it, and when the loop last looked at them all."""
 
+import gevent
 import gevent.socket
 
+from cedarwick.net.clock import Clock
+
+
+class Polled:
+    """When the loop last asked the system which sockets hold something; those are read before all else."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.at = clock.now()
+        self.times = 0
+        self.watcher = gevent.get_hub().loop.check(ref=False)
+        self.watcher.start(self._polled)
+
+    def _polled(self) -> None:
+        self.at = self.clock.now()
+        self.times += 1
+
+    def again(self) -> None:
+        """Returns once all that lies in the sockets now has been read by those who wait for it."""
+        before = self.times
+        while self.times == before:
+            gevent.sleep(0)
+
 
 def connected(address: tuple[str, int], seconds: float) -> gevent.socket.socket:
     """A new connection; OSError where none comes up in time."""
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -36,6 +36,7 @@
 RAMP_PART = 0.8  # of what the fail-back rule allows
 STALE_LINKS = 0.04  # a larger share of kept links that break under a call
 FORGET = 20 * SECOND  # after a receiver has left the list; its outage is told to a replacement until then
+LONGEST_WAIT = 3600 * SECOND  # a longer told wait is looked into after this; no outer limit comes near it
 LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
@@ -183,10 +184,10 @@
                 if known.pace.wait_until > now]
 
     def heed(self, now: int, receiver: int, until: int) -> None:
-        """A wait told to the process that this one replaces: the two are one sender, unlike at a restart."""
+        """A wait told ahead of its shot's ending, or after it, or to the process that this one replaces."""
         if receiver in self.receivers and until > now:
             known = self.receivers[receiver]
-            known.pace.wait_until = max(known.pace.wait_until, until)
+            known.pace.wait_until = max(known.pace.wait_until, min(until, now + LONGEST_WAIT))
             self.changed.add(known.destination)
 
     def listed(self, now: int, change: ListChange, listings: Sequence[Listing]) -> None:
@@ -220,7 +221,9 @@
         # Danger: where receivers are replaced all day, the records of those that have gone add up.
         for record in list(self.receivers.values()):
             record.left_at = 0 if record.ready else record.left_at or now
-            if record.left_at and now - record.left_at > FORGET and not record.calls:
+            # Danger: one that comes back before its told wait is over is still to be spared.
+            kept = record.calls or record.pace.wait_until > now
+            if record.left_at and now - record.left_at > FORGET and not kept:
                 self.destinations[record.destination].members.remove(record.id)
                 del self.receivers[record.id]
 
@@ -361,7 +364,7 @@
         if outcome is Outcome.COMPLETED:
             self._completed(now, envelope, receiver, took)
         elif outcome is Outcome.FULL:
-            pace.wait_until = max(pace.wait_until, now + told_wait)
+            pace.wait_until = max(pace.wait_until, now + min(told_wait, LONGEST_WAIT))
             receiver.fulls += 1
             receiver.full_since = receiver.full_since or now
             # Danger: what is shut tells a long wait or refuses everything; all push it as it opens, cold.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -24,7 +24,7 @@
 from cedarwick.net.links import Descriptors, NoDescriptor
 from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Call, Ending, Shots, wait_of
-from cedarwick.net.sockets import ended
+from cedarwick.net.sockets import Polled, ended
 from cedarwick.store.journal import Store
 from cedarwick.store.records import Kept
 from tests.build import NESTED, reply, words
@@ -41,8 +41,9 @@
         self.store = Store(folder.name, 120_000, now=Clock().now)
         self.store.load()
         self.addCleanup(self.store.close)
+        clock = Clock()
         made = Assignment("n", ("", 0), ("", 0), "", 1, 64, 100_000, {}, assignment.plain(NESTED))
-        self.desk = Desk(made, Clock(), Counters(), self.store)
+        self.desk = Desk(made, clock, Counters(), self.store, Polled(clock))
         self.calls: list[Call] = []
         self.desk.shots = SimpleNamespace(start=self.calls.append)  # type: ignore[assignment]
         self.desk.notices = Notices(("", 0), Counters(), lambda numbers: None)
@@ -194,7 +195,7 @@
                         429, {"content-length": "0", "x-backoff-ms": "70"}, True))
 
     def test_a_report_that_cannot_be_read_reaches_no_decision(self) -> None:
-        made = Shots(Clock(), Counters(), None, ["x0", "x1"], None, None)  # type: ignore[arg-type]
+        made = Shots(Clock(), Counters(), None, ["x0", "x1"], None, None, None, None)  # type: ignore[arg-type]
         for text, expected in (("x0=0.4,x1=25", [0.4, 25.0]), ("x1=25, x0=-1e-07", [-1e-07, 25.0]),
                                ("x0=nan,x1=25", ()), ("x0=0.1,x1=inf", ()), ("x0=0.1,x1=" + "9" * 30, ()),
                                ("x0=1", ()), ("x0=1_0,x1=2", ()), ("\xff,==,", ())):
@@ -218,7 +219,7 @@
 
     def test_waits_that_cannot_be_read_are_none(self) -> None:
         self.assertEqual([wait_of(text) for text in ("250", "", "-1", "1e3", "9" * 40, "\u0661")],
-                         [250_000, 0, 0, 0, 0, 0])
+                         [250_000, 0, 0, 0, (10 ** 40 - 1) * 1000, 0])
 
     def test_an_idle_link_that_has_ended_or_talks_is_found(self) -> None:
         for act, expected in (((lambda near: None), False), ((lambda near: near.close()), True),
--- /dev/null
+++ b/tests/test_waits.py
@@ -0,0 +1,324 @@
+"""Told waits hold: every way from a refusal's head to the decisions, and from a decision to a first byte."""
+
+import socket
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Callable
+
+import gevent
+
+from cedarwick.interface import ListChange, Listing, Outcome, Phase
+from cedarwick.net import assignment, shots
+from cedarwick.net.assignment import Assignment
+from cedarwick.net.clock import Clock
+from cedarwick.net.counters import Counters
+from cedarwick.net.desk import Desk, Submission
+from cedarwick.net.http import Answer
+from cedarwick.net.links import Descriptors, Link, Links
+from cedarwick.net.notices import Notices
+from cedarwick.net.shots import Call, Ending, Shots, wait_of
+from cedarwick.net.sockets import Polled
+from cedarwick.store.journal import Store
+from cedarwick.store.records import Kept
+from tests.build import FREE, MS, NESTED, NOW, ONCE, end, out, reply, sender, take, until
+
+WAIT = 600 * MS
+REFUSAL = reply(429, "X-Backoff-Ms: 600", body=b"later")
+SLACK = 0.1  # seconds for which calls are let through, as the protocol page says
+Play = Callable[["Partner", socket.socket, int], None]
+
+
+class Partner:
+    """A partner in threads of its own, as another machine is: each call's part is played by a function."""
+
+    def __init__(self, play: Play) -> None:
+        self.play = play
+        self.calls: list[tuple[float, str]] = []  # when a call was whole, and its id
+        self.told: list[float] = []  # when a refusal's head was written
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = int(self.listener.getsockname()[1])
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        with sock, sock.makefile("rb") as stream:
+            try:
+                while line := stream.readline():
+                    head = line
+                    while line not in (b"\r\n", b""):
+                        line = stream.readline()
+                        head += line
+                    stream.read(int(head.partition(b"Content-Length: ")[2].split(b"\r\n")[0]))
+                    self.calls.append((time.monotonic(), head.partition(b"X-Txn: ")[2].split(b"\r\n")[0].decode()))
+                    self.play(self, sock, len(self.calls))
+            except OSError:
+                return
+
+    def tell(self, sock: socket.socket, piece: bytes) -> None:
+        sock.sendall(piece)
+        self.told.append(time.monotonic())
+
+    def too_soon(self) -> list[str]:
+        """Ids of calls that arrived within a told wait, as the protocol page counts it."""
+        return [name for at, name in self.calls for told in self.told if told + SLACK < at < told + WAIT / 1e6]
+
+    def close(self) -> None:
+        self.listener.close()
+
+
+class AgainstAPartner(unittest.TestCase):
+    """The desk, its shots and its links against one scripted partner."""
+
+    def start(self, play: Play, once: bool = False) -> None:
+        self.partner = Partner(play)
+        self.addCleanup(self.partner.close)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.clock, self.counters = Clock(), Counters()
+        self.store = Store(folder.name, 1 << 20, now=self.clock.now)
+        self.store.load()
+        self.addCleanup(self.store.close)
+        made = Assignment("n", ("", 0), ("", 0), "", 1, 64, 1 << 20, {}, assignment.plain(NESTED))
+        polled = Polled(self.clock)
+        self.desk = Desk(made, self.clock, self.counters, self.store, polled)
+        self.links = Links(self.clock, self.counters, Descriptors(200), lambda _: ("127.0.0.1", self.partner.port),
+                           5_000_000, 500_000)
+        self.desk.notices = Notices(("", 0), self.counters, lambda numbers: None)
+        self.desk.free_links = lambda receiver: None
+        self.desk.shots = Shots(self.clock, self.counters, self.links, self.desk.sender.columns, polled,
+                                self.desk.clear, self.desk.shot_ended, self.desk.heed)
+        self.desk._listed(ListChange.SAVED, [Listing(1, 0, 0, 0, Phase.READY, 0.0)])
+        running = gevent.spawn(self.desk.run)
+        self.addCleanup(running.kill)
+
+    def submit(self, name: str, band: str = "free", life: int = 8_000_000) -> None:
+        self.desk.submit(Submission(Kept(0, name, "", 0, band, "", 0, self.clock.now() + life, b"x")))
+
+    def feed(self, seconds: float, every: float = 0.02, **told: int) -> None:
+        """Hand in an envelope every now and then."""
+        end_at, count = time.monotonic() + seconds, 0
+        while time.monotonic() < end_at:
+            self.submit(f"more-{count}", **told)  # type: ignore[arg-type]
+            count += 1
+            gevent.sleep(every)
+
+    def kept_to_the_wait(self) -> None:
+        self.assertTrue(self.partner.told)
+        self.assertEqual(self.partner.too_soon(), [])
+
+    def test_a_refusal_in_pieces_binds_from_its_head_on(self) -> None:
+        def play(partner: Partner, sock: socket.socket, number: int) -> None:
+            if number > 1:
+                sock.sendall(reply(200))
+                return
+            partner.tell(sock, REFUSAL[:-5])
+            time.sleep(0.3)
+            sock.sendall(b"later")
+
+        self.start(play)
+        self.feed(0.7)
+        self.kept_to_the_wait()
+
+    def test_a_refusal_that_stops_in_its_body_binds_and_may_have_run(self) -> None:
+        def play(partner: Partner, sock: socket.socket, number: int) -> None:
+            partner.tell(sock, REFUSAL[:-5]) if number == 1 else sock.sendall(reply(200))
+
+        self.start(play)
+        self.submit("first", band="once")
+        gevent.sleep(0.05)
+        self.feed(0.7)
+        self.kept_to_the_wait()
+        names = [name for _, name in self.partner.calls]
+        self.assertEqual(names.count("first"), 1)  # what never came may have told that it ran
+        until(lambda: gevent.sleep(0.01) or self.store.kept.get(1) is None or self.store.kept[1].end, 2.0)
+        self.assertEqual(self.store.kept[1].end, (False, 0))
+
+    def test_a_refusal_that_crosses_the_giving_up_of_its_call_binds(self) -> None:
+        given_up = threading.Event()
+
+        def play(partner: Partner, sock: socket.socket, number: int) -> None:
+            if number == 1:
+                given_up.wait(5.0)
+                partner.tell(sock, REFUSAL)
+            else:
+                sock.sendall(reply(200))
+
+        self.start(play)
+        self.submit("first", life=250 * MS)
+        until(lambda: gevent.sleep(0.005) or self.counters.counts["shots without an answer: time-out"], 2.0)
+        given_up.set()
+        gevent.sleep(0.02)
+        self.feed(0.5)
+        self.kept_to_the_wait()
+        self.assertEqual(self.counters.counts["waits told after the call was given up"], 1)
+
+    def test_a_call_that_is_given_up_ends_its_sending_at_once_and_its_link_soon(self) -> None:
+        ended = []
+
+        def play(partner: Partner, sock: socket.socket, number: int) -> None:
+            sock.settimeout(5.0)
+            ended.append(sock.recv(1))
+            sock.recv(1)
+
+        self.start(play)
+        self.submit("first", life=250 * MS)
+        until(lambda: gevent.sleep(0.005) or ended, 2.0)
+        self.assertEqual(ended, [b""])
+        self.assertTrue(self.desk.idle())  # nothing is out any more, though the link is still read
+        until(lambda: gevent.sleep(0.01) or not self.links.descriptors.used, 2.0)
+
+    def test_links_that_are_only_read_any_more_give_way_first(self) -> None:
+        self.start(lambda partner, sock, number: time.sleep(1.0))
+        self.links.descriptors.limit = 1
+        self.submit("first", life=250 * MS)
+        until(lambda: gevent.sleep(0.005) or self.links.ending, 2.0)
+        self.links.descriptors.claim()
+        self.assertEqual((self.links.descriptors.used, len(self.links.ending)), (1, 0))
+
+    def test_a_process_stopped_between_clearance_and_first_byte_asks_again(self) -> None:
+        second_cleared = threading.Event()
+
+        def play(partner: Partner, sock: socket.socket, number: int) -> None:
+            if number == 1:
+                second_cleared.wait(5.0)
+                partner.tell(sock, REFUSAL)
+            else:
+                sock.sendall(reply(200))
+
+        self.start(play)
+        clear = self.desk.shots.clear
+
+        def stopped(call: Call) -> bool:
+            may = clear(call)
+            if may and self.partner.calls and not second_cleared.is_set():
+                second_cleared.set()
+                time.sleep(0.25)  # as SIGSTOP does: the refusal comes meanwhile, and nothing is read
+            return may
+
+        self.desk.shots.clear = stopped
+        self.submit("first")
+        until(lambda: gevent.sleep(0.005) or self.partner.calls, 2.0)
+        self.submit("second")
+        self.feed(0.5)
+        self.assertGreaterEqual(self.counters.counts["clearances that grew old"], 1)
+        self.kept_to_the_wait()
+
+    def test_a_shot_whose_clearances_all_grow_old_is_decided_on_anew(self) -> None:
+        self.start(lambda partner, sock, number: sock.sendall(reply(200)))
+        clear = self.desk.shots.clear
+        slow = iter([True] * shots.MOST_ASKED)
+
+        def stopped(call: Call) -> bool:
+            may = clear(call)
+            if next(slow, False):
+                time.sleep(shots.FRESH * 1.2 / 1e6)
+            return may
+
+        self.desk.shots.clear = stopped
+        self.submit("first", band="once")
+        until(lambda: gevent.sleep(0.005) or self.counters.counts["answers 200"], 2.0)
+        self.assertEqual(self.counters.counts["shots without an answer: moot"], 1)
+        self.assertEqual([name for _, name in self.partner.calls], ["first"])
+
+    def test_a_refusal_read_in_the_same_round_goes_before_a_clearance(self) -> None:
+        self.start(lambda partner, sock, number: None)
+        self.submit("first")
+        self.submit("second")
+        until(lambda: gevent.sleep(0.005) or len(self.partner.calls) == 2, 2.0)
+        handles = list(self.desk.handles.values())
+        handles[1].shot_ended(self.clock.now(), Outcome.MOOT, 0, 1, 0, 0, False, ())
+        kept = self.store.kept[1], self.store.kept[2]
+        call = Call(kept[1], 1, 1, self.clock.now(), self.clock.now() + 1_000_000)
+        asking = gevent.spawn(self.desk.clear, call)
+        gevent.sleep(0)  # the question stands in the queue, and the refusal behind it
+        refused = Call(kept[0], 0, 1, self.clock.now(), self.clock.now() + 1_000_000)
+        self.desk.shot_ended(refused, Ending(Outcome.FULL, 1000, WAIT))
+        self.assertIs(asking.get(timeout=1.0), False)
+
+
+class Heads(unittest.TestCase):
+    """What a head can tell of a wait."""
+
+    def wait_in(self, *lines: str) -> int:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            near = gevent.socket.create_connection(listener.getsockname())
+            far, _ = listener.accept()
+        with near, far:
+            far.sendall(reply(429, *lines))
+            far.shutdown(socket.SHUT_WR)
+            told: list[int] = []
+            clock = Clock()
+            made = Shots(clock, Counters(), None, [], None, None,  # type: ignore[arg-type]
+                         lambda call, ending: told.append(ending.told_wait), lambda waits: None)
+            link = Link(near, 1, ("", 0))
+            call = Call(Kept(1, "a", "", 0, "b", "", 0, 0, b""), 0, 1, clock.now(), clock.now() + 1_000_000)
+            answer = Answer()
+            made._read(call, link, answer)
+            made._tell(call, answer)
+        return told[0]
+
+    def test_the_longest_of_several_waits_in_one_head_holds(self) -> None:
+        self.assertEqual(self.wait_in("X-Backoff-Ms: 400", "X-Backoff-Ms: 700", "x-backoff-ms: 50"), 700 * MS)
+
+    def test_waits_that_are_none(self) -> None:
+        for text in ("-5", "soon", "", "1e3", "0x10", "NaN", "\u0661", "5 5"):
+            self.assertEqual(wait_of(text), 0, text)
+        self.assertEqual(self.wait_in("X-Backoff-Ms: -700"), 0)
+
+    def test_parts_of_a_millisecond_are_waited_for(self) -> None:
+        self.assertEqual(wait_of("718.2"), 719 * MS)
+
+
+class InTheDecisions(unittest.TestCase):
+    def test_an_absurd_wait_is_looked_into_after_an_hour(self) -> None:
+        made = sender()
+        end(out(made, 1), Outcome.FULL, NOW, told=10**30)
+        self.assertLessEqual(made.receivers[1].pace.wait_until, NOW + 3_600_000 * MS)
+        handle = out(made, 2, now=NOW)
+        self.assertEqual(handle.shots, 0)  # it ends at once: nothing may go in its time
+        later = NOW + 3_600_000 * MS + 20_000 * MS
+        made.take(later, 3, 7, FREE, later + 16_000 * MS, 0, 0)
+        for step in range(200):
+            if made.decide(later + step * 100 * MS).shots:
+                return
+        self.fail("the sender stays silent")
+
+    def test_a_wait_told_apart_from_an_outcome_holds(self) -> None:
+        made = sender()
+        made.heed(NOW, 1, NOW + WAIT)
+        take(made, 1)
+        self.assertEqual(made.decide(NOW).shots, [])
+        self.assertEqual(made.decide(NOW + WAIT - 1).shots, [])
+        self.assertEqual(len(made.decide(NOW + WAIT).shots), 1)
+
+    def test_a_wait_that_is_told_while_a_call_is_out_stops_the_next(self) -> None:
+        made = sender()
+        first = out(made, 1, ONCE)
+        made.heed(NOW, 1, NOW + WAIT)
+        second = take(made, 2)
+        self.assertEqual(made.decide(NOW).shots, [])
+        self.assertFalse(second.may_start(NOW + WAIT - 1, 1))
+        end(first, Outcome.TIME_OUT, NOW + 1)
+        self.assertEqual(made.decide(NOW + 2).write_offs, [1])
+
+    def test_a_receiver_that_leaves_and_comes_back_is_spared_to_the_end_of_its_wait(self) -> None:
+        for kind in (0, 1):  # of a pace that its destination shares, and of one of its own
+            made = sender(kind=kind)
+            made.heed(NOW, 1, NOW + 60_000 * MS)
+            gone = Listing(1, 0, kind, 7, Phase.GONE, 0.0)
+            for at in (NOW, NOW + 25_000 * MS, NOW + 50_000 * MS):
+                made.listed(at, ListChange.CHANGES, [gone])
+            back = NOW + 55_000 * MS
+            made.listed(back, ListChange.CHANGES, [gone._replace(phase=Phase.READY)])
+            handle = made.take(back, 1, 7, FREE, back + 16_000 * MS, 0, 0)
+            self.assertEqual(made.decide(back).shots, [], kind)
+            self.assertFalse(handle.may_start(back, 1))
