--- a/cedarwick/lab/audit.py
+++ b/cedarwick/lab/audit.py
@@ -24,6 +24,8 @@
 RUDE_LIMIT = 3 * SECOND  # a bad client is owed an error or a close within this
 PUSHED = 2  # calls above the budget that are still chance
 STATES_TO_LEAVE = ("draining", "removed")
+WHOLE = ("", "pieces", "last")  # refusals that came whole, if late
+HEADED = (*WHOLE, "stops")  # and those whose head did: a wait counts from its writing
 NOT_RUN = (429, 503, 504, 410)
 
 
@@ -268,7 +270,7 @@
 
 def may_have_run(call: Called) -> bool:
     """Whether the caller cannot know that the call never ran. A spoilt refusal says nothing."""
-    return call.status not in NOT_RUN or bool(call.spoilt)
+    return call.status not in NOT_RUN or call.spoilt not in WHOLE
 
 
 def effects(scenario: Scenario, cases: dict[str, Case], lives: Lives) -> Iterator[Finding]:
@@ -445,11 +447,14 @@
 
 
 def waits(scenario: Scenario, history: History, lives: Lives) -> Iterator[Finding]:
-    """Told to wait, a sender sends that destination nothing before the wait is over. A restart ends it."""
+    """Told to wait, a sender sends that destination nothing before the wait is over. A restart ends it.
+
+    The wait counts from the writing of the refusal's head, whatever becomes of the rest.
+    """
     grace = round(scenario.rules.wait_grace_ms * MS)
     told: defaultdict[tuple[int, int], list[Called]] = defaultdict(list)
     for call in history.called:
-        if call.status == 429 and call.wait and not call.spoilt:
+        if call.status == 429 and call.wait and call.spoilt in HEADED:
             told[call.sender, call.destination].append(call)
     for calls in told.values():
         calls.sort(key=lambda call: call.ended)
--- a/cedarwick/lab/draw.py
+++ b/cedarwick/lab/draw.py
@@ -22,6 +22,7 @@
     "burst": [1.3, 1.8],
     "errors": [0.3, 0.8],
     "spoilt": [0.1, 0.3],
+    "torn": [0.3, 0.8],
     "setup": [50, 200],
     "full-folder": [0.2, 0.4],
     "bad-clients": [10, 40],
--- a/cedarwick/lab/figures.py
+++ b/cedarwick/lab/figures.py
@@ -119,7 +119,7 @@
 
 def outcome_of(status: int, spoilt: str) -> str:
     """How a call ended, as the partner saw it."""
-    if spoilt in ("noise", "endless", "short", "huge"):
+    if spoilt in ("noise", "endless", "short", "huge", "stops"):
         return "spoilt"
     words = {0: "no answer", 200: "completed", 429: "told to wait", 500: "error", 503: "turned away"}
     return words.get(status, str(status))
--- a/cedarwick/lab/partner.py
+++ b/cedarwick/lab/partner.py
@@ -17,6 +17,8 @@
 from cedarwick.lab.scenario import Partner, Rules
 
 LOOK = 20_000  # while a hang lasts, so long until the next look
+TEARS = ("pieces", "stops", "last")  # how a refusal may be written: its head, and its body later or never; or as the
+# caller's patience ends
 SPOILS = ("noise", "endless", "short", "copy", "huge", "report", "interim")  # how a good answer may be spoilt
 
 
@@ -24,7 +26,7 @@
 class Effect:
     """What a trouble does to an endpoint while it lasts."""
 
-    kind: str  # crash, hang, slow, errors, shut, limit-cut, cut, idle-drop, spoilt, setup
+    kind: str  # crash, hang, slow, errors, shut, limit-cut, cut, idle-drop, spoilt, torn, setup
     size: float = 0.0
     wait: int = 0  # for shut: the wait that is told
 
@@ -217,13 +219,15 @@
             return None
         shut = self.has("shut")
         if shut is not None:
-            return Reply(429, shut.wait) if shut.wait else Reply(503)
+            return Reply(429, shut.wait, spoilt=self._torn()) if shut.wait else Reply(503)
         over = self._over_limit(now)
         if over:
             limit = self.place.partner.limit
             assert limit is not None
             told = self.times.uniform() < limit.tells
-            return Reply(429, over, report=self._report(now)) if told else Reply(503, report=self._report(now))
+            if told:
+                return Reply(429, over, report=self._report(now), spoilt=self._torn())
+            return Reply(503, report=self._report(now))
         while self.ends and self.ends[0] <= now:
             heapq.heappop(self.ends)
         if len(self.ends) >= len(self.free) + self.place.partner.queue:
@@ -257,6 +261,12 @@
             spoilt=how,
         )
 
+    def _torn(self) -> str:
+        torn = self.has("torn")
+        if torn is None or self.times.uniform() >= torn.size:
+            return ""
+        return TEARS[int(self.times.uniform() * len(TEARS))]
+
     def _over_limit(self, now: int) -> int:
         limit = self.place.partner.limit
         if limit is None or self.place.shared is None:
--- a/cedarwick/lab/scenario.py
+++ b/cedarwick/lab/scenario.py
@@ -33,6 +33,7 @@
     "cut",
     "idle-drop",
     "spoilt",
+    "torn",
     "setup",
 )
 SENDER_TROUBLES = ("kill", "term", "stop", "full-folder", "reload")
@@ -48,6 +49,7 @@
     "cut",
     "idle-drop",
     "spoilt",
+    "torn",
     "setup",
     "kill",
     "term",
@@ -167,7 +169,7 @@
     size: Annotated[
         float | Span,
         told(
-            "How hard: a factor for slow, limit-cut, burst; a part for errors, spoilt; "
+            "How hard: a factor for slow, limit-cut, burst; a part for errors, spoilt, torn; "
             "ms for setup; MB for full-folder; connections a second for bad-clients."
         ),
     ] = 0.5
--- a/cedarwick/lab/stands.py
+++ b/cedarwick/lab/stands.py
@@ -20,6 +20,8 @@
 PATIENCE = 100  # looks for a port, 20 ms apart
 AT_ONCE = 300  # microseconds: what ends sooner needs no timer
 SPOILT_STAYS = 3.0  # seconds in which a connection with a spoilt answer may still be open
+PIECES = 0.2  # seconds from a torn refusal's head to its body
+LONGEST_LAST = 6_000_000  # microseconds for which a refusal may be kept for the end of the caller's patience
 HUGE = 1 << 20  # bytes that are written of an answer said to hold 3 GB
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
 TIME_IS_UP = TimeoutError("time is up")
@@ -71,13 +73,14 @@
 class Incoming:
     """One request as it is parsed; httptools calls the `on_` methods."""
 
-    __slots__ = ("id", "mark", "size", "parts", "complete")
+    __slots__ = ("id", "mark", "left", "parts", "complete")
 
     def __init__(self) -> None:
         self.begin()
 
     def begin(self) -> None:
         self.id = self.mark = ""
+        self.left = 0  # microseconds for which the caller will wait, as it said
         self.parts: list[bytes] = []
         self.complete = False
 
@@ -87,6 +90,8 @@
             self.id = value.decode("latin-1")
         elif lower == b"idempotency-key":
             self.mark = value.decode("latin-1")
+        elif lower == b"x-remaining-ms":
+            self.left = int(value) * 1000 if value.isdigit() else 0
 
     def on_body(self, part: bytes) -> None:
         self.parts.append(part)
@@ -288,6 +293,8 @@
                     return False
                 settled = self.endpoint.settle(max(self.day.now(), settled), reply)
             reply = settled
+        if reply.spoilt == "last" and not self._still_there(sock, first + min(incoming.left, LONGEST_LAST)):
+            return False
         if self.cut:
             record.ran = reply.ran
             self._watch_silently(sock, record)
@@ -298,8 +305,13 @@
             record.status = 0
         del self.held[sock]
         sock.settimeout(5.0)
-        sock.sendall(written(reply))
-        if reply.spoilt in ("", "copy", "report", "interim"):
+        whole = written(reply)
+        if reply.spoilt == "pieces":
+            sock.sendall(whole[:-2])
+            gevent.sleep(PIECES)
+            whole = whole[-2:]
+        sock.sendall(whole)
+        if reply.spoilt in ("", "copy", "report", "interim", "pieces", "last"):
             return not (new and self.endpoint.full())
         self._after_spoilt(sock, reply)
         return False
@@ -357,6 +369,8 @@
         return lines + b"Content-Length: 999\r\n\r\nok"
     if reply.spoilt == "huge":
         return lines + b"Content-Length: 3000000000\r\n\r\n"
+    if reply.spoilt == "stops":
+        return whole[:-2]
     if reply.spoilt == "copy":
         return whole + whole
     if reply.spoilt == "interim":
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -240,6 +240,15 @@
         self.kept(handed(), called(status=429, wait=800 * MS, took=0), *after, *killed(100 * MS, 200 * MS))
         self.kept(handed(), called(status=429, wait=800 * MS, took=0, spoilt="short"), *after)
 
+    def test_a_refusal_in_pieces_or_without_its_rest_binds_from_its_head_on(self) -> None:
+        after = handed("b", sent=200 * MS), called("b", at=210 * MS)
+        for how in ("pieces", "stops", "last"):
+            self.broken(6, handed(), called(status=429, wait=800 * MS, took=0, spoilt=how), *after)
+
+    def test_a_refusal_without_its_rest_may_have_run(self) -> None:
+        for how, judged in (("stops", self.broken), ("pieces", lambda rule, *seen: self.kept(*seen))):
+            judged(2, handed(band="once"), called(status=429, took=0, spoilt=how), called(at=2 * SECOND))
+
 
 class Accounting(unittest.TestCase):
     def test_every_request_has_its_place(self) -> None:
--- a/tests/test_partner.py
+++ b/tests/test_partner.py
@@ -96,6 +96,15 @@
         self.assertEqual((replies[2].status, replies[2].wait), (429, 600 * MS))
         self.assertIsInstance(made.arrive(6 * SECOND, "next", ""), Work)
 
+    def test_refusals_that_tell_a_wait_are_torn_and_no_other_answer(self) -> None:
+        made = endpoint(limit=Limit(calls=1, span_ms=1000, tells=0.5))
+        made.begin(0, Effect("torn", 1.0))
+        self.assertIsInstance(made.arrive(0, "a", ""), Work)
+        refused = [made.arrive(1, str(number), "") for number in range(60)]
+        told = {reply.spoilt for reply in refused if isinstance(reply, Reply) and reply.wait}
+        self.assertEqual(told, {"pieces", "stops", "last"})
+        self.assertEqual({reply.spoilt for reply in refused if isinstance(reply, Reply) and not reply.wait}, {""})
+
     def test_a_cut_binds_all_endpoints(self) -> None:
         made = endpoint(limit=Limit(calls=4, tells=0.0), workers=10)
         made.place.add("f").begin(0, Effect("limit-cut", 0.5))
