A limit that all senders have used up cuts the pace to part of the even part at once

In quarters of a second, destination 0 (limit 36 a second) completed nothing from 8.0 to 11.0 s and from 12.25 to 15.5 s while it refused 5 to 20 calls each: refused calls use up its limit, and each sender's pace fell by a half only every second call, some six seconds apart. To blame: _throttle (held_to / 2) and HEADROOM * (1 + many) in _list_rate.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -16,6 +16,7 @@
 STEP = 0.05  # of the reference rate, for each half second that stays clean
 STEP_EVERY = SECOND // 2
 GATHER = 4  # shots at least that tell the recent send rate
+SPENT = 0.05  # of the limit left, or less: it is used up by all senders together
 ROOM = 0.5  # where reports tell that more than this share of the limit is left, others do not use it
 MOST_STEPS = 4  # and so many are taken at once; or those of the clean time, where no limit is known
 IDLE_DROP = 60 * SECOND
@@ -437,6 +438,9 @@
                 since = max(SPAN, now - (pace.sends[0] if len(pace.sends) > GATHER else self.started))
                 recent = len(pace.sends) * SECOND / since
                 held_to = min(held_to, max(recent, pace.reference))
+                if pace.limit and pace.left <= SPENT:
+                    # Danger: where refused calls use up the limit, all senders' next ones keep it used up.
+                    held_to = 0.0
             pace.rate = max(self.slowest, pace.limit * PART / self.senders, held_to / 2)
             pace.reference = pace.reference or recent
             pace.cut_at = now
@@ -477,7 +481,7 @@
         return float(receiver.distrust * 2.0 ** (-(now - receiver.distrust_at) / TRUST_HALVES))
 
     def _list_rate(self, pace: Pace, rate: float) -> None:
-        part = max(rate * HEADROOM * (1 + self.many) / self.senders, min(rate, LONE))
+        part = max(rate * HEADROOM / self.senders, min(rate, LONE))
         if pace.rate is None or (not pace.cut_at and not pace.raised_at) or pace.rate > rate:
             pace.rate = max(part, min(rate, 4 * LONE))  # whether it is crowded shows in refusals
         pace.reference, pace.limit = part, rate
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -197,6 +197,19 @@
         end(handle, Outcome.FULL, NOW + 100 * MS)
         self.assertTrue(made.receivers[1].out_since)
 
+    def test_a_limit_that_is_used_up_cuts_to_part_of_the_even_part_where_senders_are_many(self) -> None:
+        for senders, left, expected in (("200", 0.0, 0.6 * 40 / 200), ("200", 0.3, 0.25),
+                                        ("2", 0.0, 1.2 * 40 / 2 / 2)):
+            made = sender(balancers=senders, report__columns="x0,x1", rate=40.0, weight_source="nominal")
+            handle = out(made, 1)
+            made.receivers[1].pace.rate = 1.2 * 40 / int(senders)
+            handle.shot_ended(NOW + 100 * MS, Outcome.FULL, 0, 1, 100 * MS, 0, False, (left, 40.0))
+            self.assertAlmostEqual(made.receivers[1].pace.rate or 0.0, expected, 6, (senders, left))
+
+    def test_a_sender_of_many_begins_little_above_its_even_part(self) -> None:
+        made = sender(balancers="200", rate=400.0, weight_source="nominal")
+        self.assertAlmostEqual(made.receivers[1].pace.reference, 1.2 * 400 / 200)
+
     def test_a_refusal_while_the_limit_has_room_is_an_outage(self) -> None:
         for left, lost in ((0.1, False), (0.8, True)):
             made = sender(balancers="200", report__columns="x0,x1", rate=8.0, weight_source="nominal")
