The module is told of the folder's room and sheds the least important before it is full

Change: before each round the desk sets how many more envelopes can be kept (`Sender.room`: the store's room in envelopes of the mean size, reckoned anew where it is for fewer than 64, and what has ended and waits for its 204). With room for one or none the module sheds as at max-open. Considered: to count ended envelopes as gone in the store; refused, since their records stay until the 204.

--- a/cedarwick/interface.py
+++ b/cedarwick/interface.py
@@ -14,6 +14,7 @@
 
     handles = sender.resume(now, owed)            once, at the start after a restart
     sender.heed(now, receiver, until)             a wait that was told, apart from an outcome
+    sender.room                                   set before a round: how many more envelopes can be kept
     sender.told_waits(now)                        the waits that a replaced process hands to its successor
     handle.on_new_link()                          whether an ordered shot may not go over a kept link
     handle.may_start(now, receiver)               whether an ordered shot may still go, before its first byte
@@ -128,6 +129,7 @@
 
     link_life: int
     per_call: list[int]
+    room: int
 
     def __init__(self, settings: Mapping[str, str], seed: int, now: int) -> None: ...
 
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -315,6 +315,8 @@
 
     def _decide(self) -> None:
         now = self.clock.now()
+        # Danger: what has been given up takes its room until its 204; each round would give up more for it.
+        self.sender.room = self.store.room_for() + len(self.notices.owed)
         verdicts = self.sender.decide(now)
         for number, wait in verdicts.nacks:
             fresh = self.fresh.pop(number, None)
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -142,6 +142,7 @@
         self.shares: dict[int, Bucket] = {}  # what a tenant has left of its share
         self.started = now
         self.open = 0
+        self.room = FAR  # envelopes that may still be kept, as the protocol tells
         self.taken = 0
         self.calls_out = 0
         self.changed: set[int] = set()  # destinations that need a look in this round
@@ -609,7 +610,8 @@
 
     def _shed(self, now: int) -> None:
         """Danger: a backlog for one lost destination fills the sender and turns all others away."""
-        while self.open >= max(2, self.most_open - 1):
+        bound = max(2, min(self.most_open, self.open + self.room) - 1)  # a full folder turns all away as well
+        while self.open >= bound:
             places = sorted(self.destinations.values(), key=lambda each: (-self._drain(now, each), each.id))
             lines = ([held for held in place.held if not (held.out or held.ended)] for place in places)
             spare = next((line for line in lines if line), None)
--- a/cedarwick/store/journal.py
+++ b/cedarwick/store/journal.py
@@ -37,6 +37,7 @@
 GRAIN = 1 << 13  # bytes that come in before a step looks whether anything is to be done
 LOOK_BACK = 64  # steps after which a segment that could not be moved is looked at again
 NEW, SHORT, MOVE = "new", "short", "move"  # what a record is for: how much of the reserve it may use
+FEW_LEFT = 64  # envelopes; with room for fewer the room is reckoned anew each time it is asked for
 PRESSES = 16  # steps on the spot for one short record
 
 
@@ -184,9 +185,11 @@
         self.floor, self.spare = planner.reserve(sizes), planner.room(sizes)
 
     def room_for(self) -> int:
-        """How many more envelopes like those that are kept the folder has room for."""
-        mean = (self.book.live + self.book.promised()) // max(1, len(self.kept)) + 1
-        return planner.room(self.sizes()) // max(mean, records.OF_STATE)
+        """How many more envelopes like those that are kept the folder has room for; reckoned anew where few."""
+        mean = max((self.book.live + self.book.promised()) // max(1, len(self.kept)) + 1, records.OF_STATE)
+        if self.spare < FEW_LEFT * mean:
+            self._look()
+        return max(0, self.spare) // mean
 
     def keep(self, kept: Kept) -> None:
         """Write the record of a taken envelope; `NoRoom` where there is none for it."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -74,6 +74,17 @@
         self.assertEqual(self.taken(size=50_000).answer.get(block=False), (Answered.BUSY, 0))
         self.assertEqual((self.calls, self.desk.handles, self.desk.numbers), ([], {}, {}))
 
+    def test_the_decisions_are_told_of_the_room_each_round(self) -> None:
+        before = self.desk.sender.room
+        self.taken()
+        self.assertLess(self.desk.sender.room, before)
+        self.store.set_limit(1)
+        self.desk._decide()
+        self.assertEqual(self.desk.sender.room, 0)
+        self.desk.notices.post(9, "i", True, 0)
+        self.desk._decide()
+        self.assertEqual(self.desk.sender.room, 1)  # it leaves as it is acknowledged
+
     def test_a_completed_envelope_leaves_nothing_behind(self) -> None:
         self.taken()
         self.desk._clear(self.calls[0], AsyncResult())
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -394,6 +394,21 @@
         self.assertGreater(made.room_for(), count // 3)
         made.keep(kept(made.next_number + 1000))
 
+    def test_room_is_told_as_few_before_the_folder_turns_away_and_comes_back_with_an_end(self) -> None:
+        made = store(Fake(), limit=400_000, segment=16_000)
+        told = []
+        for number in range(1, 2000):
+            told.append(made.room_for())
+            if not made.has_room(kept(number)):
+                break
+            made.keep(kept(number))
+            made.step()
+        self.assertLessEqual(told[-1], 1)
+        self.assertGreater(min(told[:-4]), 1)  # never short without need
+        for ended in range(1, 9):
+            made.over(ended)
+        self.assertGreaterEqual(made.room_for(), 2)
+
     def test_a_limit_that_is_lowered_below_what_is_in_use(self) -> None:
         folder = Fake()
         made = store(folder, limit=100_000, segment=4000)
