--- /dev/null
+++ b/tests/test_folder.py
@@ -0,0 +1,25 @@
+"""The measurement of the lasting folder, on a small one."""
+
+import os
+import tempfile
+import unittest
+
+from cedarwick.lab.folder import churn, plot
+
+
+class Folder(unittest.TestCase):
+    def test_a_full_folder_moves_more_than_an_empty_one_and_loses_nothing(self) -> None:
+        found = []
+        for fill, durable in ((0.05, False), (0.85, False), (0.5, True)):
+            with tempfile.TemporaryDirectory() as path:
+                found.append(churn(path, 4000, 1000, fill, 600, durable=durable))
+        easy, full, synced = found
+        self.assertEqual((easy.amplification, easy.presses, easy.refused), (1.0, 0, 0))
+        self.assertGreater(full.amplification, 1.2)
+        self.assertLessEqual(full.used_share, 1.0)
+        self.assertGreaterEqual(full.longest_ms, full.p999_ms)
+        self.assertTrue(synced.durable)
+        with tempfile.TemporaryDirectory() as path:
+            plot(found, os.path.join(path, "folder.png"))
+            with open(os.path.join(path, "folder.png"), "rb") as file:
+                self.assertEqual(file.read(8), b"\x89PNG\r\n\x1a\n")
