Only a folder with room for none makes an envelope go; the last place is still given

Seen: tests.test_program's full folder turned away the third envelope of 30 KB, for which there was room: the module was told of room for one, which the envelope just taken was about to use, and shed it. Excluded: the store (has_room said yes). Change: it sheds with room for none, one at a time.

Tests of policy, desk and program pass (134).

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -610,7 +610,7 @@
 
     def _shed(self, now: int) -> None:
         """Danger: a backlog for one lost destination fills the sender and turns all others away."""
-        bound = max(2, min(self.most_open, self.open + self.room) - 1)  # a full folder turns all away as well
+        bound = max(2, min(self.most_open - 1, self.open + self.room))  # a full folder turns all away as well
         while self.open >= bound:
             places = sorted(self.destinations.values(), key=lambda each: (-self._drain(now, each), each.id))
             lines = ([held for held in place.held if not (held.out or held.ended)] for place in places)
