The scripted partner of the waits tests takes its listener from the tests' receiver

Need: its listener, accepting and closing stood in tests/build.py already. Change: it is a Receiver that plays each call's part by a function; assertions as they were.

--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -22,7 +22,7 @@
 from cedarwick.net.sockets import Polled
 from cedarwick.store.journal import Store
 from cedarwick.store.records import Kept
-from tests.build import FREE, MS, NESTED, NOW, ONCE, end, out, reply, sender, take, until
+from tests.build import FREE, MS, NESTED, NOW, ONCE, Receiver, end, out, reply, sender, take, until
 
 WAIT = 600 * MS
 REFUSAL = reply(429, "X-Backoff-Ms: 600", body=b"later")
@@ -30,24 +30,14 @@
 Play = Callable[["Partner", socket.socket, int], None]
 
 
-class Partner:
+class Partner(Receiver):
     """A partner in threads of its own, as another machine is: each call's part is played by a function."""
 
     def __init__(self, play: Play) -> None:
         self.play = play
-        self.calls: list[tuple[float, str]] = []  # when a call was whole, and its id
+        self.arrived: list[tuple[float, str]] = []  # when a call was whole, and its id
         self.told: list[float] = []  # when a refusal's head was written
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.port = int(self.listener.getsockname()[1])
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+        super().__init__(None)
 
     def _serve(self, sock: socket.socket) -> None:
         with sock, sock.makefile("rb") as stream:
@@ -58,8 +48,8 @@
                         line = stream.readline()
                         head += line
                     stream.read(int(head.partition(b"Content-Length: ")[2].split(b"\r\n")[0]))
-                    self.calls.append((time.monotonic(), head.partition(b"X-Txn: ")[2].split(b"\r\n")[0].decode()))
-                    self.play(self, sock, len(self.calls))
+                    self.arrived.append((time.monotonic(), head.partition(b"X-Txn: ")[2].split(b"\r\n")[0].decode()))
+                    self.play(self, sock, len(self.arrived))
             except OSError:
                 return
 
@@ -69,10 +59,7 @@
 
     def too_soon(self) -> list[str]:
         """Ids of calls that arrived within a told wait, as the protocol page counts it."""
-        return [name for at, name in self.calls for told in self.told if told + SLACK < at < told + WAIT / 1e6]
-
-    def close(self) -> None:
-        self.listener.close()
+        return [name for at, name in self.arrived for told in self.told if told + SLACK < at < told + WAIT / 1e6]
 
 
 class AgainstAPartner(unittest.TestCase):
@@ -137,7 +124,7 @@
         gevent.sleep(0.05)
         self.feed(0.7)
         self.kept_to_the_wait()
-        names = [name for _, name in self.partner.calls]
+        names = [name for _, name in self.partner.arrived]
         self.assertEqual(names.count("first"), 1)  # what never came may have told that it ran
         until(lambda: gevent.sleep(0.01) or self.store.kept.get(1) is None or self.store.kept[1].end, 2.0)
         self.assertEqual(self.store.kept[1].end, (False, 0))
@@ -199,14 +186,14 @@
 
         def stopped(call: Call) -> bool:
             may = clear(call)
-            if may and self.partner.calls and not second_cleared.is_set():
+            if may and self.partner.arrived and not second_cleared.is_set():
                 second_cleared.set()
                 time.sleep(0.25)  # as SIGSTOP does: the refusal comes meanwhile, and nothing is read
             return may
 
         self.desk.shots.clear = stopped
         self.submit("first")
-        until(lambda: gevent.sleep(0.005) or self.partner.calls, 2.0)
+        until(lambda: gevent.sleep(0.005) or self.partner.arrived, 2.0)
         self.submit("second")
         self.feed(0.5)
         self.assertGreaterEqual(self.counters.counts["clearances that grew old"], 1)
@@ -227,13 +214,13 @@
         self.submit("first", band="once")
         until(lambda: gevent.sleep(0.005) or self.counters.counts["answers 200"], 2.0)
         self.assertEqual(self.counters.counts["shots without an answer: moot"], 1)
-        self.assertEqual([name for _, name in self.partner.calls], ["first"])
+        self.assertEqual([name for _, name in self.partner.arrived], ["first"])
 
     def test_a_refusal_read_in_the_same_round_goes_before_a_clearance(self) -> None:
         self.start(lambda partner, sock, number: None)
         self.submit("first")
         self.submit("second")
-        until(lambda: gevent.sleep(0.005) or len(self.partner.calls) == 2, 2.0)
+        until(lambda: gevent.sleep(0.005) or len(self.partner.arrived) == 2, 2.0)
         handles = list(self.desk.handles.values())
         handles[1].shot_ended(self.clock.now(), Outcome.MOOT, 0, 1, 0, 0, False, ())
         kept = self.store.kept[1], self.store.kept[2]
