A start waits until its clock is in step before it takes clients

At fault: program.serve, which took clients at once.

Ruled out: a held-up loop (answers were read as they came), a single wrong clock (wall, monotonic, raw and boot time stood alike), the folder's room (no line of it), the module (it kept its own time).

Change: Clock.in_step waits 1 ms by the loop's timer, until the clock has moved by as much, 100 times at most, before clients are taken. Two tests, one fails without the call, one without the loop.

--- a/cedarwick/net/program.py
+++ b/cedarwick/net/program.py
@@ -137,6 +137,8 @@
     desk.free_links, desk.ask_for_list = links.free, directory.ask
     desk.resume()
     take_waits(assignment.folder, directory, desk)
+    if not clock.in_step():
+        logger.error("the clock does not move on while the process waits")
 
     def follow_configuration() -> None:
         """Never returns: takes over what a new configuration changes in service."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,11 +4,14 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
 import unittest
+from unittest import mock
 
+from cedarwick.net.clock import Clock
 from tests.build import Answering, Platform, Program, Receiver, ask, line_of, reply, submit, until, words
 
 OK = b"+OK\r\n"
@@ -29,6 +32,51 @@
             return [line_of(sock) for _ in requests]
 
 
+class InStep(unittest.TestCase):
+    """A start that took more than its share of a core, on a platform that counts the share by the clock."""
+
+    def test_the_clock_is_waited_for_until_it_moves_and_not_for_ever(self) -> None:
+        for stands, moved in ((0, True), (3, True), (1 << 30, False)):
+            with self.subTest(stands=stands):
+                clock = Clock()
+                slept: list[float] = []
+
+                def sleep(seconds: float, slept: list[float] = slept) -> None:
+                    slept.append(seconds)
+
+                def now(stands: int = stands, slept: list[float] = slept) -> int:
+                    return round(sum(slept[stands:]) * 1_000_000)
+
+                with mock.patch.object(clock, "now", now), mock.patch("gevent.sleep", sleep):
+                    self.assertEqual(clock.in_step(), moved)
+                self.assertLessEqual(len(slept), 100)
+                self.assertGreaterEqual(len(slept), min(stands, 100))
+
+    def test_no_client_is_answered_before_the_clock_is_in_step(self) -> None:
+        program = Program([Receiver(reply(200))])
+        self.addCleanup(program.close)
+        late = ("import gevent, sys; from cedarwick.net import clock, program; "
+                "clock.Clock.in_step = lambda self: not gevent.sleep(0.8); sys.exit(program.main())")
+        told = {"RELAY_CONFIG": program.path("config.json"), "RELAY_STATE": program.path("state")}
+        program.process = subprocess.Popen([sys.executable, "-c", late], env={**os.environ, **told}, text=True,
+                                           stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        sock = until(lambda: self._connected(program))
+        self.addCleanup(sock.close)
+        sock.settimeout(0.4)
+        sock.sendall(words(b"PING"))
+        with self.assertRaises(TimeoutError):
+            sock.recv(1)
+        sock.settimeout(5)
+        self.assertTrue(line_of(sock))  # of the list it has heard nothing yet
+        until(program._ready)
+
+    def _connected(self, program: Program) -> socket.socket | None:
+        try:
+            return program.connect()
+        except OSError:
+            return None
+
+
 class Serving(Running):
     def test_an_envelope_goes_out_as_it_came_in(self) -> None:
         program = self.begin(reply(200))
