Calls for the list that fail are spread over doubling windows with full jitter

From 15 s on 1,493 of 10,126 shots met '[Errno 111] Connection refused' at machines that had been replaced. At fault: Directory.watch, which opened a broken watch anew after a fixed 0.25 s (AGAIN), at all senders alike, while the module's answer to list_call_failed was not heard there.

Change: the module says when (list_call_failed: full jitter in a window doubling from 0.5 s up to rules.ask-within-ms, begun anew after a watch that held so long); the directory waits for it, and asks at once only at a new address. Tests in test_policy and test_net; the first fails on the old module, the second on the old directory.

--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -18,7 +18,6 @@
 PHASES = {"up": Phase.READY, "draining": Phase.DRAINING, "removed": Phase.GONE}
 CONNECT = 1.0  # seconds in which a connection to the platform must come up
 SILENT = 5.0  # seconds: an empty line comes every two, so two of them are missing
-AGAIN = 0.25  # seconds before a broken watch is opened anew
 LONGEST_LINE = 1 << 22
 FORGET = 60.0  # seconds after a receiver has gone: longer than any shot to it, and than the decisions know it
 
@@ -40,6 +39,7 @@
         self.addresses: dict[int, tuple[str, int]] = {}
         self.gone_since: dict[str, float] = {}  # by uid
         self.asked = gevent.event.Event()
+        self.moved = False  # the platform has another address since the watch was opened
         self.following: gevent.Greenlet | None = None
         self.known = False  # whether any receiver has been learned of
         self.last: dict[str, Listing] = {}  # by uid: the newest line of the list as the platform gave it
@@ -100,7 +100,7 @@
         return self.addresses[receiver]
 
     def ask(self) -> None:
-        """The decisions want the watch opened anew without delay."""
+        """The decisions want a broken watch opened anew now."""
         self.asked.set()
 
     def move(self, platform: tuple[str, int]) -> None:
@@ -108,18 +108,21 @@
         self.platform = platform
         # Danger: another agent may count its versions anew, and what follows ours would leave something out.
         self.version = 0
+        self.moved = True
         self.asked.set()
         if self.following is not None:
             self.following.kill(block=False)
 
     def watch(self) -> None:
-        """Never returns: keeps a watch open from the last version."""
+        """Never returns: keeps a watch open from the last version; the decisions say when a broken one opens anew."""
         while True:
+            self.moved = False
             self.following = gevent.spawn(self._follow_to_its_end)
             self.following.join()
+            self.asked.clear()  # Danger: what was asked before it broke would open it at once
             self.tell_failed()
-            self.asked.wait(AGAIN)
-            self.asked.clear()
+            if not self.moved:
+                self.asked.wait()
 
     def _follow_to_its_end(self) -> None:
         try:
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -152,6 +152,7 @@
         self.starved: set[int] = set()  # destinations that found no slot free
         self.looks = Plan()
         self.subscribe_at = now if settings.get("discovery") == "ask" else FAR
+        self.asked_at, self.asked_in_vain = now, 0  # for the list: when last, how often of late
         self.verdicts = Verdicts()
 
     def take(self, now: int, envelope: int, destination: int, band: int, outer_limit: int, tenant: int,
@@ -230,8 +231,11 @@
                 del self.receivers[record.id]
 
     def list_call_failed(self, now: int) -> None:
-        if self.settings.get("discovery") == "ask":
-            self.subscribe_at = now + SECOND + self.chance.below(SECOND)
+        """Danger: all senders lose the list at once, and discovery turns away who asks while it is overbooked."""
+        longest = span(self.settings, "rules.ask-within-ms", WINDOW_CAP / 1000)
+        self.asked_in_vain = 0 if now - self.asked_at >= longest else min(self.asked_in_vain, 16)
+        self.subscribe_at = now + 1 + self.chance.below(min(longest, WINDOW_BASE << self.asked_in_vain))
+        self.asked_in_vain += 1
 
     def decide(self, now: int) -> Verdicts:
         """Look at every destination that something happened to, the most urgent envelopes first."""
@@ -267,7 +271,7 @@
         self.idle.clear()
         verdicts, self.verdicts = self.verdicts, Verdicts()
         if now >= self.subscribe_at:
-            verdicts.subscribe, self.subscribe_at = True, FAR
+            verdicts.subscribe, self.subscribe_at, self.asked_at = True, FAR, now
         wake_at = min(self.looks.soonest(), self.subscribe_at, now + self.tick if self.changed else FAR)
         verdicts.wake_at = wake_at if wake_at < FAR else None
         return verdicts
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,6 +8,7 @@
 from typing import Any
 from unittest import mock
 
+import gevent
 import gevent.socket
 from gevent.event import AsyncResult
 
@@ -297,6 +298,23 @@
         made.learn({"rev": 3, "all": False, "targets": [{}, 7, {**good, "endpoint": "no"}, good]})
         self.assertEqual([line.destination for _, lines in told for line in lines], [4])
 
+    def test_a_broken_watch_opens_anew_when_the_decisions_say_and_at_once_at_a_new_address(self) -> None:
+        directory, _ = self.directory()
+        failed: list[int] = []
+        directory.tell_failed = lambda: failed.append(1)
+        directory.platform = ("127.0.0.1", 1)  # nobody listens there
+        directory.ask()  # as at the start, while the first watch is opened
+        watching = gevent.spawn(directory.watch)
+        self.addCleanup(watching.kill)
+        gevent.sleep(0.6)
+        self.assertEqual(len(failed), 1)
+        directory.ask()
+        gevent.sleep(0.1)
+        self.assertEqual(len(failed), 2)
+        directory.move(("127.0.0.1", 2))
+        gevent.sleep(0.1)
+        self.assertEqual(len(failed), 3)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,7 +5,7 @@
 
 from cedarwick.interface import EarlierShot, ListChange, Listing, Outcome, Owed, Phase
 from cedarwick.policy import SPAN, STEP_EVERY, WINDOW_BASE, Sender
-from tests.build import FREE, MS, NOW, NUMBERED, ONCE, end, out, sender, take
+from tests.build import FREE, MS, NOW, NUMBERED, ONCE, SETTINGS, end, out, sender, take
 
 
 class OneAnswer(unittest.TestCase):
@@ -496,5 +496,34 @@
         self.assertFalse(handle.may_start(NOW, 1))
 
 
+class Lists(unittest.TestCase):
+    def asks(self, made: Sender, failures: int) -> list[int]:
+        """How long the sender waits with its next call for the list, after each of so many in a row that failed."""
+        waits, now = [], NOW
+        for _ in range(failures):
+            made.list_call_failed(now)
+            at = made.decide(now).wake_at
+            assert at is not None
+            self.assertFalse(made.decide(at - 1).subscribe)
+            self.assertTrue(made.decide(at).subscribe)
+            waits.append(at - now)
+            now = at
+        return waits
+
+    def test_calls_for_the_list_that_fail_are_spread_over_doubling_windows_up_to_what_the_settings_allow(self) -> None:
+        fleet = [self.asks(Sender({**SETTINGS, "rules.ask-within-ms": "10000"}, seed, NOW), 10) for seed in range(40)]
+        for nth, window in enumerate((500, 1000, 2000, 4000, 8000, 10_000, 10_000)):
+            waits = [each[nth] for each in fleet]
+            self.assertLessEqual(max(waits), window * MS + 1)
+            self.assertGreater(sum(waits) / 40, window * MS / 3)
+            self.assertGreater(max(waits) - min(waits), window * MS / 2)
+
+    def test_a_watch_that_held_is_asked_for_anew_soon(self) -> None:
+        made = Sender({**SETTINGS, "rules.ask-within-ms": "10000"}, 5, NOW)
+        self.asks(made, 8)
+        made.list_call_failed(NOW + 200_000 * MS)
+        self.assertLessEqual(made.decide(NOW + 200_000 * MS).wake_at or 0, NOW + 200_500 * MS + 1)
+
+
 if __name__ == "__main__":
     unittest.main()
