The window for the next call for the list grows with the number of senders

At fault: list_call_failed, whose first windows knew one sender only.

Change: the window is at least a quarter of a second for each sender (10 s at 40; half a second at 2), within rules.ask-within-ms. Test: 40 senders that lose the list in one moment; with the old windows it fails.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -10,6 +10,7 @@
 
 WINDOW_BASE = SECOND // 2
 WINDOW_CAP = 60 * SECOND
+LIST_GAP = SECOND // 4  # of a window for the next call for the list, for each sender
 CANCELLED_CAP = 2  # shots with an unclassified end
 SPAN = 2 * SECOND  # the share of refusals is measured over this
 THROTTLED = 0.15  # a larger share of refusals as full halves the pace: one in seven is more than chance
@@ -231,10 +232,12 @@
                 del self.receivers[record.id]
 
     def list_call_failed(self, now: int) -> None:
-        """Danger: all senders lose the list at once, and discovery turns away who asks while it is overbooked."""
+        """Danger: all senders lose the list at once; calls that discovery turns away have cost it work as well, and
+        as long as all together ask faster than it answers, it answers nobody."""
         longest = span(self.settings, "rules.ask-within-ms", WINDOW_CAP / 1000)
         self.asked_in_vain = 0 if now - self.asked_at >= longest else min(self.asked_in_vain, 16)
-        self.subscribe_at = now + 1 + self.chance.below(min(longest, WINDOW_BASE << self.asked_in_vain))
+        window = max(WINDOW_BASE << self.asked_in_vain, self.senders * LIST_GAP)
+        self.subscribe_at = now + 1 + self.chance.below(min(longest, window))
         self.asked_in_vain += 1
 
     def decide(self, now: int) -> Verdicts:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -518,6 +518,13 @@
             self.assertGreater(sum(waits) / 40, window * MS / 3)
             self.assertGreater(max(waits) - min(waits), window * MS / 2)
 
+    def test_many_senders_that_lose_the_list_together_do_not_ask_together(self) -> None:
+        many = {**SETTINGS, "balancers": "40", "rules.ask-within-ms": "10000"}
+        waits = sorted(self.asks(Sender(many, seed, NOW), 1)[0] for seed in range(40))
+        # Calls of 40 senders that lost it in one moment, in the fullest second of the ten; 40 in the old half second.
+        self.assertLess(max(sum(at <= each < at + 1000 * MS for each in waits) for at in waits), 10)
+        self.assertLessEqual(waits[-1], 10_000 * MS + 1)
+
     def test_a_watch_that_held_is_asked_for_anew_soon(self) -> None:
         made = Sender({**SETTINGS, "rules.ask-within-ms": "10000"}, 5, NOW)
         self.asks(made, 8)
