A changed limit takes the pace along at once; a fresh pace starts at one call a second

At fault: _list_rate, which changed a pace only where it exceeded the whole limit. At the start 40 senders at two calls a second each met limits of 15 to 40.

Ruled out: outages (no failed connection, 3 time-outs in 5 s), slots, the list (one call a sender).

Change: a pace that was cut or raised follows its limit in proportion, doubled at most by one report, never below 0.6 of the even part; a fresh pace is at one call a second. Tests: down and back, noise, absurd and negative limits. Also: cedarwick/program.py has left net and the figures have left ops, which no longer import each other; Shots reads what follows a call in one place.

--- a/cedarwick/__main__.py
+++ b/cedarwick/__main__.py
@@ -6,7 +6,7 @@
 def main() -> int:
     """The exit status. Danger: the sender runs on part of a core; the command line is loaded for others only."""
     if sys.argv[1:] in ([], ["run"]):
-        from cedarwick.net.program import main as run
+        from cedarwick.program import main as run
 
         return run()
     from cedarwick.cli import command
--- a/cedarwick/cli/run.py
+++ b/cedarwick/cli/run.py
@@ -5,7 +5,7 @@
 
 import click
 
-from cedarwick.net import program
+from cedarwick import program
 
 
 @click.command()
--- a/cedarwick/net/counters.py
+++ b/cedarwick/net/counters.py
@@ -8,7 +8,7 @@
 import gevent
 from loguru import logger
 
-from cedarwick.ops.figures import Figures
+from cedarwick.net.figures import Figures
 
 QUIET = 10.0  # seconds between two log lines on the same kind of trouble, where the operator names no other
 LOOK = 0.1  # seconds between two looks at the lag of the loop
--- a/cedarwick/net/shots.py
+++ b/cedarwick/net/shots.py
@@ -148,12 +148,12 @@
             return usable
         # Danger: with the call still on its way, a further shot would be a second copy out. Danger: what follows a
         # refusal's head may show that it was spoilt, and then the shot may have run.
-        given_up = self.links.end_sending(link) if broken is Outcome.TIME_OUT else False
-        if not given_up:
-            self.links.give_back(link, usable=False)
-        self._end(call, broken or Outcome.RESET)
-        if given_up:
+        if broken is Outcome.TIME_OUT and self.links.end_sending(link):
+            self._end(call, broken)
             self._hear_out(call, link, answer)
+        else:
+            self.links.give_back(link, usable=False)
+            self._end(call, broken or Outcome.RESET)
         return False
 
     def _read(self, call: Call, link: Link, answer: Answer) -> Outcome | None:
@@ -187,11 +187,19 @@
         link.sock.settimeout(left / 1_000_000)
 
     def _read_what_lies_there(self, call: Call, link: Link, answer: Answer) -> None:
+        self._read_on(link, answer, 0)
+        self._heed_early(call, answer)
+
+    def _read_on(self, link: Link, answer: Answer, until: int) -> None:
+        """Read the head of an answer that may come up to a time; with 0, all of it that lies there."""
         link.sock.settimeout(0.0)
         try:
-            while not answer.complete and link.buffer.fill(link.sock):
+            while not (answer.headed if until else answer.complete):
+                if until:
+                    self._wait_until(link, until)
+                if not link.buffer.fill(link.sock):
+                    return
                 answer.feed(link.buffer)
-                self._heed_early(call, answer)
         except (OSError, Unreadable):
             pass
 
@@ -210,18 +218,10 @@
         Danger: a refusal that crosses the giving up tells a wait all the same, and further shots would break it.
         """
         self.out.discard(gevent.getcurrent())
-        until = self.clock.now() + HEARD_OUT
-        try:
-            while not answer.headed:
-                self._wait_until(link, until)
-                if not link.buffer.fill(link.sock):
-                    return
-                answer.feed(link.buffer)
-            if answer.status == 429 and not call.heeded:
-                self.counters.add("waits told after the call was given up")
-                self._heed(call, answer)
-        except (OSError, Unreadable):
-            pass
+        self._read_on(link, answer, self.clock.now() + HEARD_OUT)
+        if answer.headed and answer.status == 429 and not call.heeded:
+            self.counters.add("waits told after the call was given up")
+            self._heed(call, answer)
 
     def _tell(self, call: Call, answer: Answer) -> None:
         """What an answer says: its first line at least."""
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -490,8 +490,13 @@
 
     def _list_rate(self, pace: Pace, rate: float) -> None:
         part = max(rate * HEADROOM / self.senders, min(rate, LONE))
-        if pace.rate is None or (not pace.cut_at and not pace.raised_at) or pace.rate > rate:
-            pace.rate = max(part, min(rate, 4 * LONE))  # whether it is crowded shows in refusals
+        if pace.rate is None or (not pace.cut_at and not pace.raised_at):
+            pace.rate = max(part, min(rate, 2 * LONE))  # whether it is crowded shows in refusals
+        elif pace.limit:
+            # Danger: at a lowered limit every sender goes on as before until it has been refused by itself.
+            # A single absurd figure doubles the pace at most, and never takes the even part away.
+            least = min(pace.rate, rate * PART / self.senders)
+            pace.rate = min(rate, max(least, pace.rate * min(2.0, rate / pace.limit)))
         pace.reference, pace.limit = part, rate
 
     def _with_room(self, now: int, envelope: Envelope,
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -6,9 +6,9 @@
 
 import gevent
 
-from cedarwick import policy, state
+from cedarwick import policy, program, state
 from cedarwick.interface import ListChange, Listing, Phase
-from cedarwick.net import desk, notices, program, shots
+from cedarwick.net import desk, notices, shots
 from cedarwick.net.sockets import connected
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -156,7 +156,7 @@
         self.assertNotIn("cedarwick.lab", ended.stderr)
 
     def test_a_sender_imports_nothing_of_the_command_line_or_the_laboratory(self) -> None:
-        code = ("import sys, cedarwick.__main__, cedarwick.net.program\n"
+        code = ("import sys, cedarwick.__main__, cedarwick.program\n"
                 "print(sorted({name.split('.')[0] for name in sys.modules} & {'click', 'rich', 'numpy', 'msgspec', "
                 "'matplotlib', 'psutil', 'tomllib', 'jinja2'}), [n for n in sys.modules if n.startswith("
                 "('cedarwick.lab', 'cedarwick.cli', 'cedarwick.config'))])")
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -210,6 +210,32 @@
         made = sender(balancers="200", rate=400.0, weight_source="nominal")
         self.assertAlmostEqual(made.receivers[1].pace.reference, 1.2 * 400 / 200)
 
+    def told(self, made: Sender, *limits: float) -> float:
+        """The pace after reports that tell these limits, one after another; all come before the next shot."""
+        handle = out(made, 1)
+        receiver = made.receivers[1]
+        for limit in limits:
+            receiver.calls[handle.sent_at] = 1
+            made.learn(NOW, handle, receiver, Outcome.FULL, 0, 0, (0.3, limit))
+        return receiver.pace.rate or 0.0
+
+    def test_a_limit_that_changes_takes_the_pace_along_down_and_back(self) -> None:
+        for limits, expected in (((40.0, 20.0), 0.6), ((40.0, 20.0, 40.0), 1.2), ((40.0, 36.0, 44.0, 40.0), 1.2)):
+            made = sender(balancers="40", report__columns="x0,x1", rate=40.0, weight_source="nominal")
+            pace = made.receivers[1].pace
+            pace.rate, pace.cut_at = 1.2, NOW  # cut just now: these refusals cut it no further
+            self.assertAlmostEqual(self.told(made, *limits), expected, 6, limits)
+
+    def test_an_absurd_limit_neither_frees_nor_stops_a_sender(self) -> None:
+        for limits, low, high in (((40.0, 999_999_999.0), 1.2, 2.4), ((40.0, 999_999_999.0, 40.0), 0.59, 2.4),
+                                  ((40.0, -7.0, 0.0, 40.0), 1.2, 1.2)):
+            made = sender(balancers="40", report__columns="x0,x1", rate=40.0, weight_source="nominal")
+            pace = made.receivers[1].pace
+            pace.rate, pace.cut_at = 1.2, NOW
+            rate = self.told(made, *limits)
+            self.assertGreaterEqual(rate, low, limits)
+            self.assertLessEqual(rate, high, limits)
+
     def test_a_refusal_while_the_limit_has_room_is_an_outage(self) -> None:
         for left, lost in ((0.1, False), (0.8, True)):
             made = sender(balancers="200", report__columns="x0,x1", rate=8.0, weight_source="nominal")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -55,7 +55,7 @@
     def test_no_client_is_answered_before_the_clock_is_in_step(self) -> None:
         program = Program([Receiver(reply(200))])
         self.addCleanup(program.close)
-        late = ("import gevent, sys; from cedarwick.net import clock, program; "
+        late = ("import gevent, sys; from cedarwick import program; from cedarwick.net import clock; "
                 "clock.Clock.in_step = lambda self: not gevent.sleep(0.8); sys.exit(program.main())")
         told = {"RELAY_CONFIG": program.path("config.json"), "RELAY_STATE": program.path("state")}
         program.process = subprocess.Popen([sys.executable, "-c", late], env={**os.environ, **told}, text=True,
