--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -19,6 +19,7 @@
 CONNECT = 1.0  # seconds in which a connection to the platform must come up
 SILENT = 5.0  # seconds: an empty line comes every two, so two of them are missing
 LONGEST_LINE = 1 << 22
+LARGEST_RATE = 1_000_000  # calls a second; what is listed above that is no rate
 FORGET = 60.0  # seconds after a receiver has gone: longer than any shot to it, and than the decisions know it
 
 
@@ -51,6 +52,9 @@
             entries, version, whole = list(news["targets"]), int(news["rev"]), bool(news["all"])
         except (KeyError, TypeError) as error:
             raise ValueError(f"list news without {error}") from None
+        if whole and not entries and self.known:
+            # Danger: platforms that start anew have an empty list for a moment; believed, it would end all traffic.
+            raise ValueError("a whole list with nothing in it")
         listings, named = [], set()
         for entry in entries:
             try:
@@ -61,6 +65,7 @@
             except (KeyError, TypeError, ValueError, AttributeError) as error:
                 # Danger: one line that cannot be read would keep all others from being heard.
                 self.counters.trouble("a line of the list cannot be read", f"{type(error).__name__}: {error}")
+                whole = False  # Danger: a receiver whose line is spoilt would be taken for one that has gone
         self._forget(named, whole)
         self.version = version
         self.known = self.known or bool(listings)
@@ -170,4 +175,12 @@
         if phase is not Phase.GONE or "endpoint" in entry:
             self.addresses[number] = address(str(entry["endpoint"]))
         return Listing(number, place(self.zones, entry.get("az")), place(self.kinds, entry.get("model")),
-                       int(entry.get("pod_group", 0)), phase, float(entry.get("capacity_hint", 0.0)))
+                       int(entry.get("pod_group", 0)), phase, self._rate(uid, entry.get("capacity_hint", 0.0)))
+
+    def _rate(self, uid: str, hint: object) -> float:
+        """The listed rate; where it is no rate, the one that was listed before, or none."""
+        if isinstance(hint, (int, float)) and 0 <= hint <= LARGEST_RATE:
+            return float(hint)
+        # Danger: one spoilt figure would hide a drain that stands in the same line, or let everything go at once.
+        self.counters.trouble("a listed rate that is none", f"{uid}: {str(hint)[:40]}")
+        return self.last[uid].rate if uid in self.last else 0.0
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -232,8 +232,8 @@
                 del self.receivers[record.id]
 
     def list_call_failed(self, now: int) -> None:
-        """Danger: all senders lose the list at once; calls that discovery turns away have cost it work as well, and
-        as long as all together ask faster than it answers, it answers nobody."""
+        """Danger: all senders lose the list at once; a call that discovery turns away has cost it work too,
+        and as long as all together ask faster than it answers, it answers nobody."""
         longest = span(self.settings, "rules.ask-within-ms", WINDOW_CAP / 1000)
         self.asked_in_vain = 0 if now - self.asked_at >= longest else min(self.asked_in_vain, 16)
         window = max(WINDOW_BASE << self.asked_in_vain, self.senders * LIST_GAP)
@@ -489,14 +489,15 @@
         return float(receiver.distrust * 2.0 ** (-(now - receiver.distrust_at) / TRUST_HALVES))
 
     def _list_rate(self, pace: Pace, rate: float) -> None:
+        if pace.limit:  # Danger: a single absurd figure would free this sender, or stop it for long.
+            rate = min(max(rate, pace.limit / 4), pace.limit * 2)
         part = max(rate * HEADROOM / self.senders, min(rate, LONE))
         if pace.rate is None or (not pace.cut_at and not pace.raised_at):
             pace.rate = max(part, min(rate, 2 * LONE))  # whether it is crowded shows in refusals
         elif pace.limit:
             # Danger: at a lowered limit every sender goes on as before until it has been refused by itself.
-            # A single absurd figure doubles the pace at most, and never takes the even part away.
             least = min(pace.rate, rate * PART / self.senders)
-            pace.rate = min(rate, max(least, pace.rate * min(2.0, rate / pace.limit)))
+            pace.rate = min(rate, max(least, pace.rate * rate / pace.limit))
         pace.reference, pace.limit = part, rate
 
     def _with_room(self, now: int, envelope: Envelope,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -298,6 +298,59 @@
         made.learn({"rev": 3, "all": False, "targets": [{}, 7, {**good, "endpoint": "no"}, good]})
         self.assertEqual([line.destination for _, lines in told for line in lines], [4])
 
+    GOOD = {"uid": "s", "endpoint": "127.0.0.1:9", "az": "a", "model": "k", "pod_group": 4, "state": "up",
+            "capacity_hint": 7.5}
+
+    def test_an_empty_whole_list_is_not_believed_once_any_receiver_is_known(self) -> None:
+        made, told = self.directory()
+        made.learn({"rev": 1, "all": True, "targets": []}, saved=True)
+        made.learn({"rev": 2, "all": True, "targets": [self.GOOD]})
+        with self.assertRaises(ValueError):
+            made.learn({"rev": 3, "all": True, "targets": []})
+        self.assertEqual((len(told), made.version, made.knows("s")), (2, 2, True))
+
+    def test_what_a_whole_list_with_a_spoilt_line_leaves_out_is_not_gone(self) -> None:
+        made, told = self.directory()
+        made.learn({"rev": 2, "all": True, "targets": [self.GOOD, {**self.GOOD, "uid": "t"}]})
+        made.learn({"rev": 3, "all": True, "targets": [self.GOOD, {"uid": "t", "state": 7}]})
+        self.assertEqual([change for change, _ in told], [ListChange.WHOLE, ListChange.CHANGES])
+        self.assertEqual((sorted(made.numbers), made.gone_since), (["s", "t"], {}))
+
+    def test_a_listed_rate_that_is_none_leaves_the_one_before_and_the_line_in_force(self) -> None:
+        hints: list[Any] = ["nine", None, -3, float("nan"), float("inf"), 1e300, [], 10 ** 400]
+        for hint in hints:
+            with self.subTest(hint=hint):
+                made, told = self.directory()
+                made.learn({"rev": 1, "all": True, "targets": [self.GOOD]})
+                made.learn({"rev": 2, "all": False,
+                            "targets": [{**self.GOOD, "state": "draining", "capacity_hint": hint}]})
+                line = told[-1][1][0]
+                self.assertEqual((line.rate, line.phase), (7.5, Phase.DRAINING))
+
+    def test_discovery_that_refuses_stalls_or_answers_half_leaves_the_last_list(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        half = b'{"rev":9,"all":true,"targets":[{"uid":"s","st'
+        for answer in (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", b"", head, b"\x00\xff\r\n\r\n",
+                       head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(half), half),
+                       head + b"%x\r\n%s\n\r\n" % (len(half) + 1, half)):
+            with self.subTest(answer=answer), gevent.socket.socket() as listener:
+                listener.bind(("127.0.0.1", 0))
+                listener.listen()
+                made, told = self.directory()
+                made.platform = listener.getsockname()
+                made.learn({"rev": 2, "all": True, "targets": [self.GOOD]})
+                failed = AsyncResult()
+                made.tell_failed = lambda failed=failed: failed.set(True)  # type: ignore[misc]
+                watching = gevent.spawn(made.watch)
+                sock, _ = listener.accept()
+                sock.recv(1000)
+                sock.sendall(answer)
+                sock.shutdown(socket.SHUT_WR)
+                self.assertTrue(failed.get(timeout=3))
+                self.assertEqual((len(told), made.version, made.knows("s")), (1, 2, True))
+                watching.kill()
+                sock.close()
+
     def test_a_broken_watch_opens_anew_when_the_decisions_say_and_at_once_at_a_new_address(self) -> None:
         directory, _ = self.directory()
         failed: list[int] = []
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -220,14 +220,16 @@
         return receiver.pace.rate or 0.0
 
     def test_a_limit_that_changes_takes_the_pace_along_down_and_back(self) -> None:
-        for limits, expected in (((40.0, 20.0), 0.6), ((40.0, 20.0, 40.0), 1.2), ((40.0, 36.0, 44.0, 40.0), 1.2)):
+        for limits, expected in (((40.0, 20.0), 0.6), ((40.0, 20.0, 40.0), 1.2), ((40.0, 36.0, 44.0, 40.0), 1.2),
+                                 ((40.0, 15.0, 40.0, 40.0), 1.2)):
             made = sender(balancers="40", report__columns="x0,x1", rate=40.0, weight_source="nominal")
             pace = made.receivers[1].pace
             pace.rate, pace.cut_at = 1.2, NOW  # cut just now: these refusals cut it no further
             self.assertAlmostEqual(self.told(made, *limits), expected, 6, limits)
 
     def test_an_absurd_limit_neither_frees_nor_stops_a_sender(self) -> None:
-        for limits, low, high in (((40.0, 999_999_999.0), 1.2, 2.4), ((40.0, 999_999_999.0, 40.0), 0.59, 2.4),
+        for limits, low, high in (((40.0, 999_999_999.0), 1.2, 2.4), ((40.0, 999_999_999.0, 40.0), 1.2, 1.2),
+                                  ((40.0, 1e-9), 0.15, 0.6), ((40.0, 1e-9, 40.0, 40.0), 0.6, 1.2),
                                   ((40.0, -7.0, 0.0, 40.0), 1.2, 1.2)):
             made = sender(balancers="40", report__columns="x0,x1", rate=40.0, weight_source="nominal")
             pace = made.receivers[1].pace
