--- a/tests/build.py
+++ b/tests/build.py
@@ -204,6 +204,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.port = free_port()
         self.process: subprocess.Popen[str] | None = None
+        self.command = ("-m", "cedarwick")  # what the interpreter is started with
         platform = f"127.0.0.1:{self.platform.server_address[1]}"
         told: dict[str, Any] = {
             "name": "t0", "listen": f"127.0.0.1:{self.port}", "discovery": platform, "seed": "1f",
@@ -233,7 +234,7 @@
     def spawn(self, fds: tuple[int, ...] = (), **variables: str) -> "subprocess.Popen[str]":
         """One more process of this sender, with these descriptors inherited."""
         told = {"RELAY_CONFIG": self.path("config.json"), "RELAY_STATE": self.path("state"), **variables}
-        return subprocess.Popen([sys.executable, "-m", "cedarwick"], env={**os.environ, **told}, pass_fds=fds,
+        return subprocess.Popen([sys.executable, *self.command], env={**os.environ, **told}, pass_fds=fds,
                                 text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
 
     def _ready(self) -> bool:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -57,9 +57,8 @@
         self.addCleanup(program.close)
         late = ("import gevent, sys; from cedarwick import program; from cedarwick.net import clock; "
                 "clock.Clock.in_step = lambda self: not gevent.sleep(0.8); sys.exit(program.main())")
-        told = {"RELAY_CONFIG": program.path("config.json"), "RELAY_STATE": program.path("state")}
-        program.process = subprocess.Popen([sys.executable, "-c", late], env={**os.environ, **told}, text=True,
-                                           stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        program.command = ("-c", late)
+        program.process = program.spawn()
         sock = until(lambda: self._connected(program))
         self.addCleanup(sock.close)
         sock.settimeout(0.4)
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -62,6 +62,19 @@
         return [name for at, name in self.arrived for told in self.told if told + SLACK < at < told + WAIT / 1e6]
 
 
+def refuses_first(once: threading.Event) -> Play:
+    """The first call is refused once something has happened, all others are completed."""
+
+    def play(partner: Partner, sock: socket.socket, number: int) -> None:
+        if number == 1:
+            once.wait(5.0)
+            partner.tell(sock, REFUSAL)
+        else:
+            sock.sendall(reply(200))
+
+    return play
+
+
 class AgainstAPartner(unittest.TestCase):
     """The desk, its shots and its links against one scripted partner."""
 
@@ -131,15 +144,7 @@
 
     def test_a_refusal_that_crosses_the_giving_up_of_its_call_binds(self) -> None:
         given_up = threading.Event()
-
-        def play(partner: Partner, sock: socket.socket, number: int) -> None:
-            if number == 1:
-                given_up.wait(5.0)
-                partner.tell(sock, REFUSAL)
-            else:
-                sock.sendall(reply(200))
-
-        self.start(play)
+        self.start(refuses_first(given_up))
         self.submit("first", life=250 * MS)
         until(lambda: gevent.sleep(0.005) or self.counters.counts["shots without an answer: time-out"], 2.0)
         given_up.set()
@@ -173,15 +178,7 @@
 
     def test_a_process_stopped_between_clearance_and_first_byte_asks_again(self) -> None:
         second_cleared = threading.Event()
-
-        def play(partner: Partner, sock: socket.socket, number: int) -> None:
-            if number == 1:
-                second_cleared.wait(5.0)
-                partner.tell(sock, REFUSAL)
-            else:
-                sock.sendall(reply(200))
-
-        self.start(play)
+        self.start(refuses_first(second_cleared))
         clear = self.desk.shots.clear
 
         def stopped(call: Call) -> bool:
