--- a/cedarwick/adapter/__main__.py
+++ b/cedarwick/adapter/__main__.py
@@ -10,7 +10,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as error:
-        print(f"cedarwick.adapter: {error}", file=sys.stderr)
+        print(f"cedarwick.adapter: {error.line}", file=sys.stderr)
         return 2
     return 0
 
--- a/cedarwick/adapter/codec.py
+++ b/cedarwick/adapter/codec.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from typing import Any, BinaryIO
 
+from cedarwick.errors import Trouble
 from cedarwick.interface import ListChange, Listing, Outcome, Phase
 
 BATCH_HEADER = struct.Struct("<dII")
@@ -18,9 +19,12 @@
 LIST_CHANGES = {0: ListChange.CHANGES, 1: ListChange.WHOLE, 2: ListChange.SAVED, 3: None}
 
 
-class WireError(Exception):
+class WireError(Trouble):
     """Bytes that the wire's page does not allow."""
 
+    code = "CW501"
+    remedy = "see that the other side of the pipe speaks this version of the wire; the process has to be started again"
+
 
 def micros(millis: float) -> int:
     """Whole microseconds of a time in milliseconds."""
--- a/cedarwick/cli/config.py
+++ b/cedarwick/cli/config.py
@@ -38,7 +38,7 @@
     try:
         click.echo(f"{file}: a good {checked(file)}")
     except (BadFile, BadAssignment) as error:
-        unusable(str(error))
+        unusable(error)
 
 
 def checked(file: str) -> str:
@@ -62,7 +62,7 @@
     try:
         click.echo(texts.effective(load(file), read_toml(file)) if file else texts.effective(Operator(), {}))
     except BadFile as error:
-        unusable(str(error))
+        unusable(error)
 
 
 @command.command()
@@ -114,7 +114,19 @@
 
 
 @command.command()
-@of_kind
+@click.option(
+    "--of",
+    "kind",
+    type=click.Choice([*WHOLES, "errors"]),
+    default="operator",
+    show_default=True,
+    help="Which kind of file, or all errors with code and remedy.",
+)
 def reference(kind: str) -> None:
-    """Every key of a file as Markdown, as the pages in docs/ hold it."""
+    """Every key of a file, or every error, as Markdown, as the pages in docs/ hold it."""
+    if kind == "errors":
+        from cedarwick.config.remedies import rows
+
+        click.echo("\n".join(rows()))
+        return
     click.echo(texts.reference(WHOLES[kind]))
--- a/cedarwick/cli/lab.py
+++ b/cedarwick/cli/lab.py
@@ -75,7 +75,7 @@
     try:
         chosen = scenarios.load(scenario)
     except BadFile as error:
-        unusable(str(error))
+        unusable(error)
     if out and os.path.exists(os.path.join(out, "run.json")):
         unusable(f"{out}: holds a run already")
     if out is None and report is not False:
@@ -107,7 +107,7 @@
     try:
         return play(chosen, seed, senders, short, out, progress=say)
     except (NotReady, OSError) as error:
-        unusable(f"the day could not begin: {error}")
+        unusable(error, "the day could not begin")
     finally:
         progress.end()
 
@@ -183,7 +183,7 @@
         for name in names:
             scenarios.load(name)
     except BadFile as error:
-        unusable(str(error))
+        unusable(error)
 
     def one(day: tuple[str, int]) -> tuple[str, int, int, str, float]:
         name, seed = day
@@ -228,7 +228,7 @@
     try:
         click.echo(make(list(folders), out or folders[0]))
     except (OSError, ValueError, msgspec.DecodeError) as error:
-        unusable(f"no run that can be read: {error}")
+        unusable(error, "no run that can be read")
 
 
 @command.command()
@@ -270,9 +270,9 @@
         chosen = scenarios.load(scenario)
         until_ended(chosen, seed, senders or chosen.senders, seconds, click.echo)
     except BadFile as error:
-        unusable(str(error))
+        unusable(error)
     except (NotReady, OSError) as error:
-        unusable(f"could not begin: {error}")
+        unusable(error, "could not begin")
 
 
 @command.command()
--- a/cedarwick/cli/load.py
+++ b/cedarwick/cli/load.py
@@ -45,7 +45,7 @@
     try:
         places = [address(each) for each in addresses]
     except ValueError as error:
-        unusable(str(error))
+        unusable(error)
     for place, text in zip(places, addresses, strict=True):
         if not pongs(place):
             unusable(f"{text}: no sender answers PING there")
--- a/cedarwick/cli/say.py
+++ b/cedarwick/cli/say.py
@@ -7,12 +7,22 @@
 import msgspec
 from rich.console import Console
 
+from cedarwick.errors import Trouble
+
 USABLE = 2  # the exit status for arguments or files that cannot be used
 
 
-def unusable(text: str) -> NoReturn:
-    """One line on standard error, and status 2."""
-    click.echo(f"cedarwick: {' '.join(text.split())}", err=True)
+class BadArgument(Trouble):
+    """An argument of a sub-command, or what it names, cannot be used."""
+
+    code = "CW105"
+    remedy = "correct the path or the address that is named; --help tells what the sub-command takes"
+
+
+def unusable(found: str | Exception, doing: str = "") -> NoReturn:
+    """One line on standard error with code and remedy, and status 2; an error says in what it came up."""
+    trouble = found if isinstance(found, Trouble) else BadArgument(str(found))
+    click.echo(f"cedarwick: {(trouble.within(doing) if doing else trouble).line}", err=True)
     sys.exit(USABLE)
 
 
--- a/cedarwick/cli/store.py
+++ b/cedarwick/cli/store.py
@@ -40,7 +40,7 @@
     try:
         summary = tools.verify(folder)
     except OSError as error:
-        unusable(f"{folder}: {error}")
+        unusable(error, folder)
     show(summary, as_json)
     sys.exit(3 if summary.findings else 0)
 
@@ -62,7 +62,7 @@
         limit = round(disk_mb * (1 << 20)) or 2 * tools.verify(folder).used_bytes + (1 << 24)
         before, after = tools.compact(folder, limit, lambda: time.time_ns() // 1000)
     except (InUse, NoRoom, OSError) as error:
-        unusable(str(error))
+        unusable(error)
     click.echo(f"{before} bytes before, {after} after")
 
 
@@ -74,4 +74,4 @@
     try:
         show(tools.backup(folder, to), as_json=False)
     except OSError as error:
-        unusable(str(error))
+        unusable(error)
--- a/cedarwick/config/files.py
+++ b/cedarwick/config/files.py
@@ -7,15 +7,20 @@
 
 import msgspec
 
+from cedarwick.errors import Trouble
+
 PLACE = re.compile(r"^(?P<what>.*?)(?: - at `\$\.?(?P<where>.*?)`)?$", re.DOTALL)
 LARGEST = 1 << 20  # bytes of a file that a person writes
 
 Made = TypeVar("Made")
 
 
-class BadFile(Exception):
+class BadFile(Trouble):
     """A file that cannot be used; the text is one line."""
 
+    code = "CW102"
+    remedy = "correct the key that is named; `cedarwick config reference` lists all keys"
+
 
 def load_toml(path: str, into: type[Made]) -> Made:
     """The file at the path as one `into`; `BadFile` names file, key path and what was expected."""
--- a/cedarwick/lab/ceiling.py
+++ b/cedarwick/lab/ceiling.py
@@ -17,6 +17,7 @@
 import msgspec
 import psutil
 
+from cedarwick.errors import Trouble
 from cedarwick.lab.day import Day
 from cedarwick.lab.load import pongs
 from cedarwick.lab.quick import STEP
@@ -110,6 +111,13 @@
     return answered, used / (time.monotonic() - begun), process.memory_info().rss / (1 << 20)
 
 
+class NotStarted(Trouble, OSError):
+    """A program that the measurement needs did not come up."""
+
+    code = "CW604"
+    remedy = "start the module that is named by hand and read what it says"
+
+
 @contextmanager
 def program(words: list[str], core: int) -> Iterator[subprocess.Popen[bytes]]:
     """One of this package's programs on a core of its own, once it says that it is ready."""
@@ -118,7 +126,7 @@
         psutil.Process(process.pid).cpu_affinity([core])
         assert process.stdout is not None
         if process.stdout.readline().strip() != b"ready":
-            raise OSError(f"{words[0]} did not start")
+            raise NotStarted(f"{words[0]} did not start")
         yield process
     finally:
         process.kill()
--- a/cedarwick/lab/history.py
+++ b/cedarwick/lab/history.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from cedarwick.errors import Trouble
+
 NEVER = -1
 
 
@@ -165,8 +167,15 @@
                 file.write(encoder.encode(record) + b"\n")
 
 
+class SpoiltHistory(Trouble, ValueError):
+    """A kept history of a day has a line that cannot be read."""
+
+    code = "CW602"
+    remedy = "play the day again; the file that is named was cut or changed after it was written"
+
+
 def read(path: str) -> History:
-    """A history that was written before; ValueError names the line that cannot be read."""
+    """A history that was written before; `SpoiltHistory` names the line that cannot be read."""
     history = History()
     decoder: msgspec.json.Decoder[Any_] = msgspec.json.Decoder(Any_)
     with open(path, "rb") as file:
@@ -174,7 +183,7 @@
             try:
                 history.add(decoder.decode(line))
             except (msgspec.DecodeError, ValueError) as error:
-                raise ValueError(f"{path}: line {number}: {error}") from None
+                raise SpoiltHistory(f"{path}: line {number}: {error}") from None
     return history
 
 
--- a/cedarwick/lab/senders.py
+++ b/cedarwick/lab/senders.py
@@ -12,6 +12,7 @@
 import gevent.socket
 import psutil
 
+from cedarwick.errors import Trouble
 from cedarwick.lab.day import Day
 from cedarwick.lab.history import Life, Sampled
 from cedarwick.lab.register import Agent
@@ -26,9 +27,12 @@
 COMMAND = (sys.executable, "-m", "cedarwick")
 
 
-class NotReady(Exception):
+class NotReady(Trouble):
     """A sender did not start; the text names its log."""
 
+    code = "CW601"
+    remedy = "read the log that is named; its last line says why the sender did not start"
+
 
 class Instance:
     """One sender over all its processes."""
--- a/cedarwick/lab/stands.py
+++ b/cedarwick/lab/stands.py
@@ -12,6 +12,7 @@
 import gevent.socket
 import httptools
 
+from cedarwick.errors import Trouble
 from cedarwick.lab.day import Day, body_of
 from cedarwick.lab.history import Away, Called
 from cedarwick.lab.partner import Effect, Endpoint, Reply, Work
@@ -46,6 +47,13 @@
     return sock
 
 
+class NoPort(Trouble, OSError):
+    """A port that the laboratory needs is taken."""
+
+    code = "CW603"
+    remedy = "end what listens on loopback addresses, an earlier day perhaps, and play again"
+
+
 def listen_at_all(hosts: list[str], port: int = 0) -> tuple[int, list[gevent.socket.socket]]:
     """One port at several hosts; port 0 looks for one that is free at all of them."""
     for _ in range(PATIENCE):
@@ -60,7 +68,7 @@
             gevent.sleep(0.02)  # the port of a listener that has just gone is in use for a moment
             continue
         return found, made
-    raise OSError(f"no port is free at {hosts[0]} and all others" if not port else f"port {port} stays in use")
+    raise NoPort(f"no port is free at {hosts[0]} and all others" if not port else f"port {port} stays in use")
 
 
 def reset(sock: gevent.socket.socket) -> None:
--- a/cedarwick/lab/troubles.py
+++ b/cedarwick/lab/troubles.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from cedarwick.errors import told
 from cedarwick.lab.clients import be_rude, rude_forms
 from cedarwick.lab.day import Day
 from cedarwick.lab.draw import Planned
@@ -49,7 +50,7 @@
         try:
             on = self._one(trouble)
         except (OSError, NotReady) as error:
-            self.day.failed = f"the trouble {trouble.kind} could not be carried out: {error}"
+            self.day.failed = f"the trouble {trouble.kind} could not be carried out: {told(error)}"
         finally:
             self.under_way -= 1
             self.day.history.add(Gone(trouble.number, trouble.kind, began, self.day.now(), on, trouble.size))
--- a/cedarwick/net/assignment.py
+++ b/cedarwick/net/assignment.py
@@ -6,10 +6,15 @@
 from dataclasses import dataclass
 from typing import Any
 
+from cedarwick.errors import Trouble
 
-class BadAssignment(Exception):
+
+class BadAssignment(Trouble):
     """The program cannot start with what it was told."""
 
+    code = "CW101"
+    remedy = "correct the file or the RELAY_ variable that is named, then start again"
+
 
 @dataclass(frozen=True)
 class Assignment:
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -10,6 +10,7 @@
 import gevent.queue
 from loguru import logger
 
+from cedarwick.errors import Trouble
 from cedarwick.interface import ListChange, Listing, Outcome, Owed
 from cedarwick.net.assignment import Assignment, place
 from cedarwick.net.clock import Clock
@@ -18,10 +19,13 @@
 from cedarwick.net.shots import Call, Ending, Shots
 from cedarwick.net.sockets import Polled
 from cedarwick.policy import Handle, Sender
+from cedarwick.state import FAR
+from cedarwick.store.files import DiskFault
 from cedarwick.store.journal import Lost, NoRoom, Store
 from cedarwick.store.records import Kept
 
 REMEMBERED = 15_000_000  # for so long after it was handed in, an id is not taken once more
+NO_RIGHT = 20_000  # until the next look whether this sender may decide, or its copies follow
 AFTER_ERROR = 100_000  # until the next round: an error that comes again must not fill the core
 
 
@@ -78,6 +82,8 @@
         self.wake_at: int | None = None
         self.holding_fire = False
         self.keeping = False  # while holding fire: envelopes that come are still kept, for the next process
+        self.parked: dict[int, Handle] = {}  # given up while a shot was out: it still ends
+        self.to_adopt: set[int] = set()  # of these: to be gone on with once it has ended
         self.shots: Shots
         self.notices: Notices
         self.free_links: Callable[[int], None]
@@ -114,6 +120,18 @@
         are kept where `keeping` says so, else turned away."""
         self.queue.put((self._hold_fire, (keeping,)))
 
+    def adopt(self, numbers: list[int]) -> None:
+        """Go on with envelopes that are kept in the folder, as after a restart: this sender has the right to."""
+        self.queue.put((self._adopt, (numbers,)))
+
+    def park(self, numbers: list[int]) -> None:
+        """Leave envelopes alone from now on, without an answer: this sender has no right to fire for them."""
+        self.queue.put((self._park, (numbers,)))
+
+    def answer_late(self, numbers: list[int]) -> None:
+        """Write parked envelopes off: their outer limit is near, and nobody is known to have the right."""
+        self.queue.put((self._answer_late, (numbers,)))
+
     def idle(self) -> bool:
         """Whether nothing is under way: no shot is out, no call is queued."""
         return not self.shots.out and self.queue.empty()
@@ -162,9 +180,17 @@
     # ---- what may happen ----
 
     def resume(self) -> None:
-        """Once, before the start: what an earlier process of this sender has left."""
+        """Once, before the start: what an earlier process of this sender has left, as far as it may be fired for."""
+        numbers = [number for number in sorted(self.store.kept) if self.store.may_fire(number)]
+        if self.store.restarted:
+            taken_up = self._take_up(numbers)
+            logger.info("restarted with {} envelopes owed, {} notices", taken_up, len(self.notices.owed))
+
+    def _take_up(self, numbers: Sequence[int]) -> int:
+        """Kept envelopes become owed by the decisions; how many have no end yet."""
         owed = []
-        for number, kept in sorted(self.store.kept.items()):
+        for number in numbers:
+            kept = self.store.kept[number]
             self.numbers[kept.id] = number
             if kept.end is None and kept.band not in self.bands:
                 logger.error("an envelope of a band that is no more is written off: {}", kept.band)
@@ -174,10 +200,36 @@
                 continue
             owed.append(Owed(number, kept.destination, self.bands[kept.band], kept.outer_limit,
                              place(self.tenants, kept.tenant), kept.turn, kept.earlier_shots()))
-        if self.store.restarted:
-            for each, handle in zip(owed, self.sender.resume(self.clock.now(), owed), strict=True):
-                self.handles[each.envelope] = handle
-            logger.info("restarted with {} envelopes owed, {} notices", len(owed), len(self.notices.owed))
+        for each, handle in zip(owed, self.sender.resume(self.clock.now(), owed), strict=True):
+            self.handles[each.envelope] = handle
+        return len(owed)
+
+    def _adopt(self, numbers: list[int]) -> None:
+        known = [number for number in numbers if number in self.store.kept and number not in self.handles]
+        # Danger: a shot of before the envelope was parked may still be out, and a second would run beside it.
+        self.to_adopt.update(number for number in known if number in self.parked)
+        self._take_up([number for number in known if number not in self.parked])
+
+    def _park(self, numbers: list[int]) -> None:
+        now, given_up = self.clock.now(), set(numbers)
+        self.numbers = {each: number for each, number in self.numbers.items() if number not in given_up}
+        for number in numbers:
+            self.to_adopt.discard(number)
+            self.notices.owed.pop(number, None)
+            submission = self.fresh.pop(number, None)
+            if submission is not None:
+                submission.answered(Answered.BUSY)
+            handle = self.handles.pop(number, None)
+            if handle is not None:
+                handle.withdrawn(now)
+                if handle.out:
+                    self.parked[number] = handle
+
+    def _answer_late(self, numbers: list[int]) -> None:
+        for number in numbers:
+            kept = self.store.kept.get(number)
+            if kept is not None and kept.end is None and number not in self.handles:
+                self._final(number, False, 0)
 
     def _take(self, submission: Submission) -> None:
         kept = submission.kept
@@ -231,6 +283,7 @@
         now, number = self.clock.now(), call.kept.number
         handle = self.handles.get(number)
         may = handle is not None and handle.may_start(now, call.receiver) and not self.holding_fire
+        may = may and self.store.may_fire(number)
         if may and number in self.store.kept and not call.recorded:
             zone = self.sender.receivers[call.receiver].zone
             may = self._with_body(call)
@@ -238,7 +291,7 @@
         if not may:
             answer.set(False)
             self._shot_ended(call, Ending(Outcome.MOOT))
-        elif self.store.durable and not call.flushed:
+        elif self.store.awaited and not call.flushed:
             call.flushed = True
             self.after_flush.append((lambda: answer.set(True), lambda: self._held_back(call, answer)))
         else:
@@ -262,6 +315,12 @@
         if call.recorded:
             self._recorded("the record of an outcome", self.store.outcome, number, ending.outcome)
         handle = self.handles.get(number)
+        if handle is None and (parked := self.parked.pop(number, None)) is not None:
+            parked.shot_ended(self.clock.now(), ending.outcome, call.shot, call.receiver, ending.took,
+                              ending.told_wait, ending.last, ending.report, ending.kept_link)
+            if number in self.to_adopt:
+                self.to_adopt.discard(number)
+                self._adopt([number])
         if handle is None:
             return
         handle.shot_ended(self.clock.now(), ending.outcome, call.shot, call.receiver, ending.took,
@@ -315,6 +374,11 @@
 
     def _decide(self) -> None:
         now = self.clock.now()
+        if not self.store.deciding():
+            # Danger: after a stop of this process another sender may answer for what is held; ours would be a second.
+            self.wake_at = now + NO_RIGHT
+            self._take_none(now)
+            return
         # Danger: what has been given up takes its room until its 204; each round would give up more for it.
         self.sender.room = self.store.room_for() + len(self.notices.owed)
         verdicts = self.sender.decide(now)
@@ -360,6 +424,14 @@
             submission.answered(Answered.BUSY)
         self.fresh.clear()
 
+    def _take_none(self, now: int) -> None:
+        """What came in this round is turned away, and the decisions forget it."""
+        for number, submission in self.fresh.items():
+            self.numbers.pop(submission.kept.id, None)
+            self.handles.pop(number).withdrawn(now)
+            submission.answered(Answered.BUSY)
+        self.fresh.clear()
+
     def _keep(self, submission: Submission) -> None:
         """The record first, then the answer; shots may leave after that."""
         kept = submission.kept
@@ -370,7 +442,7 @@
                 del self.handles[kept.number]
             submission.answered(Answered.BUSY)
             return
-        if self.store.durable:
+        if self.store.awaited:
             self.after_flush.append((lambda: self._taken(submission), lambda: self._not_taken(submission)))
         else:
             self._taken(submission)
@@ -389,7 +461,8 @@
         try:
             self.store.flush(in_thread)
         except OSError as error:
-            self.counters.trouble("the folder could not be brought to the disk", error)
+            self.counters.trouble("what was written does not last yet",
+                                  error if isinstance(error, Trouble) else DiskFault(str(error)))
             for _, otherwise in waiting:
                 otherwise()
             return
@@ -405,4 +478,20 @@
         self._recorded("the record of an end", self.store.ended, number, nacked, wait_ms)
         self.counters.add("nacked" if nacked else "written off")
         (self.counters.figures.dropped if nacked else self.counters.figures.bad_gateway)[kept.band] += 1
-        self.notices.post(number, kept.id, nacked, wait_ms)
+        if self.store.by_copy:
+            self._post_once_copied(kept)
+        else:
+            self.notices.post(number, kept.id, nacked, wait_ms)
+
+    def _post_once_copied(self, kept: Kept) -> None:
+        """Danger: told before a copy knows of it, the end would be followed by a shot of whoever takes over."""
+        def post() -> None:
+            if kept.end is not None and kept.number in self.store.kept and self.store.may_fire(kept.number):
+                self.notices.post(kept.number, kept.id, *kept.end)
+
+        def again() -> None:
+            if kept.number in self.store.kept and self.store.may_fire(kept.number):
+                self.after_flush.append((post, again))
+                self.wake_at = min(self.wake_at or FAR, self.clock.now() + NO_RIGHT)
+
+        self.after_flush.append((post, again))
--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -1,6 +1,5 @@
 """The platform's list of receivers: its watch, and uids to numbers and back."""
 
-import json
 import time
 from collections.abc import Callable
 from typing import Any
@@ -8,21 +7,32 @@
 import gevent
 import gevent.event
 
+from cedarwick.errors import Trouble
 from cedarwick.interface import ListChange, Listing, Phase, row
 from cedarwick.net.assignment import Assignment, address, place
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.counters import Counters
 from cedarwick.net.http import Answer, Unreadable
+from cedarwick.net.objects import Objects
 from cedarwick.net.sockets import connected
 
 PHASES = {"up": Phase.READY, "draining": Phase.DRAINING, "removed": Phase.GONE}
 CONNECT = 1.0  # seconds in which a connection to the platform must come up
-SILENT = 5.0  # seconds: an empty line comes every two, so two of them are missing
-LONGEST_LINE = 1 << 22
+FIRST = 1.0  # seconds in which a call for the list must begin to be answered: the agent answers at once
+SILENT = 4.2  # seconds: an empty line comes every two, so two of them are missing; an object must end in that time too
+STOOD = 1.0  # seconds: a watch that was answered and held so long was no failed call, however it ends
+LONGEST_LINE = 1 << 22  # bytes of an object
 LARGEST_RATE = 1_000_000  # calls a second; what is listed above that is no rate
 FORGET = 60.0  # seconds after a receiver has gone: longer than any shot to it, and than the decisions know it
 
 
+class BadNews(Trouble, ValueError):
+    """News of the list that cannot be read or believed; the list stays as it was."""
+
+    code = "CW303"
+    remedy = "ask the platform what its list says; until then the sender goes on with the last good list"
+
+
 class Directory:
     """Owns the watch; tells the desk what changed, in the numbers that the decisions know."""
 
@@ -41,20 +51,23 @@
         self.gone_since: dict[str, float] = {}  # by uid
         self.asked = gevent.event.Event()
         self.moved = False  # the platform has another address since the watch was opened
+        self.stood = False  # the last watch was answered, and held for a while
+        self.doubted = False  # the call for the watch has been told as failed; it is still listened to
+        self.first_news = gevent.event.Event()  # the agent has said what it has, or does not say it
         self.following: gevent.Greenlet | None = None
         self.known = False  # whether any receiver has been learned of
         self.last: dict[str, Listing] = {}  # by uid: the newest line of the list as the platform gave it
         self.held_out: set[str] = set()  # uids that the operators took out: draining, whatever the list says
 
     def learn(self, news: dict[str, Any], saved: bool = False) -> None:
-        """Pass on one piece of list news; ValueError where it cannot be read."""
+        """Pass on one piece of list news; `BadNews` where it cannot be read."""
         try:
             entries, version, whole = list(news["targets"]), int(news["rev"]), bool(news["all"])
-        except (KeyError, TypeError) as error:
-            raise ValueError(f"list news without {error}") from None
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            raise BadNews(f"list news without {error}") from None
         if whole and not entries and self.known:
             # Danger: platforms that start anew have an empty list for a moment; believed, it would end all traffic.
-            raise ValueError("a whole list with nothing in it")
+            raise BadNews("a whole list with nothing in it")
         listings, named = [], set()
         for entry in entries:
             try:
@@ -62,9 +75,9 @@
                 listings.append(self._as_held(str(entry["uid"]), listing))
                 if listing.phase is not Phase.GONE:
                     named.add(str(entry["uid"]))
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
+            except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
                 # Danger: one line that cannot be read would keep all others from being heard.
-                self.counters.trouble("a line of the list cannot be read", f"{type(error).__name__}: {error}")
+                self.counters.trouble("a line of the list cannot be read", BadNews(f"{type(error).__name__}: {error}"))
                 whole = False  # Danger: a receiver whose line is spoilt would be taken for one that has gone
         self._forget(named, whole)
         self.version = version
@@ -105,8 +118,10 @@
         return self.addresses[receiver]
 
     def ask(self) -> None:
-        """The decisions want a broken watch opened anew now."""
+        """The decisions want a watch that broke, or that was never answered, opened anew now."""
         self.asked.set()
+        if self.doubted and self.following is not None:
+            self.following.kill(block=False)
 
     def move(self, platform: tuple[str, int]) -> None:
         """The platform has another address: the watch leaves the old one at once."""
@@ -119,47 +134,81 @@
             self.following.kill(block=False)
 
     def watch(self) -> None:
-        """Never returns: keeps a watch open from the last version; the decisions say when a broken one opens anew."""
+        """Never returns: keeps a watch open from the last version. One that stood opens anew at once: silence is no
+        refusal, and the agent on this machine answers at no cost. After a call that failed the decisions say when."""
         while True:
-            self.moved = False
+            self.moved = self.stood = self.doubted = False
             self.following = gevent.spawn(self._follow_to_its_end)
             self.following.join()
-            self.asked.clear()  # Danger: what was asked before it broke would open it at once
-            self.tell_failed()
-            if not self.moved:
+            self.first_news.set()
+            if not (self.moved or self.stood or self.doubted):
+                self._call_failed()
                 self.asked.wait()
 
+    def _call_failed(self) -> None:
+        self.asked.clear()  # Danger: what was asked before it failed would open the next one at once
+        self.tell_failed()
+
     def _follow_to_its_end(self) -> None:
         try:
             self._follow()
-        except (OSError, Unreadable, ValueError) as error:
+        except (OSError, Unreadable, BadNews) as error:
             self.counters.trouble("the watch of the list broke", error)
+        except ValueError as error:
+            self.counters.trouble("the watch of the list broke", BadNews(f"news that cannot be read: {error}"))
 
     def _follow(self) -> None:
-        lines = Buffer()
-        answer = Answer(lines.append)
-        raw = Buffer()
+        text, raw = Buffer(), Buffer()
+        answer, objects = Answer(text.append), Objects(LONGEST_LINE)
         sock = connected(self.platform, CONNECT)
+        opened = begun = time.monotonic()  # the watch, and the object that has not ended yet
         try:
-            sock.settimeout(SILENT)
+            sock.settimeout(FIRST)
             host = f"{self.platform[0]}:{self.platform[1]}"
             sock.sendall(f"GET /catalog/members?follow=1&since={self.version} HTTP/1.1\r\n"
                          f"Host: {host}\r\nAccept: application/json\r\n\r\n".encode())
             self.counters.add("watches opened")
-            # Danger: a dead platform says nothing, and its list would be believed for ever.
-            while not answer.complete and raw.fill(sock):
+            while not answer.complete and self._more(sock, raw, answer):
+                if self.moved:
+                    return  # Danger: a late line of the old agent would be believed over the new one's.
                 answer.feed(raw)
                 if answer.status not in (0, 200):
                     raise Unreadable(f"status {answer.status}")
-                while (end := lines.find(b"\n")) >= 0:
-                    line = lines.take(end + 1).strip()
-                    if line:
-                        self.learn(json.loads(line))
-                if len(lines) > LONGEST_LINE:
-                    raise Unreadable("a line without an end")
+                if not answer.status:
+                    continue
+                self.doubted = False
+                # Danger: a dead platform says nothing, and its list would be believed for ever.
+                sock.settimeout(SILENT)
+                if len(text):
+                    begun = time.monotonic() if not objects.depth else begun
+                    for news in objects.read(text.take(len(text))):
+                        self.learn(news)
+                        begun = time.monotonic()
+                    if not objects.depth:
+                        self.first_news.set()  # an empty line says that there is nothing new
+                    elif time.monotonic() - begun > SILENT:
+                        # Danger: what follows an object that was torn would be taken for its inside.
+                        raise Unreadable("an object did not end")
             raise Unreadable("the watch ended")
         finally:
             sock.close()
+            self.stood = answer.status == 200 and time.monotonic() - opened >= STOOD
+
+    def _more(self, sock: gevent.socket.socket, raw: Buffer, answer: Answer) -> int:
+        """Read once; 0 at the end, TimeoutError where an answered watch falls silent."""
+        try:
+            return raw.fill(sock)
+        except TimeoutError:
+            if answer.status or self.doubted:
+                raise
+        # Danger: while discovery is down the agent says nothing, and what it has later counts as told at once.
+        # So the call has failed for the decisions, but is listened to until they want the next one.
+        self.counters.trouble("a call for the list without an answer", f"{FIRST} s")
+        self.doubted = True
+        self.first_news.set()
+        self._call_failed()
+        sock.settimeout(None)
+        return raw.fill(sock)
 
     def _listing(self, entry: dict[str, Any]) -> Listing:
         uid = str(entry["uid"])
@@ -182,5 +231,5 @@
         if isinstance(hint, (int, float)) and 0 <= hint <= LARGEST_RATE:
             return float(hint)
         # Danger: one spoilt figure would hide a drain that stands in the same line, or let everything go at once.
-        self.counters.trouble("a listed rate that is none", f"{uid}: {str(hint)[:40]}")
+        self.counters.trouble("a listed rate that is none", BadNews(f"{uid}: {str(hint)[:40]}"))
         return self.last[uid].rate if uid in self.last else 0.0
--- a/cedarwick/net/http.py
+++ b/cedarwick/net/http.py
@@ -4,6 +4,7 @@
 
 import httptools
 
+from cedarwick.errors import Trouble
 from cedarwick.net.buffer import Buffer
 
 LONGEST_HEAD = 1 << 16
@@ -11,9 +12,12 @@
 INTERIM = (b"HTTP/1.1 1", b"HTTP/1.0 1")  # how answers in front of the real one begin
 
 
-class Unreadable(Exception):
+class Unreadable(Trouble):
     """Bytes that are no HTTP answer."""
 
+    code = "CW301"
+    remedy = "ask whose address this is: the partner's endpoint or the platform's list answers wrongly"
+
 
 class Answer:
     """An answer as it comes in; the parser calls the `on_` methods."""
--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -1,11 +1,13 @@
 """The listener and the clients' connections: RESP2 in, answers out."""
 
+import contextlib
 import re
 from collections.abc import Callable
 
 import gevent
 import gevent.socket
 
+from cedarwick.errors import Trouble
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -27,12 +29,14 @@
 STALLED = 2.0  # seconds in which the rest of a begun request, or room for an answer, must come
 SLOW = 0.3  # seconds without a byte of a begun request, after which it may have to make way
 LINGER = 1.0  # seconds in which a client that was let go may close by itself
+CROSSED = 0.3  # seconds in which one whose request crossed that reads the end, before the close is a reset
 WASTED = 1 << 18  # bytes that are read after a refusal, so that the client can read its error
 UNUSABLE = 8  # so many requests in a row that cannot be used end the connection
 PAUSE = 0.02  # seconds after the first of them, doubling up to LONGEST_PAUSE
 LONGEST_PAUSE = 0.5
 MOST_BUFFERED = 1 << 23  # bytes in the buffers of all clients together; what needs more is turned away
 SMALL = 1 << 13  # a buffer up to this size needs no look at the others
+LOOK = 0.01  # seconds between two looks at the requests that are not answered at the end
 LEFT_FREE = 8  # this part of the descriptors is left to links where clients hold more than half
 BACKLOG = 1024
 WORD = re.compile(rb"[!-~]{1,200}")
@@ -45,26 +49,42 @@
            Answered.UNKNOWN_DESTINATION: BUSY, Answered.REPEATED: BUSY}
 
 
-class Malformed(Exception):
+class Malformed(Trouble):
     """Bytes that are no RESP2 command."""
 
+    code = "CW901"
+    remedy = "ask who connects to the clients' address: the bytes are not the clients' protocol"
 
-class Crowded(Exception):
+
+class Crowded(Trouble):
     """The buffers of all clients together are as large as they may be."""
 
+    code = "CW902"
+    remedy = "start another sender, or have clients send smaller bodies and fewer at once"
+
+
+class BadSubmit(Trouble, ValueError):
+    """A SUBMIT whose arguments cannot be used; its text is the client's answer after `-ERR`."""
+
+    code = "CW903"
+    remedy = "correct the client: the text says which argument cannot be read"
+
 
 class Client:
     """One connection from a client."""
 
-    __slots__ = ("sock", "buffer", "waiting", "cut", "idle_since", "begun_at", "served", "unusable")
+    __slots__ = ("sock", "buffer", "waiting", "cut", "let_go", "idle_since", "begun_at", "asked", "served",
+                 "unusable")
 
     def __init__(self, sock: gevent.socket.socket, now: int) -> None:
         self.sock = sock
         self.buffer = Buffer()
         self.waiting = True  # between requests: nothing of a next one has been read
         self.cut = False
+        self.let_go = False  # it is told the end; nothing more is read from it
         self.idle_since = now  # the last byte read, or the last answer
         self.begun_at = 0  # when the first byte of a request came that is not whole yet; 0: none has
+        self.asked = False  # it has sent a request of any kind
         self.served = False  # it has handed in something that could be used
         self.unusable = 0  # requests in a row that could not
 
@@ -105,8 +125,8 @@
             try:
                 self._make_room()
                 self.descriptors.claim()
-            except NoDescriptor:
-                self.counters.trouble("no descriptor for a client", len(self.clients))
+            except NoDescriptor as error:
+                self.counters.trouble("no descriptor for a client", error)
                 gevent.sleep(0.005)
                 continue
             try:
@@ -138,12 +158,36 @@
         self.closing = True
         self._let_go_idle()
 
-    def _let_go_idle(self) -> None:
-        """Every client between requests is let go; the others go after their answer."""
+    def end(self, seconds: float) -> None:
+        """At the very end: returns once every request that was read has its answer, or after so long; what has not
+        come whole by then is turned away as it is."""
+        self.listener.close()
+        self._let_go_idle(fresh=True)
+        with gevent.Timeout(seconds, False):
+            while self.mid_request():
+                gevent.sleep(LOOK)
+        for client in self.clients:
+            if client.begun_at:
+                client.sock.settimeout(0.0)
+                with contextlib.suppress(OSError):
+                    client.sock.send(BUSY)
+                    client.sock.shutdown(gevent.socket.SHUT_WR)
+
+    def _let_go_idle(self, fresh: bool = False) -> None:
+        """Every client between requests is let go; the others go after their answer, fresh ones after their first."""
         for client in list(self.clients):
-            if client.waiting:
+            # Danger: a first request on a new connection that is ended counts as refused, where BUSY would answer it.
+            idle = client.waiting and not len(client.buffer) and self._silent(client)
+            if idle and (client.asked or fresh):
                 self._let_go(client)
 
+    def _silent(self, client: Client) -> bool:
+        """Whether nothing lies there unread. Danger: a request that was written before the end is owed its answer."""
+        patience = client.sock.gettimeout()
+        lies = lies_there(client.sock)
+        client.sock.settimeout(patience)
+        return lies is None
+
     def _make_room(self) -> None:
         """Beyond half of the descriptors clients take only what is free; then who has nothing open goes."""
         limit = self.descriptors.limit
@@ -162,11 +206,12 @@
             for client in idle[:1 + len(idle) // 8]:
                 self._cut(client)
         if self.descriptors.used >= limit or not any(each.cut for each in self.clients):
-            raise NoDescriptor
+            raise NoDescriptor(f"{len(self.clients)} clients hold all that they may")
 
     def _let_go(self, client: Client) -> None:
-        """The client reads the end and goes; what crosses it is read, so that the close is no reset."""
-        client.waiting = False
+        """The client reads the end and goes. Danger: what crosses that must stay unread: the client sends it once more
+        on a new connection, but a request that was read is lost without its answer."""
+        client.waiting, client.let_go = False, True
         try:
             client.sock.shutdown(gevent.socket.SHUT_WR)
         except OSError:
@@ -193,12 +238,11 @@
                     self.answering -= 1
                 if reply.startswith(BUSY[:5]) and len(parts) == 5:
                     self._dropped(parts[3])
+                last = (self.closing or self.paused) and not len(client.buffer) and self._silent(client)
                 client.sock.settimeout(STALLED)
                 client.sock.sendall(reply)
-                if (self.closing or self.paused) and not len(client.buffer):
-                    self._let_go(client)
-                    self._read_out(client)
-                    return
+                if last:
+                    break
                 if client.unusable >= UNUSABLE:
                     raise Malformed("too many requests that cannot be used")
                 if client.unusable:
@@ -207,12 +251,12 @@
                     gevent.sleep(min(LONGEST_PAUSE, PAUSE * (1 << client.unusable - 1)))
                 elif len(client.buffer):
                     gevent.sleep(0)  # hundreds of commands at once must not hold up all others
-            self._refuse(client, b"")
+            self._see_off(client)
         except Malformed as error:
             self.counters.trouble("a malformed request", error)
             self._refuse(client, f"-ERR {error}\r\n".encode())
-        except Crowded:
-            self.counters.trouble("no memory for a request", len(client.buffer))
+        except Crowded as error:
+            self.counters.trouble("no memory for a request", error)
             self._refuse(client, BUSY)
         except OSError as error:
             self.counters.add(f"clients lost: {type(error).__name__}")
@@ -232,11 +276,15 @@
                 left = STALLED - (client.idle_since - client.begun_at) / 1_000_000
                 if len(client.buffer.data) > SMALL and MOST_BUFFERED < sum(
                         len(other.buffer.data) for other in self.clients):
-                    raise Crowded
+                    raise Crowded(f"a request of more than {len(client.buffer)} bytes")
             try:
                 if left <= 0:
                     raise TimeoutError
                 client.sock.settimeout(left)
+                if not begun:
+                    client.sock.recv(1, gevent.socket.MSG_PEEK)
+                    if client.let_go or client.cut:
+                        return None
                 if not client.buffer.fill(client.sock):
                     return None
             except TimeoutError:
@@ -244,9 +292,20 @@
                     raise Malformed("Protocol error: the request did not end") from None
                 self.counters.add("clients let go that asked for nothing")
                 return None
-        client.waiting, client.begun_at = False, 0
+        client.waiting, client.begun_at, client.asked = False, 0, True
         return parts
 
+    def _see_off(self, client: Client) -> None:
+        """The client is told the end, where it was not, and may close first; what it still sends stays unread."""
+        if client.cut:
+            return
+        if not client.let_go:
+            self._let_go(client)
+        with contextlib.suppress(OSError):
+            client.sock.settimeout(LINGER)
+            if client.sock.recv(1, gevent.socket.MSG_PEEK):
+                gevent.sleep(CROSSED)
+
     def _refuse(self, client: Client, reply: bytes) -> None:
         """Answer, then read on to the end for a moment: unread input would turn the close into a reset."""
         try:
@@ -284,7 +343,7 @@
             return b"-ERR unknown command\r\n"
         try:
             kept, again = read_submission(parts, self.clock.now())
-        except ValueError as error:
+        except BadSubmit as error:
             self.counters.trouble("a request that cannot be taken", error)
             return f"-ERR {error}\r\n".encode()
         self.counters.add("handed in again" if again else "handed in")
@@ -350,26 +409,26 @@
 
 
 def read_submission(parts: list[bytes], now: int) -> tuple[Kept, bool]:
-    """The envelope of a SUBMIT, and whether a sender had it before; ValueError says what is wrong."""
+    """The envelope of a SUBMIT, and whether a sender had it before; `BadSubmit` says what is wrong."""
     if len(parts) != 5:
-        raise ValueError("wrong number of arguments for SUBMIT")
+        raise BadSubmit("wrong number of arguments for SUBMIT")
     _, turn, envelope, pairs, body = parts
     told = dict(pair.partition(b"=")[::2] for pair in pairs.split(b","))
     if not WORD.fullmatch(envelope):
-        raise ValueError("the id cannot be read")
+        raise BadSubmit("the id cannot be read")
     if not TURN.fullmatch(turn):
-        raise ValueError("the key of the order cannot be read")
+        raise BadSubmit("the key of the order cannot be read")
     key = told.get(b"k", b"")
     if key and not WORD.fullmatch(key):
-        raise ValueError("the key cannot be read")
+        raise BadSubmit("the key cannot be read")
     if not NUMBER.fullmatch(told.get(b"d", b"")) or not NUMBER.fullmatch(told.get(b"dest", b"")):
-        raise ValueError("d and dest must be whole numbers")
+        raise BadSubmit("d and dest must be whole numbers")
     band = told.get(b"c", b"")
     if not WORD.fullmatch(band):
-        raise ValueError("c is missing")
+        raise BadSubmit("c is missing")
     tenant = told.get(b"t", b"")
     if tenant and not WORD.fullmatch(tenant):
-        raise ValueError("t cannot be read")
+        raise BadSubmit("t cannot be read")
     limit = now + int(told[b"d"]) * 1000 - READ_LATE
     kept = Kept(0, envelope.decode(), key.decode(), int(turn, 16), band.decode(), tenant.decode(),
                 int(told[b"dest"]), limit, body)
--- a/cedarwick/net/links.py
+++ b/cedarwick/net/links.py
@@ -6,6 +6,7 @@
 import gevent
 import gevent.socket
 
+from cedarwick.errors import Trouble
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -15,9 +16,12 @@
 SWEEP = 0.25  # seconds between two looks at the idle links
 
 
-class NoDescriptor(Exception):
+class NoDescriptor(Trouble):
     """All descriptors are taken, and no idle link could give way."""
 
+    code = "CW302"
+    remedy = "raise limits.sockets, or start another sender"
+
 
 class Descriptors:
     """Counts the descriptors of clients and receivers; at the bound the longest idle link gives way."""
@@ -32,7 +36,7 @@
 
     def claim(self) -> None:
         if self.used >= self.limit and not self.make_way():
-            raise NoDescriptor
+            raise NoDescriptor(f"all {self.limit} are taken")
         self.used += 1
 
     def give_back(self) -> None:
--- a/cedarwick/net/shots.py
+++ b/cedarwick/net/shots.py
@@ -62,7 +62,8 @@
 
     def __init__(self, clock: Clock, counters: Counters, links: Links, columns: list[str], polled: Polled,
                  clear: Callable[[Call], bool], tell: Callable[[Call, Ending], None],
-                 heed: Callable[[list[tuple[int, int]]], None]) -> None:
+                 heed: Callable[[list[tuple[int, int]]], None],
+                 may_fire: Callable[[int], bool] = lambda _: True) -> None:
         self.clock = clock
         self.counters = counters
         self.links = links
@@ -71,6 +72,7 @@
         self.clear = clear
         self.tell = tell
         self.heed = heed
+        self.may_fire = may_fire
         self.out: set[gevent.Greenlet] = set()
 
     def start(self, call: Call) -> None:
@@ -90,8 +92,8 @@
     def _go(self, call: Call) -> None:
         try:
             link = self.links.obtain(call.receiver, call.until, call.new_link)
-        except NoDescriptor:
-            self.counters.trouble("no descriptor for a shot", call.receiver)
+        except NoDescriptor as error:
+            self.counters.trouble("no descriptor for a shot", error.within(f"receiver {call.receiver}"))
             self._end(call, Outcome.MOOT)
             return
         except OSError as error:
@@ -134,7 +136,13 @@
         broken: Outcome | None = Outcome.CONNECT_FAILED
         try:
             self._wait_until(link, call.until)
-            link.sock.sendall(request(call, self.clock.now()))
+            whole = request(call, self.clock.now())
+            # Danger: the right to fire may have run out since the desk was asked; another sender has it then.
+            if not self.may_fire(call.kept.number):
+                self.counters.add("shots held back: no right to fire")
+                self._end(call, Outcome.MOOT)
+                return True
+            link.sock.sendall(whole)
             self.counters.add("shots sent")
             self.counters.figures.tries += 1
             broken = self._read(call, link, answer)
--- a/cedarwick/ops/address.py
+++ b/cedarwick/ops/address.py
@@ -5,6 +5,7 @@
 import gevent
 import gevent.socket
 
+from cedarwick.errors import Trouble
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.counters import Counters
 from cedarwick.ops.calls import LONGEST_LINE, BadCall, Call, parse
@@ -17,6 +18,20 @@
 Answer = Callable[[Call], str]  # the answer to a call: a line beginning with YES or NO, or figures ending in END
 
 
+class TooManyCallers(Trouble):
+    """As many callers as may be are connected to the management address."""
+
+    code = "CW404"
+    remedy = "call again in 2 s; find out who keeps connections to the management address open"
+
+
+class CallFailed(Trouble):
+    """A management call met an error in the program; the sender goes on."""
+
+    code = "CW405"
+    remedy = "see the sender's log for the trace, and report it"
+
+
 class Management:
     """Listens where the operators' staff call; answers from its own greenlets, never through the desk's queue."""
 
@@ -50,16 +65,17 @@
             # Danger: a caller that never finishes its line would hold its descriptor and greenlet for ever.
             sock.settimeout(DEADLINE)
             if self.callers > MOST_CALLERS:
-                sock.sendall(b"NO too many callers\n")
+                sock.sendall(refusal(TooManyCallers("too many callers")).encode("ascii", "replace"))
                 return
             with gevent.Timeout(DEADLINE):
                 reply = self._reply(sock)
             sock.sendall(reply.encode("ascii", "replace"))
             read_out(sock)
         except gevent.Timeout:
-            self.counters.trouble("a management call that cannot be read", "the line did not come in time")
+            late = BadCall("the line did not come in time")
+            self.counters.trouble("a management call that cannot be read", late)
             with gevent.Timeout(0.1, False):
-                sock.sendall(b"NO the line did not come in time\n")
+                sock.sendall(refusal(late).encode("ascii", "replace"))
         except OSError as error:
             self.counters.add(f"management callers lost: {type(error).__name__}")
         finally:
@@ -71,23 +87,32 @@
         buffer = Buffer()
         while (end := buffer.find(b"\n")) < 0:
             if len(buffer) > LONGEST_LINE:
-                self.counters.trouble("a management call that cannot be read", "the line is too long")
-                return "NO the line is too long\n"
+                return self._unread(BadCall("the line is too long"))
             if not buffer.fill(sock):
-                self.counters.trouble("a management call that cannot be read", "the caller left mid-line")
-                return "NO the line did not end\n"
+                return self._unread(BadCall("the line did not end"))
         line = buffer.take(end + 1).rstrip(b"\r\n")
         try:
             call = parse(line)
         except BadCall as error:
-            self.counters.trouble("a management call that cannot be read", error)
-            return f"NO {error}\n"
+            return self._unread(error)
         self.counters.add(f"management calls: {call.name}")
         try:
             return self.answer(call)
+        except Trouble as error:
+            self.counters.add(f"management calls refused: {error.code}")
+            return refusal(error)
         except Exception:  # one failing call must not end the address: STATUS is still owed to others
             self.counters.failed(f"the management call {call.name} failed")
-            return "NO the call failed\n"
+            return refusal(CallFailed("the call failed"))
+
+    def _unread(self, error: BadCall) -> str:
+        self.counters.trouble("a management call that cannot be read", error)
+        return refusal(error)
+
+
+def refusal(error: Trouble) -> str:
+    """The answer to a call that is refused: `NO`, the reason, code and remedy, on one line."""
+    return f"NO {error.line}\n"
 
 
 def read_out(sock: gevent.socket.socket) -> None:
--- a/cedarwick/ops/calls.py
+++ b/cedarwick/ops/calls.py
@@ -3,13 +3,18 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from cedarwick.errors import Trouble
+
 LONGEST_LINE = 256  # bytes of a call with its line end; what is longer is refused and the connection closed
 ARGUMENTS = {"STATUS": 0, "METRICS": 0, "SUSPEND": 1, "RESTORE": 1, "PAUSE": 0, "RESUME": 0}
 
 
-class BadCall(Exception):
+class BadCall(Trouble):
     """A line that is no call; its text is the reason given after `NO`."""
 
+    code = "CW401"
+    remedy = "send one call a line: STATUS, METRICS, SUSPEND ID, RESTORE ID, PAUSE or RESUME"
+
 
 class Call(NamedTuple):
     """One call: its name in capitals and its argument, empty where it takes none."""
--- a/cedarwick/ops/handover.py
+++ b/cedarwick/ops/handover.py
@@ -4,20 +4,29 @@
 
 import gevent.socket
 
+from cedarwick.errors import Trouble
+
 SOCKET_FD = "RELAY_SOCKET_FD"
 
 
+class BadSocket(Trouble, ValueError):
+    """The clients' socket that was to be handed over cannot be used."""
+
+    code = "CW104"
+    remedy = "hand over an open, listening TCP socket and name its descriptor, or leave RELAY_SOCKET_FD out"
+
+
 def inherited_listener(environment: Mapping[str, str]) -> gevent.socket.socket | None:
-    """The listening socket named in `$RELAY_SOCKET_FD`; None where it is not set, ValueError where it is unusable."""
+    """The listening socket named in `$RELAY_SOCKET_FD`; None where it is not set, `BadSocket` if unusable."""
     text = environment.get(SOCKET_FD, "")
     if not text:
         return None
     if not text.isdecimal() or int(text) < 3:
-        raise ValueError(f"{SOCKET_FD} is no descriptor: {text!r}")
+        raise BadSocket(f"{SOCKET_FD} is no descriptor: {text!r}")
     try:
         sock = gevent.socket.socket(fileno=int(text))
     except OSError as error:
-        raise ValueError(f"{SOCKET_FD} {text}: {error.strerror}") from None
+        raise BadSocket(f"{SOCKET_FD} {text}: {error.strerror}") from None
     try:
         usable = (sock.family == gevent.socket.AF_INET and sock.type == gevent.socket.SOCK_STREAM
                   and sock.getsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_ACCEPTCONN) == 1)
@@ -25,5 +34,5 @@
         usable = False
     if not usable:
         sock.detach()  # Danger: closing a descriptor that is not ours could end another file of the process.
-        raise ValueError(f"{SOCKET_FD} {text} is no listening TCP socket")
+        raise BadSocket(f"{SOCKET_FD} {text} is no listening TCP socket")
     return sock
--- a/cedarwick/ops/lasting.py
+++ b/cedarwick/ops/lasting.py
@@ -4,14 +4,19 @@
 import json
 import os
 
+from cedarwick.errors import Trouble
+
 SUSPENDED = "suspended.json"  # calls out by uid; kept until RESTORE, over restarts too
 WAITS = "waits.json"  # by uid: the end of a told wait in wall microseconds; read once, by the next process
 LARGEST = 1 << 20  # bytes; a larger file is no file of ours
 
 
-class Unreadable(Exception):
+class Unreadable(Trouble):
     """The file is there and cannot be used; its text names the file."""
 
+    code = "CW205"
+    remedy = "look at the file that is named; where it is spoilt, delete it and suspend again what was out"
+
 
 def read(folder: str) -> dict[str, int]:
     """The calls out by uid; empty where no file is there."""
--- a/cedarwick/ops/staff.py
+++ b/cedarwick/ops/staff.py
@@ -5,8 +5,24 @@
 
 from loguru import logger
 
+from cedarwick.errors import Trouble
 from cedarwick.ops import lasting
 from cedarwick.ops.calls import Call, Suspensions
+from cedarwick.store.files import DiskFault
+
+
+class Unlisted(Trouble):
+    """The list names no such receiver, and none such is suspended."""
+
+    code = "CW402"
+    remedy = "give the receiver's uid as the platform's list has it"
+
+
+class NotSuspended(Trouble):
+    """A receiver that is to be restored was not suspended."""
+
+    code = "CW403"
+    remedy = "nothing to do here; what is suspended stands in suspended.json of the sender's folder"
 
 
 class Door(Protocol):
@@ -37,9 +53,11 @@
         self.door = door
         self.listed = listed
         self.folder = folder
+        self.changed: Callable[[str, int], None] = lambda *_: None  # by hand, here: a uid and its calls out, or 0
         self.taking = False  # whether this process takes clients, or will once the folder is handed over
 
     def answer(self, call: Call) -> str:
+        """The answer; a `Trouble` says why a call is refused."""
         if call.name == "STATUS":
             return "YES taking clients\n" if self.taking and self.ready() else "NO not ready yet\n"
         if call.name == "PAUSE":
@@ -61,7 +79,7 @@
         try:
             self.listed.hold_out(set(lasting.read(self.folder)))
         except lasting.Unreadable as error:
-            logger.error("the receivers taken out by hand cannot be read: {}", error)
+            logger.error("the receivers taken out by hand cannot be read: {}", error.line)
 
     def _take_out(self, call: Call) -> str:
         uid = call.argument
@@ -69,20 +87,28 @@
             # Danger: a process that replaces this one, or is replaced, may have changed the file meanwhile.
             out = Suspensions(lasting.read(self.folder).items())
         except lasting.Unreadable as error:
-            logger.error("the receivers taken out by hand cannot be read: {}", error)
+            logger.error("the receivers taken out by hand cannot be read: {}", error.line)
             out = Suspensions()
         if call.name == "SUSPEND":
             if not self.listed.knows(uid) and uid not in out:
-                return f"NO nobody has {uid}\n"
+                raise Unlisted(f"nobody has {uid}")
             count = out.suspend(uid)
             answer = f"YES {uid} suspended, {count} calls out\n"
         elif out.restore(uid):
             answer = f"YES {uid} restored\n"
         else:
-            return f"NO {uid} is not suspended\n"
+            raise NotSuspended(f"{uid} is not suspended")
+        self.keep(out.calls)
+        self.changed(uid, out.calls.get(uid, 0))
+        return answer
+
+    def keep(self, calls: dict[str, int]) -> bool:
+        """From now on the receivers of these calls, and no others, are out; whether the file has it, too."""
+        written = True
         try:
-            lasting.write(self.folder, out.calls)
+            lasting.write(self.folder, calls)
         except OSError as error:
-            logger.error("the receivers taken out by hand cannot be kept: {}", error)
-        self.listed.hold_out(set(out.calls))
-        return answer
+            written = False
+            logger.error(DiskFault(f"the receivers taken out by hand cannot be kept: {error}").line)
+        self.listed.hold_out(set(calls))
+        return written
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -9,6 +9,7 @@
 import gevent.event
 from loguru import logger
 
+from cedarwick.errors import Trouble
 from cedarwick.interface import Phase, span
 from cedarwick.net.assignment import Assignment, BadAssignment, read
 from cedarwick.net.clock import Clock
@@ -24,8 +25,8 @@
 from cedarwick.ops.address import Management
 from cedarwick.ops.handover import inherited_listener
 from cedarwick.ops.staff import Staff
-from cedarwick.store.files import InUse
-from cedarwick.store.journal import BODIES, NoRoom, Store
+from cedarwick.store.files import DiskFault, InUse
+from cedarwick.store.journal import BODIES, Store
 
 if TYPE_CHECKING:
     from cedarwick.config.operator import Operator
@@ -33,12 +34,21 @@
 OPERATOR = "CEDARWICK_OPERATOR"  # names the operator file; without it nothing of that is loaded
 STAY = 1.2  # seconds from SIGTERM in which clients may still come, and the decisions go on with what is kept
 DRAIN = 3.2  # seconds from SIGTERM to the end; SIGKILL may come half a second later
+LAST = 0.15  # seconds after that for the answers to requests that were read
 # At a replacement: seconds for requests that were read to be answered, then for shots that are out to end,
 # then for clients that were let go to close, before the folder is the next process's.
 HANDOVER, ANSWERING, LINGERING = 0.2, 0.05, 1.1
+FIRST_NEWS = 0.2  # seconds that the decisions wait for it; a client that has its PONG waits 0.4 for an answer
 LOOK = 0.01  # seconds between two looks at a folder that another process still holds
 
 
+class CannotStart(Trouble):
+    """The system or the folder does not let the program start."""
+
+    code = "CW103"
+    remedy = "see that the addresses are free and the folder may be written, then start again"
+
+
 def main() -> int:
     """Run a sender with what the environment tells; the exit status: 0, or 2 where it cannot start."""
     log_to_stderr("INFO", as_json=False)
@@ -47,8 +57,8 @@
     try:
         assignment, operator = read(os.environ), read_operator()
         return serve(assignment, operator, replaced)
-    except BadAssignment as error:
-        print(f"cedarwick: {error}", file=sys.stderr)
+    except Trouble as error:
+        print(f"cedarwick: {error.line}", file=sys.stderr)
         return 2
 
 
@@ -60,16 +70,13 @@
 
 
 def read_operator() -> "Operator | None":
-    """What the operator file says; None where none is named, `BadAssignment` where it cannot be used."""
+    """What the operator file says; None where none is named, `BadFile` where it cannot be used."""
     path = os.environ.get(OPERATOR, "")
     if not path:
         return None
-    from cedarwick.config.operator import BadFile, load
+    from cedarwick.config.operator import load
 
-    try:
-        return load(path)
-    except BadFile as error:
-        raise BadAssignment(str(error)) from None
+    return load(path)
 
 
 def obey(operator: "Operator | None", counters: Counters) -> None:
@@ -83,31 +90,24 @@
     """Start the parts, wait for SIGTERM, end them; `replaced` tells of a new configuration."""
     clock, counters = Clock(), Counters()
     obey(operator, counters)
-    try:
-        inherited = inherited_listener(os.environ)
-    except ValueError as error:
-        raise BadAssignment(str(error)) from None
+    inherited = inherited_listener(os.environ)
     descriptors = Descriptors(assignment.descriptors)
-    folder = operator.store if operator is not None else None
-    store = Store(assignment.folder, assignment.disk_bytes, now=clock.now,
-                  durable=folder is not None and folder.durability == "group",
-                  bodies=round(folder.bodies_mb * (1 << 20)) if folder is not None else BODIES,
-                  segment=round(folder.segment_kb * 1024) if folder is not None else 0)
+    store = folder_of(assignment, operator, clock)
     try:
         polled = Polled(clock)
         desk = Desk(assignment, clock, counters, store, polled)
         directory = Directory(assignment, counters, desk.listed, desk.list_call_failed)
-        intake = Intake(assignment.listen, clock, counters, descriptors, desk, lambda: directory.known,
-                        listener=inherited)
-        staff = Staff(lambda: directory.known, intake, directory, assignment.folder,
+        intake = Intake(assignment.listen, clock, counters, descriptors, desk,
+                        lambda: directory.known and store.taking(), listener=inherited)
+        staff = Staff(lambda: directory.known and store.taking(), intake, directory, assignment.folder,
                       lambda: counters.figures.text(*gauges(desk, directory)))
         staff.taking = True
         management = Management(assignment.management, counters, staff.answer) if assignment.management else None
         held = hold(store, replacing=inherited is not None)
-    except InUse as error:
-        raise BadAssignment(f"cannot start: {error}") from None
-    except (OSError, ValueError, KeyError, NoRoom) as error:
-        raise BadAssignment(f"cannot start: {type(error).__name__}: {error}") from None
+    except Trouble as error:
+        raise error.within("cannot start") from None
+    except (OSError, ValueError, KeyError) as error:
+        raise CannotStart(f"cannot start: {type(error).__name__}: {error}") from None
     if assignment.known:
         # Danger: the saved list replaces the whole list; told after the watch's news it would undo them.
         try:
@@ -125,15 +125,17 @@
         try:
             while not hold(store, replacing=True):
                 gevent.sleep(LOOK)
-        except (OSError, ValueError, KeyError, NoRoom) as error:
-            raise BadAssignment(f"cannot start: {type(error).__name__}: {error}") from None
+        except Trouble as error:
+            raise error.within("cannot start") from None
+        except (OSError, ValueError, KeyError) as error:
+            raise CannotStart(f"cannot start: {type(error).__name__}: {error}") from None
         logger.info("{} holds the folder", assignment.name)
         staff.take_over()
     links = Links(clock, counters, descriptors, directory.address_of, desk.sender.link_life,
                   span(assignment.settings, "policy-limits.connect-timeout-ms", 1000.0))
     notices = desk.notices = Notices(assignment.platform, counters, desk.acknowledged)
     desk.shots = Shots(clock, counters, links, desk.sender.columns, polled, desk.clear, desk.shot_ended,
-                       desk.heed)
+                       desk.heed, store.may_fire)
     desk.free_links, desk.ask_for_list = links.free, directory.ask
     desk.resume()
     take_waits(assignment.folder, directory, desk)
@@ -148,8 +150,8 @@
             replaced.clear()
             try:
                 told, operated = read(os.environ), read_operator()
-            except BadAssignment as error:
-                logger.error("the configuration stays as it was: {}", error)
+            except Trouble as error:
+                logger.error("the configuration stays as it was: {}", error.line)
                 continue
             if told.platform != now_held.platform:
                 directory.move(told.platform)
@@ -162,11 +164,17 @@
                         ", ".join(now_held.fixed_and_other(told)) or "nothing")
             now_held = told
 
+    def decide() -> None:
+        """Never returns: the desk, once the agent has said what it has; that counts as told from the first moment."""
+        # Danger: a shot of a kept envelope would go to a receiver that the saved list does not know to be draining.
+        directory.first_news.wait(FIRST_NEWS)
+        desk.run()
+
     stopping = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
     gevent.signal_handler(signal.SIGUSR1, counters.print)
-    later = (desk.run, intake.accept, links.sweep, notices.run, counters.watch_lag, counters.report,
+    later = (decide, intake.accept, links.sweep, notices.run, counters.watch_lag, counters.report,
              follow_configuration)
     parts = early + [gevent.spawn(part) for part in (*later, *((directory.watch,) if held else ()))]
     for part in parts:
@@ -192,12 +200,24 @@
     with gevent.Timeout(DRAIN - STAY, False):
         while not (desk.idle() and not notices.owed and not intake.clients):
             gevent.sleep(0.02)
+    parts[len(early) + later.index(intake.accept)].kill()
+    intake.end(LAST)
     gevent.killall(parts)
     store.close()
     counters.print()
     return 0
 
 
+def folder_of(assignment: Assignment, operator: "Operator | None", clock: Clock) -> Store:
+    """The folder that lasts."""
+    told = operator.store if operator is not None else None
+    durable = told is not None and told.durability == "group"
+    bodies = round(told.bodies_mb * (1 << 20)) if told is not None else BODIES
+    segment = round(told.segment_kb * 1024) if told is not None else 0
+    return Store(assignment.folder, assignment.disk_bytes, now=clock.now, durable=durable, bodies=bodies,
+                 segment=segment)
+
+
 def gauges(desk: Desk, directory: Directory) -> tuple[int, int, int]:
     """Envelopes taken and not ended, receivers listed, and those of them avoided by hand or by choice."""
     listed = {directory.numbers[uid] for uid, listing in directory.last.items() if listing.phase is not Phase.GONE}
@@ -213,7 +233,7 @@
     try:
         lasting.write_waits(folder, waits)
     except OSError as error:
-        logger.error("the told waits cannot be handed over: {}", error)
+        logger.error(DiskFault(f"the told waits cannot be handed over: {error}").line)
 
 
 def take_waits(folder: str, directory: Directory, desk: Desk) -> None:
@@ -221,7 +241,7 @@
     try:
         waits = lasting.take_waits(folder)
     except lasting.Unreadable as error:
-        logger.error("the told waits of the replaced process cannot be read: {}", error)
+        logger.error("the told waits of the replaced process cannot be read: {}", error.line)
         return
     desk.heed([(directory.numbers[uid], until) for uid, until in waits.items() if uid in directory.numbers])
 
--- a/cedarwick/store/files.py
+++ b/cedarwick/store/files.py
@@ -6,14 +6,26 @@
 import re
 from collections.abc import Callable
 
+from cedarwick.errors import Trouble
+
 NAME = re.compile(r"([0-9]{8})\.seg")
 OLD_NAME = re.compile(r"([0-9]{8})\.log")
 LOCK = "lock"
 
 
-class InUse(Exception):
+class InUse(Trouble):
     """Another process holds the folder."""
 
+    code = "CW201"
+    remedy = "end the other process, or give this one a folder of its own"
+
+
+class DiskFault(Trouble):
+    """The system refused a write, a sync or a deletion; the sender goes on without it."""
+
+    code = "CW207"
+    remedy = "look at the disk: its free space, its health and the rights on the folder"
+
 
 class Folder:
     """One folder on disk. Every method but the first two may raise OSError."""
--- a/cedarwick/store/journal.py
+++ b/cedarwick/store/journal.py
@@ -10,9 +10,10 @@
 
 from loguru import logger
 
+from cedarwick.errors import Trouble, told
 from cedarwick.interface import Outcome
 from cedarwick.store import old, planner, records
-from cedarwick.store.files import OLD_NAME, Folder, numbers, quietly, segment_name
+from cedarwick.store.files import OLD_NAME, DiskFault, Folder, numbers, quietly, segment_name
 from cedarwick.store.planner import BLOCK
 from cedarwick.store.records import (
     DROP,
@@ -41,13 +42,19 @@
 PRESSES = 16  # steps on the spot for one short record
 
 
-class NoRoom(Exception):
+class NoRoom(Trouble):
     """The folder has no room for a record, or the disk does not take it."""
 
+    code = "CW202"
+    remedy = "raise limits.disk_mb or free the disk; `cedarwick store verify` says what lives in the folder"
 
-class Lost(Exception):
+
+class Lost(Trouble):
     """A body cannot be read back."""
 
+    code = "CW203"
+    remedy = "look at the disk; the envelope is answered without it, so tell its sender"
+
 
 def growth(segment: Segment, size: int) -> int:
     """By how much a segment's blocks grow with so many bytes more."""
@@ -63,6 +70,8 @@
         self.folder = Folder(folder) if isinstance(folder, str) else folder
         self.now = now
         self.durable = durable
+        self.by_copy = False  # ends are told only once other senders know of them
+        self.awaited = durable  # whether what is answered waits for `flush`
         self.bodies = bodies
         self.wanted_segment = segment
         self.most_step = step
@@ -151,12 +160,12 @@
                 self.active, self.file = newest, file
                 return
             except OSError as error:
-                logger.error("{} cannot be gone on with: {}", segment_name(newest.number), error)
+                logger.error(DiskFault(f"{segment_name(newest.number)} cannot be gone on with: {error}").line)
         try:
             self._roll()
         except NoRoom as error:
             # Danger: a sender that does not start for want of room could never end what fills the folder.
-            logger.error("the folder takes no records so far: {}", error)
+            logger.error("the folder takes no records so far: {}", error.line)
 
     # ---- in service ----
 
@@ -173,6 +182,10 @@
         return FRAME.size + records.ENVELOPE_BODY.size + records.STATE_BODY.size + texts + body + records.OF_STATE
 
     def has_room(self, kept: Kept) -> bool:
+        """Whether a new envelope can be taken."""
+        return self.fits(kept)
+
+    def fits(self, kept: Kept) -> bool:
         """Whether an envelope can be kept, with room for the short records that it will need."""
         weighed = self.weighed(kept)
         if weighed > self.spare:
@@ -195,7 +208,7 @@
         """Write the record of a taken envelope; `NoRoom` where there is none for it."""
         body = kept.body or b""
         kept.size, kept.checksum = len(body), zlib.crc32(body)
-        if not self.has_room(kept):
+        if not self.fits(kept):
             raise NoRoom("too much is kept")
         self._base(kept, body, NEW)
         self.spare -= self.weighed(kept)
@@ -218,6 +231,12 @@
         kept.outcome(outcome.never_ran)
         self._owe(OUTCOME_BODY.pack(OUTCOME, number, OUTCOMES.index(outcome)), self._noting(kept))
 
+    def may_have_run(self, number: int, at: int, zone: int) -> None:
+        """Another sender has told of a shot that may have run, before all that are known here."""
+        kept = self.kept[number]
+        kept.ran_at, kept.ran_zone = at, zone
+        self._owe(records.state(kept), self._noting(kept))
+
     def ended(self, number: int, nacked: bool, wait_ms: int) -> None:
         """The final answer has been chosen; its notice is owed, its body is not needed any more."""
         kept = self.kept.get(number)
@@ -234,6 +253,18 @@
             holders = self.book.over(kept)
             self._owe(OVER_BODY.pack(OVER, number), lambda segment: self.book.buried(number, holders, segment))
 
+    def deciding(self) -> bool:
+        """Whether this sender may answer for what it holds: always, where no other sender has a say."""
+        return True
+
+    def taking(self) -> bool:
+        """Whether new envelopes may be taken at all: always, where no other sender has a say."""
+        return True
+
+    def may_fire(self, number: int) -> bool:
+        """Whether a shot of this envelope may begin now: always, where no other sender has a say."""
+        return True
+
     def body(self, number: int) -> bytes:
         """The body of an envelope, from memory or from the folder; `Lost` where it cannot be read."""
         kept = self.kept[number]
@@ -383,7 +414,7 @@
         try:
             self.folder.truncate(self.file, active.size)
         except OSError as error:
-            logger.error("{}: a torn record stays: {}", segment_name(active.number), error)
+            logger.error(DiskFault(f"{segment_name(active.number)}: a torn record stays: {error}").line)
             self._grow(active, written)
             self.active = None
             quietly(self.folder.close, self.file)
@@ -506,7 +537,7 @@
             if not self.todo and not victim.strange:
                 self._finish(victim)
         except (NoRoom, Lost, OSError) as error:
-            logger.error("{} cannot be compacted now: {}", segment_name(victim.number), error)
+            logger.error("{} cannot be compacted now: {}", segment_name(victim.number), told(error))
             self._leave(victim)
             return False
         return True
@@ -571,6 +602,6 @@
             except FileNotFoundError:
                 self.used -= size
             except OSError as error:
-                logger.error("{} cannot be deleted: {}", name, error)
+                logger.error(DiskFault(f"{name} cannot be deleted: {error}").line)
                 left.append((name, size))
         self.condemned = left
--- a/cedarwick/store/records.py
+++ b/cedarwick/store/records.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from cedarwick.errors import Trouble
 from cedarwick.interface import EarlierShot, Outcome
 
 VERSION = 2  # of the format; the one file of the first version is read by `old.py`
@@ -37,9 +38,12 @@
 SHORTEST = STATE_HEAD.size  # of a payload that names an envelope
 
 
-class Unreadable(Exception):
+class Unreadable(Trouble):
     """A payload that its kind does not allow."""
 
+    code = "CW204"
+    remedy = "keep a copy of the folder, then `cedarwick store verify`; what the record owed is lost"
+
 
 @dataclass(slots=True, eq=False)
 class Kept:
--- a/cedarwick/store/recovery.py
+++ b/cedarwick/store/recovery.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from cedarwick.errors import Trouble
 from cedarwick.interface import Outcome
 from cedarwick.store.files import Folder, numbers, segment_name
 from cedarwick.store.records import (
@@ -45,6 +46,20 @@
 SECTOR = 1 << 12  # and where the disk gives an error
 
 
+class Damaged(Trouble):
+    """A part of the folder is missing or does not match its checksums; the rest is gone on with."""
+
+    code = "CW208"
+    remedy = "keep a copy of the folder and look at the disk; what is in doubt is answered by itself"
+
+
+class OtherVersion(Trouble):
+    """A segment was written by another version of the program."""
+
+    code = "CW209"
+    remedy = "start the version that wrote it on this folder and let it end what it owes"
+
+
 @dataclass
 class Recovered:
     """What a folder holds."""
@@ -82,8 +97,8 @@
     for number in sorted(expected):
         made = headers.get(number)
         if number not in present:
-            say(f"{segment_name(number)} is missing: what it held is lost, {len(found.book.kept)} envelopes are "
-                "put in doubt")
+            say(Damaged(f"{segment_name(number)} is missing: what it held is lost, {len(found.book.kept)} envelopes "
+                        "are put in doubt").line)
             put_in_doubt(found, doubt_from)
             continue
         doubt_from = made.made_at if made else doubt_from
@@ -135,15 +150,15 @@
     segment = Segment(number, made.made_at if made else doubt_from, physical=physical)
     found.book.add(segment)
     if made is not None and made.version != VERSION:
-        say(f"{name} is of version {made.version}, this program knows {VERSION}: it is left alone, and "
-            f"{len(found.book.kept)} envelopes are put in doubt")
+        say(OtherVersion(f"{name} is of version {made.version}, this program knows {VERSION}: it is left alone, and "
+                         f"{len(found.book.kept)} envelopes are put in doubt").line)
         segment.foreign = True
         found.book.live += physical
         segment.size = physical
         put_in_doubt(found, doubt_from)
         return
     if length is not None and physical < length:
-        say(f"{name} is cut off at {physical}, {length} bytes were written")
+        say(Damaged(f"{name} is cut off at {physical}, {length} bytes were written").line)
         put_in_doubt(found, doubt_from)
     ended = 0
     for each in read_through(folder, name, length):
@@ -158,8 +173,9 @@
             say(f"{name}: {each.until - each.at} bytes of a last record that was cut off are left out")
             continue
         if made is None and each.at == 0 and not last:
-            say(f"{name}: the header cannot be read")
-        say(f"{name}: bytes {each.at} to {each.until} are damaged; {len(found.book.kept)} envelopes are put in doubt")
+            say(Damaged(f"{name}: the header cannot be read").line)
+        say(Damaged(f"{name}: bytes {each.at} to {each.until} are damaged; {len(found.book.kept)} envelopes are "
+                    "put in doubt").line)
         put_in_doubt(found, doubt_from)
     segment.size = ended
     if last and made is not None:
@@ -203,9 +219,9 @@
             return  # news of an envelope that has ended, or whose record is lost
         take_news(book, segment, kept, kind, payload)
     except (Unreadable, ValueError, IndexError) as error:
-        say(f"{segment_name(segment.number)}: the record at {record.at} cannot be read: {error}")
+        say(Unreadable(f"{segment_name(segment.number)}: the record at {record.at} cannot be read: {error}").line)
     except Exception as error:  # struct.error, which is a class of its own
-        say(f"{segment_name(segment.number)}: the record at {record.at} has a wrong length: {error}")
+        say(Unreadable(f"{segment_name(segment.number)}: the record at {record.at} has a wrong length: {error}").line)
 
 
 def take_envelope(book: Book, segment: Segment, fresh: Kept) -> None:
--- a/cedarwick/store/tools.py
+++ b/cedarwick/store/tools.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cedarwick.errors import Trouble
 from cedarwick.store.files import NAME, Folder, segment_name
 from cedarwick.store.journal import Store
 from cedarwick.store.recovery import Recovered, recover
@@ -14,6 +15,13 @@
 PART = 1 << 20
 
 
+class NoCopy(Trouble, OSError):
+    """No copy of the folder could be made that is of one moment and without findings."""
+
+    code = "CW206"
+    remedy = "look at it with `cedarwick store verify`; where it is whole, copy again at a quieter time"
+
+
 class Summary(msgspec.Struct):
     """What a folder holds."""
 
@@ -91,7 +99,7 @@
         for name in files:
             os.unlink(os.path.join(to, name))
     os.rmdir(to)
-    raise OSError(f"{path} changed too fast for a copy, or is damaged: see `cedarwick store verify`")
+    raise NoCopy(f"{path} changed too fast for a copy, or is damaged")
 
 
 def opened(path: str) -> dict[str, tuple[int, int]] | None:
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -14,6 +14,7 @@
 from cedarwick.interface import ListChange, Listing, Phase
 from cedarwick.ops import lasting
 from cedarwick.ops.calls import LONGEST_LINE, BadCall, Call, Suspensions, parse
+from cedarwick.ops.staff import NotSuspended, Unlisted
 from tests.build import NOW, Program, Receiver, ask, free_port, line_of, reply, sender, submit, until
 
 OK = b"+OK\r\n"
@@ -257,8 +258,10 @@
         self.addCleanup(program.close)
         manage = free_port()
         program.start(RELAY_MANAGEMENT=f"127.0.0.1:{manage}")
-        self.assertEqual(call(manage, b"SUSPEND s-nobody\n"), b"NO nobody has s-nobody\n")
-        self.assertEqual(call(manage, b"RESTORE s-0\n"), b"NO s-0 is not suspended\n")
+        self.assertEqual(call(manage, b"SUSPEND s-nobody\n").decode(),
+                         f"NO nobody has s-nobody [CW402: {Unlisted.remedy}]\n")
+        self.assertEqual(call(manage, b"RESTORE s-0\n").decode(),
+                         f"NO s-0 is not suspended [CW403: {NotSuspended.remedy}]\n")
         self.assertEqual(call(manage, b"SUSPEND s-0\n"), b"YES s-0 suspended, 1 calls out\n")
         self.assertEqual(call(manage, b"SUSPEND s-0\n"), b"YES s-0 suspended, 2 calls out\n")
         time.sleep(0.1)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,10 +3,12 @@
 import contextlib
 import json
 import os
+import select
 import signal
 import socket
 import subprocess
 import sys
+import threading
 import time
 import unittest
 from unittest import mock
@@ -392,6 +394,46 @@
         time.sleep(0.2)
         self.assertEqual((len(program.receivers[0].calls), program.platform.notices), (1, []))
 
+    def test_after_sigterm_every_request_that_is_read_has_its_answer(self) -> None:
+        program = self.begin(reply(200))
+        unaware, fresh = program.connect(), program.connect()
+        self.addCleanup(unaware.close)
+        self.addCleanup(fresh.close)
+        self.assertEqual(ask(unaware, b"PING"), b"+PONG\r\n")
+        answered: list[bytes] = []
+
+        def send_on(number: int) -> None:
+            """A client that never stops: one request after another until its connection is ended."""
+            with program.connect() as sock, contextlib.suppress(OSError):
+                for turn in range(10_000):
+                    sock.sendall(submit(f"{number}-{turn}"))
+                    if not (line := line_of(sock)):
+                        return
+                    answered.append(line)
+
+        clients = [threading.Thread(target=send_on, args=(number,)) for number in range(12)]
+        for client in clients:
+            client.start()
+        time.sleep(0.2)
+        slow = program.connect()
+        self.addCleanup(slow.close)
+        program.signal(signal.SIGTERM)
+        ended_at = time.monotonic()
+        until(lambda: select.select([unaware], [], [], 0)[0])
+        unaware.sendall(submit("crosses"))  # the end lies there, but was not looked at
+        time.sleep(0.1)
+        unaware.sendall(b"*")  # which a reset would refuse
+        self.assertEqual(unaware.recv(100), b"")
+        fresh.sendall(submit("fresh"))
+        self.assertEqual(line_of(fresh), b"-BUSY\r\n")
+        for client in clients:
+            client.join()
+        time.sleep(1.6 - (time.monotonic() - ended_at))
+        slow.sendall(submit("slow")[:-5])
+        self.assertEqual(line_of(slow), b"-BUSY\r\n")
+        log = program.terminate()[1]
+        self.assertIn(f'"handed in": {len(answered) + 1},', log)
+
 
 class NewConfigurations(Running):
     def moved(self, program: Program) -> Platform:
