--- a/cedarwick/config/operator.py
+++ b/cedarwick/config/operator.py
@@ -11,7 +11,9 @@
 
 from cedarwick.config.files import BadFile, load_toml
 
-__all__ = ["BadFile", "Counting", "Lasting", "Log", "Operator", "load"]
+__all__ = ["BadFile", "Counting", "Fleet", "Lasting", "Log", "Member", "Operator", "load"]
+
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 
 
 class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -85,14 +87,123 @@
     ] = 0.0
 
 
+class Member(Table, frozen=True, kw_only=True):
+    """One sender of the fleet, this one too; the list is the same in every member's file."""
+
+    name: Annotated[
+        Name,
+        Meta(
+            description="The sender's name, as the platform's configuration has it.",
+            extra_json_schema={"examples": ["n0", "n1"]},
+        ),
+    ]
+    address: Annotated[
+        str,
+        Meta(
+            max_length=255,
+            description="Where it listens for the other members, as `host:port`; not an address of clients.",
+            extra_json_schema={"examples": ["10.0.0.1:6400", "10.0.1.1:6400"]},
+        ),
+    ]
+    hall: Annotated[
+        Name,
+        Meta(
+            description="The hall that it stands in; copies go to another hall first.",
+            extra_json_schema={"examples": ["north", "south"]},
+        ),
+    ]
+
+
+class Fleet(Table, frozen=True, kw_only=True):
+    """Senders that keep copies for one another and take over from one that dies."""
+
+    group: Annotated[
+        Name,
+        Meta(
+            description="The fleet's name; a member of another one is refused.",
+            extra_json_schema={"examples": ["halls"]},
+        ),
+    ]
+    member: Annotated[list[Member], Meta(min_length=2, max_length=64, description="The members.")]
+    ack: Annotated[
+        Literal["own", "copy"],
+        Meta(
+            description="`+OK` once the envelope is in the own folder, with the copy behind it; or once every copy has "
+            "it too."
+        ),
+    ] = "own"
+    copies: Annotated[int, Meta(ge=0, le=2, description="Members that keep a copy of what a sender owes.")] = 1
+    ack_within_ms: Annotated[
+        float,
+        Meta(
+            ge=1,
+            le=400,
+            description="So long a copy may take to say that it has an envelope, under `ack` by copy.",
+            extra={"unit": "milliseconds"},
+        ),
+    ] = 150.0
+    alone: Annotated[
+        Literal["busy", "own"],
+        Meta(
+            description="Where no copy answers in time, under `ack` by copy: answer `-BUSY`, or go on with the own "
+            "folder alone until a copy has been whole for 10 s."
+        ),
+    ] = "busy"
+    copies_mb: Annotated[
+        float,
+        Meta(ge=1, description="Room in the folder for what is kept for other members.", extra={"unit": "MB"}),
+    ] = 64.0
+    follow_s: Annotated[
+        float,
+        Meta(
+            ge=1,
+            le=604800,
+            description="A subscription that nobody has followed for so long ends everywhere.",
+            extra={"unit": "seconds"},
+        ),
+    ] = 3600.0
+
+
 class Operator(Table, frozen=True, kw_only=True):
     """The whole file."""
 
     log: Annotated[Log, Meta(description="The log on standard error.")] = Log()
     counters: Annotated[Counting, Meta(description="Counters in the log.")] = Counting()
     store: Annotated[Lasting, Meta(description="The folder that lasts.")] = Lasting()
+    fleet: Annotated[Fleet | None, Meta(description="Many senders as one fleet.")] = None
 
 
 def load(path: str) -> Operator:
     """The operator file at a path; `BadFile` says in one line what is wrong with it."""
-    return load_toml(path, Operator)
+    made = load_toml(path, Operator)
+    if made.fleet is not None:
+        check(made.fleet, path)
+    return made
+
+
+def check(fleet: Fleet, path: str) -> None:
+    """What no type says of a fleet; `BadFile` names the first key that does not fit."""
+    # Only a file with a fleet pays for the hash and the rest.
+    from cedarwick.fleet.messages import slot_of
+    from cedarwick.net.assignment import address
+
+    names: dict[str, int] = {}
+    addresses: dict[tuple[str, int], int] = {}
+    slots: dict[int, int] = {}
+    for index, member in enumerate(fleet.member):
+        where = f"{path}: fleet.member[{index}]"
+        try:
+            listens = address(member.address)
+        except ValueError:
+            raise BadFile(f"{where}.address: Expected `host:port`, got {member.address!r}") from None
+        if (first := names.setdefault(member.name, index)) != index:
+            raise BadFile(f"{where}.name: {member.name!r} is given twice, first in member[{first}]")
+        if (first := addresses.setdefault(listens, index)) != index:
+            raise BadFile(f"{where}.address: {member.address!r} is given twice, first in member[{first}]")
+        # Danger: two members with one slot would give two envelopes one number.
+        if (first := slots.setdefault(slot_of(member.name), index)) != index:
+            raise BadFile(f"{where}.name: {member.name!r} has the slot of {fleet.member[first].name!r}; rename one")
+    if fleet.copies >= len(fleet.member):
+        raise BadFile(f"{path}: fleet.copies: {fleet.copies} copies need {fleet.copies + 1} members")
+    if fleet.ack == "copy" and not fleet.copies:
+        raise BadFile(f"{path}: fleet.copies: `ack` by copy needs 1 at least")
--- a/cedarwick/config/texts.py
+++ b/cedarwick/config/texts.py
@@ -16,6 +16,7 @@
     unit: str
     default: str  # as TOML; empty where the key must be given
     sentence: str
+    examples: list[str]  # as TOML; for a key without a default
 
 
 def keys(table: type[msgspec.Struct]) -> Iterator[Key]:
@@ -24,9 +25,11 @@
     assert isinstance(info, inspect.StructType)
     for field in info.fields:
         described, unit, sentence = field.type, "", ""
+        examples: list[str] = []
         while isinstance(described, inspect.Metadata):
             unit = (described.extra or {}).get("unit", unit)
             sentence = (described.extra_json_schema or {}).get("description", sentence)
+            examples = [as_toml(each) for each in (described.extra_json_schema or {}).get("examples", [])] or examples
             described = described.type
         if field.default is not msgspec.NODEFAULT:
             default = as_toml(field.default)
@@ -34,7 +37,7 @@
             default = as_toml(field.default_factory())
         else:
             default = ""
-        yield Key(field.encode_name, type_name(described), unit, default, sentence)
+        yield Key(field.encode_name, type_name(described), unit, default, sentence, examples)
 
 
 def tables(whole: type[msgspec.Struct]) -> Iterator[tuple[str, str, type[msgspec.Struct], bool]]:
@@ -45,6 +48,7 @@
         described = field.type
         while isinstance(described, inspect.Metadata):
             described = described.type
+        described = table_of(described)
         many = isinstance(described, inspect.ListType | inspect.VarTupleType)
         if many:
             described = described.item_type  # type: ignore[attr-defined]
@@ -52,8 +56,18 @@
             yield field.encode_name, (described.cls.__doc__ or "").split("\n")[0], described.cls, many
 
 
+def table_of(described: Any) -> Any:
+    """The table of one that may be left out; any other type as it is."""
+    if isinstance(described, inspect.UnionType):
+        for each in described.types:
+            if isinstance(each, inspect.StructType):
+                return each
+    return described
+
+
 def type_name(described: Any) -> str:
     """A type in a reader's words."""
+    described = table_of(described)
     if isinstance(described, inspect.LiteralType):
         return " or ".join(json.dumps(value) for value in described.values)
     if isinstance(described, inspect.UnionType):
@@ -88,14 +102,32 @@
 def example(whole: type[msgspec.Struct]) -> str:
     """A file in which every key stands with its default, commented out."""
     parts = ["# Every key is optional; what stands here is its default."]
+    made = whole()
     for name, sentence, table, _ in tables(whole):
-        parts += ["", f"# {sentence}", f"[{name}]"]
-        for key in keys(table):
-            unit = f", in {key.unit}" if key.unit else ""
-            parts += [f"# {key.sentence} ({key.type}{unit})", f"# {key.name} = {key.default}"]
+        off = getattr(made, name) is None
+        parts += ["", f"# {sentence}"]
+        live = "" if off else "# "  # the whole table is commented out, or each key
+        lines = [f"[{name}]", *example_keys(table, live)]
+        for inner, _, inner_table, many in tables(table):
+            rows = list(keys(inner_table))
+            for index in range(len(rows[0].examples) if many else 1):
+                lines.append(f"[[{name}.{inner}]]" if many else f"[{name}.{inner}]")
+                lines += example_keys(inner_table, live, index)
+        if off:
+            parts.append("# Off while it is left out: to have it, take the `## ` away from the lines that you need.")
+        parts += ["## " + line if off else line for line in lines]
     return "\n".join(parts) + "\n"
 
 
+def example_keys(table: type[msgspec.Struct], mark: str, index: int = 0) -> Iterator[str]:
+    """What a key means and its default, or one of its examples, line by line."""
+    for key in keys(table):
+        if not key.type.endswith("StructType"):
+            unit = f", in {key.unit}" if key.unit else ""
+            yield f"# {key.sentence} ({key.type}{unit})"
+            yield f"{mark}{key.name} = {key.default or key.examples[index]}"
+
+
 def schema(whole: type[msgspec.Struct]) -> str:
     """The JSON Schema of a file."""
     return json.dumps(msgspec.json.schema(whole), indent=2, sort_keys=True)
@@ -110,9 +142,9 @@
     for name, sentence, table, many in tables(whole):
         heading = f"[[{name}]]" if many else f"[{name}]"
         parts += [f"### `{heading}`", "", sentence, "", *markdown(list(keys(table))), ""]
-        for inner, inner_sentence, inner_table, _ in tables(table):
+        for inner, inner_sentence, inner_table, inner_many in tables(table):
             parts += [
-                f"#### `{name}.{inner}`",
+                f"#### `[[{name}.{inner}]]`" if inner_many else f"#### `{name}.{inner}`",
                 "",
                 inner_sentence,
                 "",
@@ -135,10 +167,19 @@
     """What is in force, as TOML; each line says whether the file gave it."""
     lines: list[str] = []
     for name, _, table, _ in tables(type(made)):
-        lines.append(f"[{name}]")
         held = getattr(made, name)
-        for key in keys(table):
-            source = "file" if key.name in told.get(name, {}) else "default"
-            lines.append(f"{key.name} = {as_toml(getattr(held, key.name))}  # {source}")
+        if held is None:
+            lines += [f"# [{name}] is off", ""]
+            continue
+        lines += [f"[{name}]", *effective_keys(held, told.get(name, {}))]
+        for inner, _, _, _ in tables(table):
+            for index, row in enumerate(getattr(held, inner)):
+                lines += [f"[[{name}.{inner}]]", *effective_keys(row, told[name][inner][index])]
         lines.append("")
     return "\n".join(lines)
+
+
+def effective_keys(held: msgspec.Struct, told: dict[str, Any]) -> Iterator[str]:
+    for key in keys(type(held)):
+        if not key.type.endswith("StructType"):
+            yield f"{key.name} = {as_toml(getattr(held, key.name))}  # {'file' if key.name in told else 'default'}"
--- /dev/null
+++ b/cedarwick/fleet/link.py
@@ -0,0 +1,432 @@
+"""Letters between members over HTTP/1.1: a server on the member's own address, and kept connections to the others.
+
+A refusal is a letter with `Refused`, whatever the status beside it: 4xx where the letter is at fault, 503 where
+there are too many, 500 where its handler failed. Who calls tries again by `retry.Waits`; nothing is sent twice here.
+"""
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import gevent
+import gevent.socket
+from gevent.lock import BoundedSemaphore
+from gevent.pool import Pool
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+
+from cedarwick.errors import Trouble
+from cedarwick.fleet.gate import Gate
+from cedarwick.fleet.messages import LARGEST, Body, Head, Letter, Refused, Unreadable, decode, encode, head_of
+from cedarwick.net import http
+from cedarwick.net.buffer import Buffer
+from cedarwick.net.counters import Counters
+from cedarwick.net.sockets import connected, ended
+
+PATH = "/fleet/1"
+MOST_AT_ONCE = 64  # letters that are read and answered; those beyond get 503
+MOST_CONNECTIONS = 256  # further ones wait in the backlog
+BACKLOG = 256
+LONGEST_HEAD = 1 << 13  # bytes of header lines
+READ_WITHIN = 2.0  # seconds for a body, and for a head on top of the idle time
+SILENT = 15.0  # seconds that a connection may be idle at the server
+KEPT = 10.0  # seconds that one is kept by the client: less, so that it is not met as it closes
+IN_FLIGHT = 4  # calls to one member at once, each on a connection of its own
+QUEUE = 64  # calls to one member in flight and waiting
+
+Address = tuple[str, int]
+Handling = Callable[[Letter], Letter]
+
+
+class WrongPlace(Trouble):
+    """A request to the fleet's address that brings no letter."""
+
+    code = "CW707"
+    remedy = "ask who calls the fleet's address: only members do, by POST with a Content-Length"
+
+
+class TooLarge(Trouble):
+    """A letter larger than any member reads."""
+
+    code = "CW708"
+    remedy = "report it, with the log of the sender that wrote it"
+
+
+class TooMany(Trouble):
+    """As many letters are being answered as may be at once."""
+
+    code = "CW709"
+    remedy = "the caller tries again by itself; if it lasts, look at the load and lag of this member"
+
+
+class Late(Trouble):
+    """A request on the fleet's address that did not come in time."""
+
+    code = "CW710"
+    remedy = "look at the network between the two senders"
+
+
+class AnswerFailed(Trouble):
+    """A letter met an error in the program; the sender goes on."""
+
+    code = "CW711"
+    remedy = "see the log of the member that was called for the trace, and report it"
+
+
+class Unreachable(Trouble):
+    """A member did not answer, or not with a letter: the request may have got through."""
+
+    code = "CW712"
+    remedy = "look at that member's process and at the network between the two"
+
+
+class Refusal(Trouble):
+    """A member read the letter and refused it; `refused` is its answer."""
+
+    code = "CW713"
+    remedy = "do what docs/errors.md says for the code that the member gave"
+    refused: Refused
+
+
+STATUS: dict[type[Trouble], str] = {
+    WrongPlace: "404 Not Found",
+    TooLarge: "413 Content Too Large",
+    TooMany: "503 Service Unavailable",
+    Late: "408 Request Timeout",
+    Unreadable: "400 Bad Request",
+    AnswerFailed: "500 Internal Server Error",
+}
+AT_FAULT = "409 Conflict"  # every other refusal
+
+
+# ---- the server ----
+
+
+class BoundedHead:
+    """The header lines of a request, up to a bound."""
+
+    def __init__(self, file: Any) -> None:
+        self.file = file
+        self.left = LONGEST_HEAD
+
+    def readline(self, size: int) -> bytes:
+        line: bytes = self.file.readline(min(size, self.left + 1))
+        self.left -= len(line)
+        if self.left < 0:
+            raise ValueError("a head without an end")
+        return line
+
+
+class Handler(WSGIHandler):  # type: ignore[misc]
+    """One connection, with a limit to the time until a head is there, and to its size."""
+
+    limit: gevent.Timeout | None = None
+
+    def handle(self) -> None:
+        # Danger: the head and the body of an answer are two writes; the second would wait for the other's delayed ACK.
+        self.socket.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+        self.socket.settimeout(SILENT)
+        try:
+            super().handle()
+        except gevent.Timeout as late:
+            if late is not self.limit:
+                raise
+            self.server.counters.add("fleet connections that were silent")
+        finally:
+            if self.limit is not None:
+                self.limit.close()
+
+    def read_requestline(self) -> Any:
+        # Danger: a caller that writes its head byte by byte would never meet the time limit of one read.
+        self.limit = gevent.Timeout.start_new(SILENT + READ_WITHIN)
+        return super().read_requestline()
+
+    def MessageClass(self, file: Any, *_: Any) -> Any:
+        return super().MessageClass(BoundedHead(file))
+
+    def get_environ(self) -> Any:
+        if self.limit is not None:
+            self.limit.close()
+        return super().get_environ()
+
+    def handle_error(self, kind: Any, error: Any, _: Any) -> None:
+        self.close_connection = True
+        if not issubclass(kind, gevent.GreenletExit):  # the server was stopped
+            self.server.counters.trouble("a request of a member broke", f"{kind.__name__}: {error}")
+
+    def _handle_client_error(self, error: Any) -> Any:
+        self.server.counters.trouble("a request on the fleet's address that cannot be read", WrongPlace(str(error)))
+        return ("400", b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+
+
+class Server:
+    """Answers the letters of other members, each in the greenlet of its connection."""
+
+    def __init__(self, where: Address, gate: Gate, counters: Counters, answer: Handling) -> None:
+        """Listens at once; OSError where the address cannot be had. Port 0: any; `port` is the one it got."""
+        self.gate = gate
+        self.counters = counters
+        self.answer = answer
+        self.busy = 0
+        listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
+            listener.bind(where)
+            listener.listen(BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        self.port = int(listener.getsockname()[1])
+        # Without a name of its own the server would look one up by DNS.
+        self.http = WSGIServer(listener, self._serve, spawn=Pool(MOST_CONNECTIONS), log=None, error_log=None,
+                               handler_class=Handler, environ={"SERVER_NAME": gate.me})
+        self.http.counters = counters
+
+    def start(self) -> None:
+        """Begin to accept."""
+        self.http.start()
+
+    def stop(self, within_s: float = 0.5) -> None:
+        """Accept no more, let what is being answered end for so long, then close every connection."""
+        self.http.close()
+        end = time.monotonic() + within_s
+        while self.busy and time.monotonic() < end:
+            gevent.sleep(0.005)
+        self.http.stop(timeout=0)
+
+    def _serve(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
+        """The application: an answer to every request, of a handler or a refusal."""
+        head: list[Head] = []  # of the letter, once it was read so far
+        self.busy += 1
+        try:
+            told = self._answered(environ, head)
+            status = "200 OK"
+        except Trouble as error:
+            self.counters.trouble("a letter was refused", error)
+            status = STATUS.get(type(error), AT_FAULT)
+            refused = Refused(error.code, str(error)[:512])
+            told = encode(self.gate.letter(head[0].sender if head else "", refused))
+        finally:
+            self.busy -= 1
+        headers = [("Content-Type", "application/msgpack"), ("Content-Length", str(len(told)))]
+        if leave_unread(environ["wsgi.input"]):
+            headers.append(("Connection", "close"))
+        start(status, headers)
+        return [told]
+
+    def _answered(self, environ: dict[str, Any], head: list[Head]) -> bytes:
+        """The handler's answer, encoded; every refusal is raised."""
+        if (environ["REQUEST_METHOD"], environ["PATH_INFO"]) != ("POST", PATH) or "CONTENT_LENGTH" not in environ:
+            raise WrongPlace(f"{environ['REQUEST_METHOD']} {environ['PATH_INFO'][:100]} of {environ['REMOTE_ADDR']}")
+        size = int(environ["CONTENT_LENGTH"])  # the server has read it as a number
+        if size > LARGEST:
+            raise TooLarge(f"a letter of {size} bytes from {environ['REMOTE_ADDR']}, where {LARGEST} is the most")
+        if self.busy > MOST_AT_ONCE:
+            read(environ["wsgi.input"], size, keep=False)
+            raise TooMany(f"{MOST_AT_ONCE} letters are being answered at {self.gate.me!r}")
+        told = read(environ["wsgi.input"], size)
+        try:
+            letter = decode(told)
+        except Unreadable:
+            if (begin := head_of(told)) is not None:
+                head.append(begin)
+                self.gate.same_version(begin)
+            raise
+        head.append(letter)
+        self.gate.check(letter)
+        try:
+            said = encode(self.answer(letter))
+        except Trouble:
+            raise
+        except Exception:  # one failing letter must not end the link: beats and leases are still owed
+            self.counters.failed("answering a letter failed")
+            raise AnswerFailed(f"{self.gate.me!r} failed to answer a {type(letter.body).__name__}") from None
+        if len(said) > LARGEST:
+            raise TooLarge(f"{self.gate.me!r} has an answer of {len(said)} bytes, where {LARGEST} is the most")
+        return said
+
+
+def read(body: Input, size: int, keep: bool = True) -> bytes:
+    """A request's body, whole and in time, or read over; `Late` and `Unreadable` otherwise."""
+    limit = gevent.Timeout(READ_WITHIN)
+    try:
+        with limit:
+            if keep:
+                told: bytes = body.read(size)
+                return told
+            while body.read(1 << 14):
+                pass
+            return b""
+    except gevent.Timeout as late:
+        if late is not limit:
+            raise
+        raise Late(f"{size} bytes of a letter did not come within {READ_WITHIN:g} s") from None
+    except OSError as error:
+        raise Unreadable(f"a letter of {size} bytes was cut: {error}") from None
+
+
+def leave_unread(body: Input) -> bool:
+    """Whether the request's body was not read whole; nobody waits for the rest then.
+
+    Danger: the server reads on to the end of a request after its answer, however long that is.
+    """
+    unread = body.chunked_input or body.position < (body.content_length or 0)
+    body.chunked_input, body.content_length = False, 0
+    return bool(unread)
+
+
+# ---- the client ----
+
+
+class Kept:
+    """A connection to a member: carries one request at a time."""
+
+    __slots__ = ("sock", "buffer", "used")
+
+    def __init__(self, sock: gevent.socket.socket) -> None:
+        self.sock = sock
+        self.buffer = Buffer()
+        self.used = time.monotonic()
+
+
+class Peer:
+    """What is known and open to one other member."""
+
+    def __init__(self, name: str, address: Address) -> None:
+        self.name = name
+        self.address = address
+        self.idle: list[Kept] = []  # the one used last is the next
+        self.open: set[Kept] = set()
+        self.room = BoundedSemaphore(IN_FLIGHT)
+        self.calls = 0
+        self.gone = False
+
+    def __str__(self) -> str:
+        return f"{self.name} at {self.address[0]}:{self.address[1]}"
+
+    def connection(self, within_s: float) -> Kept:
+        """An idle connection that still stands, or a new one; OSError where none comes up."""
+        while self.idle:
+            kept = self.idle.pop()
+            if time.monotonic() - kept.used < KEPT and not ended(kept.sock):
+                return kept
+            self.close(kept)  # nothing was written on it: no failure
+        kept = Kept(connected(self.address, within_s))
+        self.open.add(kept)
+        return kept
+
+    def close(self, kept: Kept) -> None:
+        self.open.discard(kept)
+        kept.sock.close()
+
+    def leave(self) -> None:
+        """Close all; a call that is out ends as `Unreachable`."""
+        self.gone = True
+        self.idle.clear()
+        for kept in list(self.open):
+            self.close(kept)
+
+
+class Peers:
+    """Calls to the other members: a few at once to each, the rest wait in a bounded queue."""
+
+    def __init__(self, gate: Gate, members: Mapping[str, Address]) -> None:
+        self.gate = gate
+        self.peers: dict[str, Peer] = {}
+        self.replace(members)
+
+    def replace(self, members: Mapping[str, Address]) -> None:
+        """Take over another list of members by name; connections to those that went or moved are closed."""
+        for name in [name for name, peer in self.peers.items() if members.get(name) != peer.address]:
+            self.peers.pop(name).leave()
+        for name, address in members.items():
+            if name != self.gate.me and name not in self.peers:
+                self.peers[name] = Peer(name, address)
+        self.gate.replace(members)
+
+    def names(self) -> Iterable[str]:
+        """The other members."""
+        return self.peers.keys()
+
+    def close(self) -> None:
+        """Close every connection; calls that are out end as `Unreachable`."""
+        for peer in self.peers.values():
+            peer.leave()
+        self.peers.clear()
+
+    def call(self, member: str, body: Body, within_s: float) -> Body:
+        """What the member answers; as `letter`."""
+        return self.letter(member, body, within_s).body
+
+    def letter(self, member: str, body: Body, within_s: float) -> Letter:
+        """The member's answer within so many seconds, the wait in the queue counted.
+
+        `Unreachable`: no answer, or none that can be read. `Refusal`: the member says why not. `TooLarge`: not sent.
+        """
+        peer = self.peers.get(member)
+        if peer is None:
+            raise Unreachable(f"{member!r} is no other member")
+        if peer.calls >= QUEUE:
+            raise Unreachable(f"{peer}: {QUEUE} calls are out or wait already")
+        letter = encode(self.gate.letter(member, body))
+        if len(letter) > LARGEST:
+            raise TooLarge(f"a {type(body).__name__} of {len(letter)} bytes to {member!r}, where {LARGEST} is the most")
+        limit = gevent.Timeout(within_s)
+        peer.calls += 1
+        try:
+            with limit, peer.room:
+                status, told = exchange(peer, letter, within_s)
+            answer = decode(told)
+        except gevent.Timeout as late:
+            if late is not limit:
+                raise
+            raise Unreachable(f"{peer}: no answer within {within_s:g} s") from None
+        except (OSError, http.Unreadable, Unreadable) as error:
+            raise Unreachable(f"{peer}: {error or type(error).__name__}") from None
+        finally:
+            peer.calls -= 1
+        return self._judged(peer, status, answer)
+
+    def _judged(self, peer: Peer, status: int, answer: Letter) -> Letter:
+        """An answer that is one of this member, for this sender."""
+        if isinstance(answer.body, Refused):
+            refusal = Refusal(f"{peer} refused: {answer.body.why} ({answer.body.code})")
+            refusal.refused = answer.body
+            raise refusal
+        try:
+            self.gate.check(answer)
+        except Trouble as error:
+            raise Unreachable(f"{peer}: the answer is not its: {error}") from None
+        if (status, answer.sender) != (200, peer.name):
+            raise Unreachable(f"{peer}: an answer of {answer.sender!r} with status {status}")
+        return answer
+
+
+def exchange(peer: Peer, letter: bytes, within_s: float) -> tuple[int, bytes]:
+    """Status and body of the answer to one letter; OSError and `http.Unreadable` where there is none."""
+    if peer.gone:
+        raise ConnectionAbortedError("no member any more")
+    kept = peer.connection(within_s)
+    whole = False
+    try:
+        kept.sock.settimeout(None)  # the time limit is the whole call's
+        kept.sock.sendall(b"POST %s HTTP/1.1\r\nHost: %s:%d\r\nContent-Type: application/msgpack\r\n"
+                          b"Content-Length: %d\r\n\r\n%s"
+                          % (PATH.encode(), peer.address[0].encode(), peer.address[1], len(letter), letter))
+        told = bytearray()
+        answer = http.Answer(told.extend)
+        while not answer.complete:
+            if kept.buffer.fill(kept.sock):
+                answer.feed(kept.buffer)
+            elif not answer.ended():
+                raise http.Unreadable("the connection ended before the answer did")
+            if len(told) > LARGEST:
+                raise http.Unreadable(f"an answer of more than {LARGEST} bytes")
+        # Danger: bytes behind this answer would be read as that to the next letter; `keep_alive` is false then.
+        whole = answer.keep_alive
+    finally:
+        if whole:
+            kept.used = time.monotonic()
+            peer.idle.append(kept)
+        else:
+            peer.close(kept)
+    return answer.status, bytes(told)
