--- /dev/null
+++ b/cedarwick/fleet/copies.py
@@ -0,0 +1,368 @@
+"""The files of the copies that this member keeps: one a book, the steps that brought its copy forward, in order.
+
+A file is a top (version, book, when it was made) and entries, each in a frame of the folder's. Read again, the entries
+bring the same copy forward. A file that is over twice what is owed is written anew in small steps while entries go on
+coming: each step writes a part of what is owed now, each entry goes to both files, and the fresh one then takes the
+name. That is how a copy is walked over the network (see `shipping.py`), from the member's own memory. Every append
+that returned is in the system's hands and outlives the process; with `durable`, `flush` brings it to the disk.
+"""
+
+import os
+import re
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from cedarwick.errors import Trouble
+from cedarwick.fleet.facts import Spoilt, decode_facts
+from cedarwick.fleet.messages import Digests, Facts, Have, Piece
+from cedarwick.fleet.shipping import EVERYTHING, NO_ROOM, Entry, Replica, Step
+from cedarwick.store.files import Folder, quietly
+from cedarwick.store.records import FRAME, LONGEST, Damage, framed, may_go_on
+from cedarwick.store.recovery import read_through
+
+VERSION = 1  # of the files
+NAME = re.compile(r"([0-9]{1,10})\.log")
+FRESH = ".new"  # a file that is being written anew
+OTHER = ".other"  # one that another version has written
+PART = 1 << 16  # bytes that one step writes anew
+LOOK_BACK = 64  # steps after which a file that could not be written anew is looked at again
+SMALL = 1 << 17  # bytes of a file that is never written anew for its size
+TOP, ENTRY = b"\x01", b"\x02"
+
+
+class CopyRefused(Trouble):
+    """A copy for another member cannot be written."""
+
+    code = "CW722"
+    remedy = "raise fleet.copies_mb or free the disk; until then the other member has one copy less"
+
+
+class CopyDamaged(Trouble):
+    """The file of a copy is damaged; what can be read is kept and put in doubt, the rest is asked for anew."""
+
+    code = "CW723"
+    remedy = "look at the disk; the holder sends everything again, without it what is in doubt is answered by itself"
+
+
+class CopyForeign(Trouble):
+    """The file of a copy was written by another version of the program and is put aside."""
+
+    code = "CW724"
+    remedy = "delete the file that is named once its holder lives; before that the version that wrote it can read it"
+
+
+class Top(msgspec.Struct, array_like=True):
+    """How a file begins."""
+
+    version: int
+    book: int
+    made_at: int  # wall microseconds
+
+
+ENCODER = msgspec.msgpack.Encoder()
+TOPS: msgspec.msgpack.Decoder[Top] = msgspec.msgpack.Decoder(Top)
+ENTRIES: msgspec.msgpack.Decoder[Entry] = msgspec.msgpack.Decoder(Entry)
+
+
+class CopyFolder(Folder):
+    """`$RELAY_STATE/fleet/copies`."""
+
+    def replace(self, name: str, by: str) -> None:
+        """`by` takes the name, whole or not at all; OSError."""
+        os.replace(os.path.join(self.path, by), os.path.join(self.path, name))
+
+
+class Copy:
+    """One book's copy and its file."""
+
+    def __init__(self, book: int) -> None:
+        self.name = f"{book}.log"
+        self.replica = Replica(book)
+        self.file = -1
+        self.size = 0
+        self.fresh = -1  # the file that is being written anew
+        self.fresh_size = 0
+        self.after = 0  # the numbers that the fresh file has
+        self.torn = False  # nothing more can be appended: the file must be written anew
+        self.least = 0  # bytes of the file when it was written anew last
+        self.rest_until = 0  # the step until which that is not tried again
+
+
+class Copies:
+    """All copies that this member keeps. One greenlet at a time calls it."""
+
+    def __init__(self, folder: CopyFolder, limit: int, *, now: Callable[[], int], durable: bool = False) -> None:
+        """`limit`: bytes of all files together; `now` tells wall microseconds."""
+        self.folder = folder
+        self.limit = limit
+        self.now = now
+        self.durable = durable
+        self.copies: dict[int, Copy] = {}
+        self.unsynced: dict[int, int] = {}  # files with bytes that no sync has followed: `written` after the last
+        self.refusing: set[int] = set()  # books whose holders are told that there is no room; said in the log once
+        self.steps = 0
+        self.written = 0  # bytes ever
+
+    @property
+    def used(self) -> int:
+        """Bytes of all files."""
+        return sum(copy.size + copy.fresh_size for copy in self.copies.values())
+
+    def load(self) -> None:
+        """Read what earlier processes have left; OSError where the folder cannot be used."""
+        for name in self.folder.names():
+            found = NAME.fullmatch(name)
+            if name.endswith(FRESH):
+                quietly(self.folder.unlink, name)
+            elif found is not None:
+                try:
+                    self._read(int(found[1]))
+                except OSError as error:  # its holder is told that there is no room, until somebody has looked
+                    logger.error(CopyDamaged(f"{name}: {error}").line)
+
+    def replica(self, book: int) -> Replica | None:
+        """What is known of a book, for whoever adopts it."""
+        copy = self.copies.get(book)
+        return copy.replica if copy is not None else None
+
+    def facts(self, message: Facts) -> Have:
+        """A part of a book's tail; what the answer claims is written."""
+        copy = self._copy(message.book)
+        return self._done(copy, copy.replica.facts(message))
+
+    def piece(self, message: Piece) -> Have:
+        """All that a book owes in a range; what the answer claims is written."""
+        copy = self._copy(message.book)
+        return self._done(copy, copy.replica.piece(message))
+
+    def digests(self, message: Digests) -> Digests:
+        return self._copy(message.book).replica.digests(message)
+
+    def drop(self, book: int) -> None:
+        """Nothing of a book is wanted here any more."""
+        self.refusing.discard(book)
+        copy = self.copies.pop(book, None)
+        if copy is not None:
+            self._abandon(copy)
+            if copy.file >= 0:
+                self._close(copy.file)
+            quietly(self.folder.unlink, copy.name)
+
+    def flush(self, call: Callable[..., object] | None = None) -> None:
+        """With `durable`, before an answer leaves: all that was written is on the disk; OSError where that fails.
+
+        `call` runs a blocking function where it holds nobody up.
+        """
+        for file, written in list(self.unsynced.items()):
+            if file not in self.unsynced:
+                continue  # closed meanwhile, what it held is on the disk under the same name
+            try:
+                if call is None:
+                    self.folder.sync(file)
+                else:
+                    call(self.folder.sync, file)
+            except OSError:
+                if file in self.unsynced:
+                    raise
+            # Danger: what was appended while `call` let others run may have come too late for this sync.
+            if self.unsynced.get(file) == written:
+                del self.unsynced[file]
+
+    def step(self) -> bool:
+        """Write a bounded part of one file anew, where one has grown too large; whether there is more to do."""
+        for copy in self.copies.values():
+            if copy.fresh >= 0:
+                self._go_on(copy)
+                return True
+        self.steps += 1
+        for copy in self.copies.values():
+            least = max(copy.replica.live, copy.least)
+            most = least * 5 // 4 + PART if self.refusing else least * 2 + SMALL
+            if (copy.torn or copy.size > most) and copy.rest_until <= self.steps:
+                return self._begin(copy)
+        return False
+
+    def close(self) -> None:
+        for copy in self.copies.values():
+            self._abandon(copy)
+            if copy.file >= 0:
+                self._close(copy.file)
+        self.copies.clear()
+
+    # ---- writing ----
+
+    def _copy(self, book: int) -> Copy:
+        if book not in self.copies:
+            return Copy(book)  # it is kept once something is written
+        return self.copies[book]
+
+    def _done(self, copy: Copy, step: Step) -> Have:
+        if step.entry is None:
+            return step.have
+        try:
+            self._append(copy, framed(ENTRY + ENCODER.encode(step.entry)))
+        except (CopyRefused, OSError) as error:
+            if copy.replica.book not in self.refusing:
+                self.refusing.add(copy.replica.book)
+                logger.error(CopyRefused(f"{copy.name}: {error}").line)
+            return copy.replica.have(NO_ROOM)
+        self.refusing.discard(copy.replica.book)
+        copy.replica.take(step.entry, step.facts)
+        return step.have
+
+    def _append(self, copy: Copy, frame: bytes) -> None:
+        """Write an entry to a copy's file, and to its fresh one; `CopyRefused` or OSError, and it is in neither."""
+        largest = max((each.replica.live for each in self.copies.values()), default=0)
+        if self.used + 2 * len(frame) + largest > self.limit:  # room for the largest to be written anew
+            raise CopyRefused(f"{self.used} bytes are in use, and {self.limit} are the most")
+        if len(frame) > LONGEST or copy.torn:
+            raise CopyRefused("it is too long" if len(frame) > LONGEST else "the file has a torn end for now")
+        if copy.file < 0:
+            self._create(copy)
+        self._write(copy, frame)
+        if copy.fresh >= 0 and not self._write_fresh(copy, frame):
+            self._abandon(copy)
+
+    def _write(self, copy: Copy, frame: bytes) -> None:
+        written = 0
+        try:
+            written = self.folder.append(copy.file, frame)
+            if written < len(frame):
+                raise OSError("a record was cut short")
+        except OSError:
+            # Danger: all that follows a torn record would be taken for damage at the next start.
+            copy.torn = not quietly(self.folder.truncate, copy.file, copy.size)
+            raise
+        copy.size += written
+        self.written += written
+        if self.durable:
+            self.unsynced[copy.file] = self.written
+
+    def _create(self, copy: Copy) -> None:
+        copy.file = self.folder.create(copy.name)
+        self.copies[copy.replica.book] = copy
+        try:
+            self._write(copy, self._top(copy))
+        except OSError:
+            self.drop(copy.replica.book)
+            copy.file = -1
+            raise
+
+    def _top(self, copy: Copy) -> bytes:
+        return framed(TOP + ENCODER.encode(Top(VERSION, copy.replica.book, self.now())))
+
+    def _close(self, file: int) -> None:
+        self.unsynced.pop(file, None)
+        quietly(self.folder.close, file)
+
+    # ---- written anew ----
+
+    def _begin(self, copy: Copy) -> bool:
+        quietly(self.folder.unlink, copy.name + FRESH)
+        try:
+            copy.fresh, copy.fresh_size, copy.after = self.folder.create(copy.name + FRESH), 0, 0
+        except OSError:
+            return False
+        return self._write_fresh(copy, self._top(copy)) or self._abandon(copy)
+
+    def _go_on(self, copy: Copy) -> None:
+        """Write the next part of what is owed; with the last one the fresh file takes the name."""
+        part = copy.replica.part(copy.after, PART)
+        if not self._write_fresh(copy, framed(ENTRY + ENCODER.encode(part))):
+            self._abandon(copy)
+            return
+        copy.after = part.upto
+        if part.upto < EVERYTHING:
+            return
+        try:
+            if self.durable:
+                self.folder.sync(copy.fresh)  # Danger: under the name before it is on the disk, a power cut loses both
+            self.folder.replace(copy.name, copy.name + FRESH)
+        except OSError:
+            self._abandon(copy)
+            return
+        if copy.file >= 0:
+            self._close(copy.file)
+        copy.file, copy.size, copy.least, copy.torn = copy.fresh, copy.fresh_size, copy.fresh_size, False
+        copy.fresh, copy.fresh_size = -1, 0
+
+    def _write_fresh(self, copy: Copy, frame: bytes) -> bool:
+        try:
+            written = self.folder.append(copy.fresh, frame)
+        except OSError:
+            return False
+        copy.fresh_size += written
+        self.written += written
+        return written == len(frame)
+
+    def _abandon(self, copy: Copy) -> bool:
+        """The fresh file cannot be gone on with; the old one stands. Tried again at a later step."""
+        if copy.fresh >= 0:
+            self._close(copy.fresh)
+            quietly(self.folder.unlink, copy.name + FRESH)
+            copy.fresh, copy.fresh_size = -1, 0
+        # Danger: on a full disk the same part would be written and thrown away for ever.
+        copy.rest_until = self.steps + LOOK_BACK
+        return False
+
+    # ---- at the start ----
+
+    def _read(self, book: int) -> None:
+        """Bring a copy to where its file ends."""
+        copy = Copy(book)
+        replica, end, made_at, damaged = copy.replica, 0, 0, False
+        # Danger: a file that cannot be opened now would be taken for one that holds nothing.
+        copy.file = self.folder.open(copy.name, append=True)
+        size = self.folder.size(copy.name)
+        for each in read_through(self.folder, copy.name, None):
+            if isinstance(each, Damage):
+                damaged |= not (each.until == size and self._torn(copy.name, each))
+                continue
+            try:
+                if each.payload[:1] == TOP and not made_at:
+                    top = TOPS.decode(each.payload[1:])
+                    if top.version != VERSION or top.book != book:
+                        logger.error(CopyForeign(f"{copy.name}: version {top.version}, book {top.book}").line)
+                        self._close(copy.file)
+                        quietly(self.folder.replace, copy.name + OTHER, copy.name)
+                        return
+                    made_at = top.made_at
+                elif each.payload[:1] == ENTRY:
+                    entry = ENTRIES.decode(each.payload[1:])
+                    replica.take(entry, decode_facts(entry.facts))
+                else:
+                    damaged = True
+            except (msgspec.MsgspecError, Spoilt):
+                damaged = True
+            end = each.at + FRAME.size + len(each.payload)
+        if not made_at and not replica.held:  # nothing was ever promised, or nothing of it can be read
+            if damaged:
+                logger.error(CopyDamaged(f"{copy.name}: nothing of it can be read").line)
+            self._close(copy.file)
+            quietly(self.folder.unlink, copy.name)
+            return
+        if damaged or not made_at:
+            logger.error(CopyDamaged(f"{copy.name}: {len(replica.held)} envelopes are put in doubt").line)
+            replica.doubt(made_at or 1)
+            copy.torn = True
+        copy.size = size
+        if not copy.torn:
+            copy.torn = not quietly(self.folder.truncate, copy.file, end)
+            copy.size = size if copy.torn else end
+        self.copies[book] = copy
+
+    def _torn(self, name: str, damage: Damage) -> bool:
+        """Whether what ends a file is the begin of a record whose writing was cut off: nobody was promised it."""
+        try:
+            file = self.folder.open(name, append=False)
+        except OSError:
+            return False
+        try:
+            size = min(damage.until - damage.at, FRAME.size + LONGEST)
+            return may_go_on(self.folder.read(file, size, damage.at), 0)
+        except OSError:
+            return False
+        finally:
+            self.folder.close(file)
--- /dev/null
+++ b/cedarwick/fleet/facts.py
@@ -0,0 +1,360 @@
+"""What senders tell one another of an envelope, and the join of what two of them know. No I/O.
+
+A `Fact` is an envelope's number, its base (what the client handed in) and what is `Known`. What is known only grows:
+a state-based replicated type whose merge is a join (Shapiro et al. 2011). Rule by rule:
+
+| part    | joined                                       | because |
+| ------- | -------------------------------------------- | ------- |
+| `heads` | by term the larger (shots, settled, at, zone) | one holder a term: of its shots the newest is known to whoever heard last, and its outcome comes after it; heads of other terms stay, so a shot known to one is known |
+| `ran`   | the earliest (at, zone)                      | 'may have run' beats 'never ran'; nothing takes it back |
+| `doubt` | the earliest that is not 0                   | what damage or a lag put in doubt stays so |
+| `end`   | the larger (rank, wait in ms)                | an end beats none; *failed* beats *returned*, which tells the client that nothing happened, while somebody knew of a shot; *told* (the platform has a final answer) beats both, for a second answer would be a second end; *completed* is the receiver's own word and beats all |
+| `move`  | the larger (sequence, text)                  | the newer move; the envelope is inert until that one's decree is known |
+| `base`  | the one that is there                        | it never changes; after an end nobody needs the body, and it is left out |
+
+A head that is not settled is a shot that is out. Its own term may still say that it never ran; once a newer term has
+taken the envelope over (`folded`), it counts as one that may have run, for good.
+"""  # noqa: E501
+
+from collections.abc import Iterable
+from enum import IntEnum
+from typing import Annotated, NamedTuple
+
+import msgspec
+import xxhash
+
+from cedarwick.errors import Trouble
+from cedarwick.store.records import NOWHERE, Kept
+
+VERSION = 1  # of the encoding
+MOST_FACTS = 1 << 14  # in one message
+MOST_SHOTS = 0xFFFF  # what the folder counts to
+ROUGH = 96  # bytes of an encoded fact without its base, about
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+Zone = Annotated[int, msgspec.Meta(ge=-(1 << 15), lt=1 << 15)]
+Wait = Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]
+Text = Annotated[str, msgspec.Meta(max_length=16000)]  # 4 bytes a character at most: the folder counts to 65,535
+Body = Annotated[bytes, msgspec.Meta(max_length=1 << 19)]
+
+
+class Spoilt(Trouble):
+    """Facts that another sender told cannot be read, or do not match their digest."""
+
+    code = "CW720"
+    remedy = "it is dropped whole and asked for anew; where it comes back, look at the network and the other sender"
+
+
+class OtherFormat(Spoilt):
+    """Facts were told in the format of another version of the program."""
+
+    code = "CW721"
+    remedy = "run the same version of the program on all members; until then this book has one copy less"
+
+
+class Rank(IntEnum):
+    """How an envelope ended; the larger one is kept."""
+
+    NONE = 0
+    RETURNED = 1
+    FAILED = 2
+    TOLD = 3
+    COMPLETED = 4
+
+
+class Head(NamedTuple):
+    """What one term knows of the newest shot of an envelope; of two the larger one knows more."""
+
+    shots: Count  # in that term
+    settled: bool  # whether its outcome is known; one that may have run is in `Known.ran` then
+    at: Count  # when it was sent, wall microseconds
+    zone: Zone
+
+
+class Base(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """What the client handed in."""
+
+    id: Text
+    key: Text
+    turn: Annotated[int, msgspec.Meta(ge=0)]  # 0 for none; the whole of 64 bits
+    band: Text
+    tenant: Text
+    destination: Count
+    outer_limit: Count  # wall microseconds
+    body: Body
+
+
+class Known(msgspec.Struct, array_like=True, frozen=True):
+    """What is known of an envelope's shots and end."""
+
+    heads: Annotated[dict[Count, Head], msgspec.Meta(max_length=256)] = {}
+    ran: tuple[Count, Zone] | None = None  # when and where the first shot was sent that may have run
+    doubt: Count = 0  # records are lost from then on; 0: none are
+    end: tuple[Rank, Wait] = (Rank.NONE, 0)  # and the advised wait in milliseconds
+    move: tuple[Count, Text] | None = None  # the newest move
+
+
+class Fact(msgspec.Struct, array_like=True, frozen=True):
+    """An envelope's number and all that is known of it; without its base it is news of one that was told before."""
+
+    number: Count
+    base: Base | None
+    known: Known
+
+
+class Batch(msgspec.Struct, array_like=True):
+    """Facts as they travel and lie in files."""
+
+    version: int
+    facts: msgspec.Raw
+
+
+NOTHING = Known()
+ENCODER = msgspec.msgpack.Encoder()
+FACTS: msgspec.msgpack.Decoder[list[Fact]] = msgspec.msgpack.Decoder(
+    Annotated[list[Fact], msgspec.Meta(max_length=MOST_FACTS)])
+BATCH: msgspec.msgpack.Decoder[Batch] = msgspec.msgpack.Decoder(Batch)
+
+
+def encoded(fact: Fact) -> bytes:
+    """One fact, the same bytes for the same fact everywhere: its heads go by term."""
+    known = fact.known
+    if len(known.heads) > 1:
+        known = msgspec.structs.replace(known, heads=dict(sorted(known.heads.items())))
+        fact = Fact(fact.number, fact.base, known)
+    return ENCODER.encode(fact)
+
+
+def encode_facts(facts: Iterable[Fact]) -> bytes:
+    return together(encoded(fact) for fact in facts)
+
+
+def together(facts: Iterable[bytes]) -> bytes:
+    """What `encode_facts` gives, of facts that were `encoded` one by one."""
+    raw = msgspec.Raw(ENCODER.encode([msgspec.Raw(each) for each in facts]))
+    return ENCODER.encode(Batch(VERSION, raw))
+
+
+def decode_facts(data: bytes) -> list[Fact]:
+    """The facts of a message; `Spoilt` or `OtherFormat` where they are none."""
+    try:
+        batch = BATCH.decode(data)
+        if batch.version != VERSION:
+            raise OtherFormat(f"facts of format {batch.version}, this program knows {VERSION}")
+        return FACTS.decode(batch.facts)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise Spoilt(f"facts that cannot be read: {error}") from None
+
+
+def digest(data: bytes) -> int:
+    return xxhash.xxh3_64_intdigest(data)
+
+
+def weight(fact: Fact) -> int:
+    """About how many bytes a fact takes."""
+    base = fact.base
+    if base is None:
+        return ROUGH
+    return ROUGH + len(base.body) + len(base.id) + len(base.key) + len(base.band) + len(base.tenant)
+
+
+# ---- the join ----
+
+
+def join(a: Known, b: Known) -> Known:
+    """What two know together."""
+    if a == b:
+        return a
+    heads = dict(a.heads)
+    for term, head in b.heads.items():
+        heads[term] = max(heads.get(term, head), head)
+    ran, doubt, move = a.ran, a.doubt, a.move
+    if b.ran is not None and (ran is None or b.ran < ran):
+        ran = b.ran
+    if b.doubt and (not doubt or b.doubt < doubt):
+        doubt = b.doubt
+    if b.move is not None and (move is None or b.move > move):
+        move = b.move
+    return Known(heads, ran, doubt, a.end if a.end > b.end else b.end, move)
+
+
+def join_facts(a: Fact, b: Fact) -> Fact:
+    """What two say of one envelope."""
+    bases = [each.base for each in (a, b) if each.base is not None]
+    return trimmed(Fact(a.number, max(bases, default=None), join(a.known, b.known)))
+
+
+def trimmed(fact: Fact) -> Fact:
+    """Without the body, where an end is known and nobody needs it."""
+    base = fact.base
+    if base is None or not base.body or fact.known.end[0] is Rank.NONE:
+        return fact
+    return Fact(fact.number, msgspec.structs.replace(base, body=b""), fact.known)
+
+
+def may_have_run(known: Known) -> bool:
+    """Whether a shot may have run for all that any term can still say."""
+    return known.ran is not None or known.doubt > 0
+
+
+def over(known: Known) -> bool:
+    """Whether nothing more is owed."""
+    return known.end[0] >= Rank.TOLD
+
+
+def shots_of(known: Known) -> int:
+    """How many shots are known; one that two lives of a sender both know may be counted twice, none is left out."""
+    return sum(head.shots for head in known.heads.values())
+
+
+def outs(known: Known, term: int) -> list[tuple[int, int]]:
+    """Times and zones of the shots of terms before this one whose outcome nobody knows, the earliest first."""
+    return sorted((head.at, head.zone) for of, head in known.heads.items() if of < term and not head.settled)
+
+
+def folded(known: Known, term: int) -> Known:
+    """Before a term goes on with an envelope: a shot of an older one that is out may have run, whatever comes later.
+
+    Danger: an outcome of the older term that comes late would otherwise make 'never ran' of what has been decided,
+    and answered, on 'may have run'.
+    """
+    out = outs(known, term)
+    return join(known, Known(ran=out[0])) if out else known
+
+
+def in_doubt(fact: Fact, since: int) -> Fact:
+    """A fact some of whose news may be lost, from a time on."""
+    return Fact(fact.number, fact.base, join(fact.known, Known(doubt=since)))
+
+
+# ---- from and to the folder ----
+
+
+def base_of(kept: Kept, body: bytes) -> Base:
+    return Base(kept.id, kept.key, kept.turn, kept.band, kept.tenant, kept.destination, kept.outer_limit,
+                body if kept.end is None else b"")
+
+
+def known_of(kept: Kept, term: int) -> Known:
+    """What the folder knows; all shots count as one head of `term`, which is one that nobody has told of before.
+
+    Danger: under a term that was told of before, this head and the one told would be taken for one, and the larger
+    would hide a shot that is out. A shot counted twice does no harm, one that is forgotten does.
+    """
+    heads = {}
+    if kept.shots:
+        heads[term] = Head(kept.shots, not kept.out_at, kept.out_at, kept.out_zone if kept.out_at else NOWHERE)
+    end = (Rank.NONE, 0)
+    if kept.end is not None:
+        end = (Rank.RETURNED if kept.end[0] else Rank.FAILED, kept.end[1])
+    return Known(heads, (kept.ran_at, kept.ran_zone) if kept.ran_at else None, kept.doubt_at, end)
+
+
+def kept_of(fact: Fact, doubt_at: int = 0) -> Kept:
+    """The folder's record of what another sender owed, with every shot that is out as one that may have run.
+
+    `doubt_at`: wall microseconds from which on news may be missing, 0 where none is. ValueError without a base and
+    where nothing more is owed.
+    """
+    base, known = fact.base, fact.known
+    if base is None or over(known):
+        raise ValueError(f"envelope {fact.number} is not owed, or its base is not known")
+    out = outs(known, 1 << 63)
+    may_have = sorted({*out, *([known.ran] if known.ran else [])})
+    ran, last = (may_have[0], may_have[-1]) if may_have else ((0, 0), (0, 0))
+    if last == ran:
+        last = (0, 0)
+    rank, wait = known.end
+    return Kept(
+        fact.number, base.id, base.key, base.turn, base.band, base.tenant, base.destination, base.outer_limit,
+        base.body, min(shots_of(known), MOST_SHOTS), *ran, *last,
+        min(filter(None, (known.doubt, doubt_at)), default=0),
+        None if rank is Rank.NONE else (rank is Rank.RETURNED, wait))
+
+
+# ---- at the holder ----
+
+
+class Ledger:
+    """What the holder of a book knows of each envelope it owes; each call returns the fact that tells the news.
+
+    KeyError where a number is not owed.
+    """
+
+    def __init__(self, term: int) -> None:
+        self.term = term
+        self.known: dict[int, Known] = {}
+
+    def kept(self, kept: Kept, body: bytes) -> Fact:
+        """An envelope was taken, or a restart has left it."""
+        self.known[kept.number] = known = known_of(kept, self.term)
+        return Fact(kept.number, base_of(kept, body), known)
+
+    def shot(self, number: int, at: int, zone: int) -> Fact:
+        """A shot is about to go out, at a wall time in microseconds. One before it without an outcome may have run."""
+        known = self.known[number]
+        head = known.heads.get(self.term)
+        ran = known.ran
+        if head is not None and not head.settled:
+            ran = min(ran or (head.at, head.zone), (head.at, head.zone))
+        return self._tell(number, Head(head.shots + 1 if head else 1, False, at, zone), ran)
+
+    def outcome(self, number: int, never_ran: bool, completed: bool) -> Fact:
+        """The shot that was out has ended."""
+        known = self.known[number]
+        head = known.heads.get(self.term)
+        if completed:
+            return self._end(number, (Rank.COMPLETED, 0))
+        if head is None or head.settled:
+            return Fact(number, None, known)  # of a term before, which `renew` has taken for one that may have run
+        ran = known.ran if never_ran else min(known.ran or (head.at, head.zone), (head.at, head.zone))
+        return self._tell(number, head._replace(settled=True), ran)
+
+    def ended(self, number: int, nacked: bool, wait_ms: int) -> Fact:
+        """The final answer has been chosen and its notice is owed."""
+        return self._end(number, (Rank.RETURNED if nacked else Rank.FAILED, wait_ms))
+
+    def over(self, number: int) -> Fact:
+        """Nothing more is owed."""
+        return self._end(number, (Rank.TOLD, self.known[number].end[1]))
+
+    def moved(self, number: int, sequence: int, text: str) -> Fact:
+        """The envelope is part of a move."""
+        return self._join(number, Known(move=(sequence, text)))
+
+    def adopt(self, facts: Iterable[Fact], term: int) -> list[Fact]:
+        """Go on under a term with what others knew, each fact with its base; what is over is dropped and left out.
+
+        Danger: a number that is not known here is taken for one that is owed. Whoever passes on what an earlier holder
+        offers leaves out what has ended since, at this holder or at one between.
+        """
+        self.renew(term)
+        taken = []
+        for fact in facts:
+            known = folded(join(self.known.get(fact.number, NOTHING), fact.known), term)
+            if over(known):
+                self.known.pop(fact.number, None)
+            else:
+                self.known[fact.number] = known
+                taken.append(trimmed(Fact(fact.number, fact.base, known)))
+        return taken
+
+    def renew(self, term: int) -> None:
+        """Go on under a new term: what was out under an older one may have run."""
+        self.term = term
+        self.known = {number: folded(known, term) for number, known in self.known.items()}
+
+    def _tell(self, number: int, head: Head, ran: tuple[int, int] | None) -> Fact:
+        return self._join(number, Known({self.term: head}, ran))
+
+    def _end(self, number: int, end: tuple[Rank, int]) -> Fact:
+        return self._join(number, Known(end=end))
+
+    def _join(self, number: int, news: Known) -> Fact:
+        """All that is known goes along, not the news alone, so that a fact that is joined late forgets nothing."""
+        known = join(self.known[number], news)
+        if over(known):
+            del self.known[number]
+        else:
+            self.known[number] = known
+        return Fact(number, None, known)
--- /dev/null
+++ b/cedarwick/fleet/placement.py
@@ -0,0 +1,29 @@
+"""Where the copies of a book lie: rendezvous hashing (Thaler and Ravishankar 1998), another hall first."""
+
+from collections.abc import Collection, Iterable, Mapping
+
+import xxhash
+
+
+def weight(book: int, name: str) -> int:
+    """How much a member wants a book: the same at every member, and independent of who else there is."""
+    return xxhash.xxh3_64_intdigest(f"{book}/{name}".encode())
+
+
+def order(book: int, holder: str, halls: Mapping[str, str], names: Iterable[str]) -> list[str]:
+    """Members in the order in which they are to have copies: those of other halls first; also the order of heirs."""
+    # Danger: with the own hall first, one power cut would take the envelopes and their copy.
+    home = halls.get(holder)
+    return sorted(
+        (name for name in names if name != holder and name in halls),
+        key=lambda name: (halls[name] == home, -weight(book, name), name),
+    )
+
+
+def copies(book: int, holder: str, halls: Mapping[str, str], alive: Collection[str], count: int) -> list[str]:
+    """The members that are to have a copy of a book which `holder` holds, `count` at most.
+
+    `halls` has all members, `alive` those that may be chosen. A member that comes takes only what it now wants most; of
+    one that goes, only what it had moves.
+    """
+    return order(book, holder, halls, alive)[:count]
--- /dev/null
+++ b/cedarwick/fleet/shipping.py
@@ -0,0 +1,502 @@
+"""A book's facts on their way from its holder to its copies: a log with a window, and what is owed in pieces. No I/O.
+
+A primary-copy log with terms (viewstamped replication, Liskov and Cowling 2012). The holder numbers each fact; a copy
+takes a term's facts in that order without a gap. A copy that is new to the term, or behind the window, is walked: it
+gets all that is owed in pieces, ranges of numbers in ascending order, while the tail goes on. A copy's place is
+(term, next index, covered number) and only grows while its file lives:
+
+- covered numbers are at least as new as index `next`, every one that is owed there; above them it has the tail alone;
+- a piece that begins at 0 begins a walk: the copy's index jumps to the piece's;
+- a piece that was taken before something the copy has already is refused ('gap'), as is one that leaves a hole;
+- in the middle of a walk a copy holds all that it held before, but for what its holder says is over.
+
+Danger: a piece is authoritative for its range only as of its index. Taken by a copy that is further on it would bring
+back what has ended since, and drop what the tail has brought since. So the holder sends no tail while a piece is out,
+and the copy refuses a piece that is older than its place; a piece that is newer does no harm, since all that a copy
+holds is older, and the tail that it repeats ends as it ended.
+"""
+
+from bisect import bisect_left, bisect_right, insort
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from cedarwick.fleet.facts import (
+    Fact,
+    OtherFormat,
+    Spoilt,
+    decode_facts,
+    digest,
+    encode_facts,
+    encoded,
+    in_doubt,
+    join_facts,
+    over,
+    together,
+    trimmed,
+    weight,
+)
+from cedarwick.fleet.messages import Digests, Facts, Have, Piece, Span, whole
+
+EVERYTHING = (1 << 63) - 1  # above every number
+WINDOW = 4096  # facts of the tail that the holder keeps
+WINDOW_BYTES = 1 << 23
+PART = 1 << 16  # bytes of facts in a message; more only where a single one is larger
+PART_FACTS = 1024
+FEW = 4  # messages of the tail that may be out to one copy
+PATIENCE = 500_000  # microseconds until an unanswered message is given up
+REST = 1_000_000  # before a comparison that was not answered is asked for again
+SHARE = 2  # a byte of pieces for so many bytes of live traffic
+FLOOR = 1 << 20  # bytes a second of pieces where there is little live traffic
+COMPARE = 10_000_000  # microseconds between two comparisons of everything
+BREATH = 20_000  # and between two parts of one
+RANGE = 128  # facts in a range that is compared
+RANGES = 2  # in one message
+FEW_STANDING = 64  # differences that are remembered
+TRIES = 3  # pieces for one difference that stays the same: then the copy knows more, which a join keeps
+NO_PROBLEM, GAP, TERM, SPOILT, OTHER, NO_ROOM = "", "gap", "term", "spoilt", "version", "no room"
+RESTS = {TERM: 100_000, SPOILT: 100_000, OTHER: 1_000_000, NO_ROOM: 1_000_000}  # before a copy that refused is asked
+
+
+class Place(NamedTuple):
+    """What a copy has; the larger one is the newer."""
+
+    term: int
+    next: int
+    covered: int
+
+
+NO_PLACE = Place(-1, 0, 0)
+
+
+def summed(facts: Iterable[bytes]) -> tuple[int, int]:
+    """Count and digest of the facts of a range."""
+    hashed, count = xxhash.xxh3_64(), 0
+    for each in facts:
+        hashed.update(each)
+        count += 1
+    return count, hashed.intdigest()
+
+
+# ---- the holder ----
+
+
+class Log:
+    """The facts of one term of a book, numbered from 0 on, and the numbers that are owed. A term has one log, ever."""
+
+    def __init__(self, book: int, term: int, read: Callable[[int], Fact | None], owed: Iterable[int] = ()) -> None:
+        """`read` tells all that is known of an owed envelope as of the newest fact appended, None where it has ended;
+        one whose body cannot be read comes without a base. `owed`: what the term begins with."""
+        self.book = book
+        self.term = term
+        self.read = read
+        self.owed = sorted(owed)
+        self.window: deque[tuple[bytes, int]] = deque()  # encoded, when appended
+        self.oldest = 0  # the index of the window's first
+        self.bytes = 0  # of the window
+        self.told = 0  # bytes appended ever
+        self.followers: dict[str, Follower] = {}
+
+    @property
+    def next(self) -> int:
+        """The index that the next fact gets."""
+        return self.oldest + len(self.window)
+
+    def append(self, fact: Fact, now: int) -> int:
+        """Number a fact, at a time in microseconds; its index."""
+        place = bisect_left(self.owed, fact.number)
+        there = place < len(self.owed) and self.owed[place] == fact.number
+        if over(fact.known):
+            if there:
+                del self.owed[place]
+        elif not there:
+            insort(self.owed, fact.number)
+        data = encoded(trimmed(fact))
+        self.window.append((data, now))
+        self.bytes += len(data)
+        self.told += len(data)
+        while len(self.window) > WINDOW or self.bytes > WINDOW_BYTES and len(self.window) > 1:
+            self.bytes -= len(self.window.popleft()[0])
+            self.oldest += 1
+        return self.next - 1
+
+    def follow(self, name: str, now: int) -> "Follower":
+        """Ship to a copy from now on."""
+        self.followers[name] = Follower(self, now)
+        return self.followers[name]
+
+    def unfollow(self, name: str) -> None:
+        self.followers.pop(name, None)
+
+    def acked(self, heirs: Iterable[str]) -> int:
+        """Every fact with a lower index is in the file of each of these copies."""
+        return min((self.followers[name].acked if name in self.followers else 0 for name in heirs), default=self.next)
+
+    def tail(self, first: int) -> list[bytes]:
+        """Facts of the window from an index on, as many as a message takes."""
+        taken: list[bytes] = []
+        size = 0
+        for place in range(first - self.oldest, min(len(self.window), first - self.oldest + PART_FACTS)):
+            data = self.window[place][0]
+            size += len(data)
+            if taken and size > PART:
+                break
+            taken.append(data)
+        return taken
+
+    def walk(self, after: int, upto: int) -> Iterator[tuple[int, bytes]]:
+        """What is owed in a range, in ascending order, with its number."""
+        for place in range(bisect_right(self.owed, after), len(self.owed)):
+            number = self.owed[place]
+            if number > upto:
+                return
+            fact = self.read(number)
+            if fact is not None:
+                yield number, encoded(trimmed(fact))
+
+    def piece(self, after: int, upto: int) -> Piece:
+        """All that is owed in a range, or in a first part of it."""
+        taken: list[bytes] = []
+        size, last = 0, after
+        for number, data in self.walk(after, upto):
+            size += len(data)
+            if taken and (size > PART or len(taken) == PART_FACTS):
+                upto = last
+                break
+            taken.append(data)
+            last = number
+        facts = together(taken)
+        return Piece(self.book, self.term, after, upto, facts, self.next, digest(facts))
+
+    def spans(self, after: int) -> tuple[Span, ...]:
+        """Ranges from a number on, with what they hold; the last one of all ends at `EVERYTHING`."""
+        made: list[Span] = []
+        while len(made) < RANGES and after < EVERYTHING:
+            place = bisect_right(self.owed, after) + RANGE - 1
+            upto = self.owed[place] if place + 1 < len(self.owed) else EVERYTHING
+            made.append(Span(after, upto, *summed(data for _, data in self.walk(after, upto))))
+            after = upto
+        return tuple(made)
+
+
+class Out(NamedTuple):
+    """A message that is not answered yet."""
+
+    upto: int  # the index behind a message of the tail, the last number of a piece
+    until: int  # when it is given up
+
+
+class Follower:
+    """One copy as its holder sees it. Whole microseconds of any clock that never runs backwards."""
+
+    def __init__(self, log: Log, now: int) -> None:
+        self.log = log
+        self.place = NO_PLACE
+        self.life = -1  # the copy's incarnation
+        self.problem = NO_PROBLEM  # of its last answer
+        self.superseded = False  # it knows a newer term: the holder has lost the book
+        self.sent = 0  # the index that is sent next
+        self.out: deque[Out] = deque()  # of the tail
+        self.piece: Out | None = None
+        self.mends: deque[tuple[int, int]] = deque()  # ranges that differ
+        self.standing: dict[tuple[int, int], tuple[Span, Span, int]] = {}  # by range: as seen last, and tries
+        self.mended = 0  # ranges sent again
+        self.pieces = 0  # taken by the copy, walks and mends
+        self.rest_until = 0
+        self.credit = float(PART)  # bytes of pieces that may go out
+        self.counted = now, log.told
+        self.compared: tuple[Span, ...] = ()  # out for comparison
+        self.compare_at = now + COMPARE  # when the next part of a comparison, or its answer, is due
+        self.compare_from = log.book << 32
+        self.pass_at = now  # when the comparison of everything began
+
+    @property
+    def whole(self) -> bool:
+        """Whether it has all that is owed but for the tail, and that lies in the window."""
+        return self._follows() and self.place.covered == EVERYTHING and self.problem not in (OTHER, NO_ROOM)
+
+    @property
+    def acked(self) -> int:
+        """Every fact with a lower index is in its file."""
+        return self.place.next if self.place.term == self.log.term and self.place.covered == EVERYTHING else 0
+
+    def lag(self, now: int) -> tuple[int, int]:
+        """Facts that it lacks, and for how many microseconds the oldest of them."""
+        first = self.place.next if self.place.term == self.log.term else 0
+        missing = self.log.next - first
+        if missing <= 0:
+            return 0, 0
+        return missing, now - self.log.window[max(0, first - self.log.oldest)][1]
+
+    def next(self, now: int) -> Facts | Piece | Digests | None:
+        """The message to send now; None while there is nothing to send or answers are awaited.
+
+        Called until it gives None whenever a fact was appended or an answer came, and every 50 ms or so.
+        """
+        if now < self.rest_until or self.superseded:
+            return None
+        if self.piece is not None:
+            if now < self.piece.until:
+                return None
+            self.piece = None
+        if self.out and self.out[0].until <= now:
+            self._again()
+        if self.life < 0:
+            return None if self.out else self._tail(now, self.log.next)  # where are you?
+        piece = self._piece(now)
+        if piece is not None or not self._follows():
+            return piece
+        if self.sent < self.log.next:
+            return self._tail(now, self.sent) if len(self.out) < FEW else None
+        return self._compare(now)
+
+    def have(self, now: int, message: Have, life: int) -> None:
+        """An answer of the copy in one of its incarnations."""
+        if life < self.life or message.book != self.log.book:
+            return
+        place = Place(message.term, message.next, message.covered)
+        if life > self.life:
+            # Danger: its file may be gone; what an earlier life had says nothing.
+            self.life, self.place = life, place
+            self._again()
+        elif place > self.place:
+            self.place = place
+        # Danger: a copy that is ahead of its holder heard another one, whose facts this one would never repeat.
+        self.superseded |= place[:2] > (self.log.term, self.log.next)
+        self.problem = message.problem
+        if self.place.term == self.log.term:
+            self.sent = max(self.sent, self.place.next)
+            while self.out and self.out[0].upto <= self.place.next:
+                self.out.popleft()
+        if message.problem:
+            self._again()
+            self.rest_until = now + RESTS.get(message.problem, 0)
+        elif self.piece is not None and self.place.term == self.log.term and self.place.covered >= self.piece.upto:
+            self.piece = None
+            self.pieces += 1
+
+    def digests(self, now: int, message: Digests, life: int) -> None:
+        """The copy's own ranges: what differs is sent again."""
+        if life > self.life:
+            self.lost()
+        sent, self.compared = self.compared, ()
+        if life != self.life or message.book != self.log.book or message.term != self.log.term:
+            return
+        if [(each.after, each.upto) for each in message.ranges] != [(each.after, each.upto) for each in sent]:
+            return  # it was at another index, or this answers an older question; asked again when due
+        for ours, theirs in zip(sent, message.ranges, strict=True):
+            span = ours.after, ours.upto
+            if ours == theirs:
+                self.standing.pop(span, None)
+                continue
+            before = self.standing.get(span)
+            tries = before[2] if before is not None and before[:2] == (ours, theirs) else 0
+            if tries < TRIES:
+                self.standing[span] = ours, theirs, tries + 1
+                self.mends.append(span)
+                self.mended += 1
+        self.compare_from = sent[-1].upto if sent else self.compare_from
+        self.compare_at = now + BREATH
+        if self.compare_from == EVERYTHING:
+            self.compare_from = self.log.book << 32
+            self.compare_at = max(now, self.pass_at + COMPARE)
+            self.pass_at = self.compare_at
+            self.standing = dict(list(self.standing.items())[-FEW_STANDING:])
+
+    def lost(self) -> None:
+        """The copy's process is another one than before: it is asked where it is."""
+        self.life, self.place = -1, NO_PLACE
+        self._again()
+
+    def _follows(self) -> bool:
+        """Whether the tail alone takes it further."""
+        return self.place.term == self.log.term and self.place.next >= self.log.oldest
+
+    def _again(self) -> None:
+        """Go on from the place that it has told."""
+        self.out.clear()
+        self.piece = None
+        self.sent = self.place.next if self.place.term == self.log.term else self.log.next
+
+    def _tail(self, now: int, first: int) -> Facts:
+        taken = self.log.tail(first)
+        facts = together(taken)
+        self.sent = first + len(taken)
+        self.out.append(Out(self.sent, now + PATIENCE))
+        return Facts(self.log.book, self.log.term, first, facts, digest(facts))
+
+    def _piece(self, now: int) -> Piece | None:
+        """The next piece of a walk or of what differs, where one is due and the pace allows it."""
+        if not self._follows():
+            span = 0, EVERYTHING
+        elif self.place.covered < EVERYTHING:
+            span = self.place.covered, EVERYTHING
+        elif self.mends:
+            span = self.mends[0]
+        else:
+            return None
+        before, told = self.counted
+        self.counted = now, self.log.told
+        grown = (self.log.told - told) / SHARE + FLOOR * (now - before) / 1e6
+        self.credit = min(self.credit + grown, PART)
+        if self.credit <= 0:
+            return None
+        piece = self.log.piece(*span)
+        if self.place.covered == EVERYTHING and self._follows():
+            self.mends.popleft()
+            if piece.upto < span[1]:
+                self.mends.appendleft((piece.upto, span[1]))
+        self.credit -= len(piece.facts)
+        self.piece = Out(piece.upto, now + PATIENCE)
+        return piece
+
+    def _compare(self, now: int) -> Digests | None:
+        if now < self.compare_at or self.place.covered < EVERYTHING:
+            return None
+        self.compare_at = now + REST  # where no answer comes
+        self.compared = self.log.spans(self.compare_from)
+        return Digests(self.log.book, self.log.term, self.compared, self.log.next)
+
+
+# ---- the copy ----
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True):
+    """A step of a copy as it lies in its file: facts to be joined, and the place after that."""
+
+    term: int
+    next: int
+    covered: int
+    after: int  # what is held in this range and not among the facts is over; an empty range: the tail
+    upto: int
+    facts: bytes
+
+
+class Step(NamedTuple):
+    """What a message comes to: write `entry`, then `take` the step, then answer `have`. No entry: answer at once."""
+
+    have: Have
+    entry: Entry | None = None
+    facts: list[Fact] = []
+
+
+class Replica:
+    """One copy of a book, which is brought forward by steps."""
+
+    def __init__(self, book: int) -> None:
+        self.book = book
+        self.place = Place(0, 0, 0)
+        self.held: dict[int, Fact] = {}  # what is owed, with bases
+        self.live = 0  # about the bytes of that
+
+    @property
+    def whole(self) -> bool:
+        """Whether it was told everything of its term."""
+        return self.place.covered == EVERYTHING
+
+    def facts(self, message: Facts) -> Step:
+        """A part of the tail."""
+        place = self.place
+        if message.term != place.term:
+            return self._no(TERM if message.term < place.term else GAP)
+        if message.first > place.next:
+            return self._no(GAP)
+        read = self._read(message, 0, EVERYTHING)
+        if isinstance(read, str):
+            return self._no(read)
+        fresh = read[place.next - message.first:]
+        if not fresh:
+            return Step(self.have())
+        data = message.facts if len(fresh) == len(read) else encode_facts(fresh)
+        return self._step(place._replace(next=place.next + len(fresh)), 0, 0, data, fresh)
+
+    def piece(self, message: Piece) -> Step:
+        """All that is owed in a range."""
+        place = self.place
+        if message.term < place.term:
+            return self._no(TERM)
+        jumps = message.after == 0 and (message.term > place.term or message.next > place.next)
+        if not jumps and (message.term > place.term or message.next < place.next or message.after > place.covered):
+            return self._no(GAP)
+        read = self._read(message, message.after, message.upto)
+        if isinstance(read, str):
+            return self._no(read)
+        covered = message.upto if jumps else max(place.covered, message.upto)
+        index = message.next if jumps else place.next
+        return self._step(Place(message.term, index, covered), message.after, message.upto, message.facts, read)
+
+    def digests(self, message: Digests) -> Digests:
+        """The copy's own ranges, where it is at the same place."""
+        if (message.term, message.next) != self.place[:2]:
+            return Digests(self.book, self.place.term, (), self.place.next)
+        numbers, made = sorted(self.held), []
+        for span in message.ranges:
+            inside = numbers[bisect_right(numbers, span.after):bisect_right(numbers, span.upto)]
+            made.append(Span(span.after, span.upto, *summed(encoded(self.held[number]) for number in inside)))
+        return Digests(self.book, self.place.term, tuple(made), self.place.next)
+
+    def have(self, problem: str = NO_PROBLEM) -> Have:
+        return Have(self.book, self.place.term, self.place.next, problem, self.place.covered)
+
+    def take(self, entry: Entry, facts: Iterable[Fact]) -> None:
+        """Bring the copy forward by a step that is in its file."""
+        if entry.upto > entry.after:
+            listed = {fact.number for fact in facts}
+            for number in [each for each in self.held if entry.after < each <= entry.upto and each not in listed]:
+                self._drop(number)
+        for fact in facts:
+            before = self.held.get(fact.number)
+            if before is None and fact.base is None:
+                continue  # news of what has ended, or of what a piece is still to bring
+            joined = trimmed(fact) if before is None else join_facts(before, fact)
+            self._drop(fact.number)
+            if not over(joined.known):
+                self.held[fact.number] = joined
+                self.live += weight(joined)
+        self.place = Place(entry.term, entry.next, entry.covered)
+
+    def doubt(self, since: int) -> None:
+        """A part of its file is lost: news may be missing from a wall time on, and it must be walked anew."""
+        self.held = {number: in_doubt(fact, since) for number, fact in self.held.items()}
+        self.place = Place(self.place.term, 0, 0)
+
+    def part(self, after: int, size: int) -> Entry:
+        """A part of what is held, from a number on, with the present place: for a fresh file."""
+        taken: list[Fact] = []
+        upto, left = EVERYTHING, size
+        for number in sorted(each for each in self.held if each > after):
+            if taken and left <= 0:
+                upto = taken[-1].number
+                break
+            taken.append(self.held[number])
+            left -= weight(taken[-1])
+        return Entry(*self.place, after, upto, encode_facts(taken))
+
+    def _drop(self, number: int) -> None:
+        before = self.held.pop(number, None)
+        if before is not None:
+            self.live -= weight(before)
+
+    def _no(self, problem: str) -> Step:
+        return Step(self.have(problem))
+
+    def _step(self, place: Place, after: int, upto: int, data: bytes, facts: list[Fact]) -> Step:
+        entry = Entry(*place, after, upto, data)
+        return Step(Have(self.book, place.term, place.next, NO_PROBLEM, place.covered), entry, facts)
+
+    def _read(self, message: Facts | Piece, after: int, upto: int) -> list[Fact] | str:
+        """The facts of a message, or why it is dropped whole."""
+        if not whole(message):
+            return SPOILT
+        try:
+            facts = decode_facts(message.facts)
+        except OtherFormat:
+            return OTHER
+        except Spoilt:
+            return SPOILT
+        if any(fact.number >> 32 != self.book or not after < fact.number <= upto for fact in facts):
+            return SPOILT
+        return facts
--- /dev/null
+++ b/tests/test_fleet_facts.py
@@ -0,0 +1,171 @@
+"""What senders know of an envelope: it only grows, and it is the same from whichever side it is joined."""
+
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from cedarwick.fleet import facts
+from cedarwick.fleet.facts import Base, Fact, Head, Known, Ledger, OtherFormat, Rank, Spoilt, join, join_facts
+from cedarwick.store.records import Kept
+
+FEW = st.integers(0, 3)
+HEADS = st.builds(Head, st.integers(1, 3), st.booleans(), st.integers(1, 4), st.integers(-1, 2))
+KNOWN = st.builds(Known, st.dictionaries(st.integers(1, 4), HEADS), st.none() | st.tuples(st.integers(1, 4), FEW), FEW,
+                  st.tuples(st.sampled_from(Rank), FEW), st.none() | st.tuples(FEW, st.sampled_from("ab")))
+BASE = Base("id-1", "", (1 << 64) - 1, "free", "", 7, 99, b"body")
+FACTS = st.builds(Fact, st.just(5), st.sampled_from([None, BASE]), KNOWN).map(facts.trimmed)
+KEPT = st.builds(Kept, st.just(5), st.just("id-1"), st.just(""), FEW, st.just("free"), st.just(""), FEW, FEW,
+                 st.just(b"x"), st.just(2), FEW, FEW, FEW, FEW, FEW, st.none() | st.tuples(st.booleans(), FEW))
+quick = settings(max_examples=100, derandomize=True, database=None, deadline=None, report_multiple_bugs=False,
+                 phases=(Phase.generate,))
+Join = Callable[[Known, Known], Known]
+
+
+def may_have(kept: Kept) -> list[tuple[int, int]]:
+    """The shots that the decisions take for ones that may have run."""
+    return [(shot.sent_at, shot.zone) for shot in kept.earlier_shots() if shot.outcome is None]
+
+
+def knows_no_less(after: Kept, before: Kept) -> None:
+    assert after.shots >= before.shots, "a shot is forgotten"
+    if may_have(before):
+        assert may_have(after) and min(may_have(after))[0] <= min(may_have(before))[0], "'never ran'"
+
+
+def grows(by: Join) -> None:
+    """Whatever one of two knew of shots and ends is known after they are joined."""
+
+    @quick
+    @given(KNOWN, KNOWN)
+    def each(a: Known, b: Known) -> None:
+        both = by(a, b)
+        assert facts.may_have_run(both) >= facts.may_have_run(a) and facts.over(both) >= facts.over(a)
+        assert facts.shots_of(both) >= facts.shots_of(a) and both.end >= a.end
+        assert all(both.heads[term] >= head for term, head in a.heads.items())
+        if not facts.over(both):
+            knows_no_less(facts.kept_of(Fact(5, BASE, facts.folded(both, 9))),
+                          facts.kept_of(Fact(5, BASE, Known(ran=a.ran, doubt=a.doubt))))
+
+    each()
+
+
+class TheJoin(unittest.TestCase):
+    @quick
+    @given(FACTS, FACTS, FACTS)
+    def test_order_and_repeats_do_not_matter(self, a: Fact, b: Fact, c: Fact) -> None:
+        self.assertEqual(join_facts(a, b), join_facts(b, a))
+        self.assertEqual(join_facts(join_facts(a, b), c), join_facts(a, join_facts(b, c)))
+        self.assertEqual(join_facts(a, a), a)
+        self.assertEqual(join_facts(join_facts(a, b), b), join_facts(a, b))
+
+    def test_what_is_known_only_grows(self) -> None:
+        grows(join)
+
+    def test_a_join_that_forgets_is_noticed(self) -> None:
+        def newest_wins(a: Known, b: Known) -> Known:
+            return max(a, b, key=lambda known: max(known.heads, default=0))
+
+        def one_head(a: Known, b: Known) -> Known:
+            both = join(a, b)
+            return msgspec.structs.replace(both, heads=dict(sorted(both.heads.items())[-1:]))
+
+        def outcome_clears(a: Known, b: Known) -> Known:
+            both = join(a, b)
+            return msgspec.structs.replace(both, ran=None) if any(h.settled for h in both.heads.values()) else both
+
+        for broken in (newest_wins, one_head, outcome_clears):
+            with self.assertRaises(AssertionError, msg=broken.__name__):
+                grows(broken)
+
+    def test_of_two_ends_the_honest_one_is_kept(self) -> None:
+        ends = [Known(end=(rank, 0)) for rank in Rank]
+        for worse, better in zip(ends, ends[1:], strict=False):
+            self.assertEqual(join(worse, better).end, better.end)
+
+    @quick
+    @given(KNOWN, KNOWN)
+    def test_a_late_outcome_takes_nothing_back(self, known: Known, late: Known) -> None:
+        adopted = facts.folded(known, 9)
+        self.assertEqual(join(known, adopted), adopted)
+        self.assertGreaterEqual(facts.may_have_run(join(adopted, late)), bool(facts.outs(known, 9)))
+
+
+class Encoding(unittest.TestCase):
+    @quick
+    @given(st.lists(FACTS, max_size=3))
+    def test_facts_read_back_and_are_the_same_bytes_whatever_the_order_of_heads(self, told: list[Fact]) -> None:
+        turned = [Fact(each.number, each.base,
+                       msgspec.structs.replace(each.known, heads=dict(reversed(each.known.heads.items()))))
+                  for each in told]
+        self.assertEqual(facts.decode_facts(facts.encode_facts(told)), told)
+        self.assertEqual(facts.encode_facts(turned), facts.encode_facts(told))
+
+    @quick
+    @given(st.binary(max_size=60), st.integers(0, 400), st.integers(1, 255))
+    def test_spoilt_bytes_are_refused(self, noise: bytes, at: int, flip: int) -> None:
+        good = bytearray(facts.encode_facts([Fact(5, BASE, Known({1: Head(1, False, 4, 2)}))]))
+        good[at % len(good)] ^= flip
+        for data in (noise, bytes(good), bytes(good[:-1])):
+            try:
+                facts.decode_facts(data)
+            except Spoilt:
+                continue  # nothing else may come
+
+    def test_what_the_folder_could_not_hold_is_refused(self) -> None:
+        wrong: list[Any] = [
+            Fact(-1, None, Known()), Fact(5, None, Known({1: Head(1, True, 4, 1 << 15)})),
+            Fact(5, None, Known(end=(Rank.FAILED, 1 << 32))),
+            Fact(5, msgspec.structs.replace(BASE, id="x" * 17000), Known()),
+        ]
+        for fact in wrong:
+            with self.assertRaises(Spoilt):
+                facts.decode_facts(facts.encode_facts([fact]))
+        other = msgspec.msgpack.encode([facts.VERSION + 1, []])
+        self.assertRaises(OtherFormat, facts.decode_facts, other)
+
+
+class TheFolder(unittest.TestCase):
+    @quick
+    @given(KEPT, st.integers(0, 3))
+    def test_through_facts_and_back_nothing_is_forgotten(self, kept: Kept, doubt: int) -> None:
+        fact = Fact(5, facts.base_of(kept, b"x"), facts.known_of(kept, 3))
+        back = facts.kept_of(fact, doubt)
+        knows_no_less(back, kept)
+        self.assertLessEqual({kept.ran_at, kept.out_at}, {back.ran_at, back.out_at, 0})
+        self.assertEqual(back.end, kept.end)
+
+    @quick
+    @given(st.lists(st.tuples(st.sampled_from(["shot", "never", "may", "restart", "adopted"]), st.integers(0, 2)),
+                    max_size=12))
+    def test_an_adopter_knows_what_the_folder_knows(self, happened: list[tuple[str, int]]) -> None:
+        kept = Kept(5, "id-1", "", 0, "free", "", 7, 99, b"x")
+        ledger = Ledger(1)
+        copy = ledger.kept(kept, b"x")
+        for at, (what, zone) in enumerate(happened, 1):
+            if what == "shot":
+                kept.shot(at, zone)
+                copy = join_facts(copy, ledger.shot(5, at, zone))
+            elif what == "restart":
+                ledger = Ledger(ledger.term + 1)
+                copy = join_facts(copy, ledger.kept(kept, b"x"))
+            elif what == "adopted":
+                copy = ledger.adopt([copy], ledger.term + 1)[0]
+                kept = facts.kept_of(copy)
+                kept.outcome(never_ran=False)
+            elif kept.out_at:
+                kept.outcome(what == "never")
+                copy = join_facts(copy, ledger.outcome(5, what == "never", completed=False))
+            knows_no_less(facts.kept_of(copy), kept)
+        self.assertTrue(facts.over(ledger.over(5).known) and not ledger.known)
+
+    def test_what_is_adopted_may_have_run_and_what_is_over_is_dropped(self) -> None:
+        out, over = Known({1: Head(1, False, 4, 2)}), Known(end=(Rank.COMPLETED, 0))
+        ledger = Ledger(0)
+        taken = ledger.adopt([Fact(1, BASE, out), Fact(2, BASE, out), Fact(3, BASE, over)], 2)
+        self.assertEqual([each.known.ran for each in taken], [(4, 2), (4, 2)])
+        self.assertEqual(ledger.adopt([Fact(2, BASE, over)], 2), [])
+        self.assertEqual(list(ledger.known), [1])
--- /dev/null
+++ b/tests/test_fleet_shipping.py
@@ -0,0 +1,448 @@
+"""A book's facts on their way to two copies, over a link that loses, doubles and turns round, and files that fail."""
+
+import random
+import unittest
+import unittest.mock
+from typing import Any
+
+from loguru import logger
+
+from cedarwick.fleet import copies, shipping
+from cedarwick.fleet.copies import Copies, CopyFolder
+from cedarwick.fleet.facts import Fact, Known, Ledger, digest, encode_facts, in_doubt, join_facts, together, trimmed
+from cedarwick.fleet.messages import Digests, Facts, Piece
+from cedarwick.fleet.shipping import EVERYTHING, NO_ROOM, OTHER, SPOILT, TERM, Log, Replica
+from cedarwick.store.records import FRAME, Kept, framed
+from tests.test_store import Crash, Fake
+
+BOOK = 3
+NAMES = ["b", "c"]
+
+
+def setUpModule() -> None:
+    logger.disable("cedarwick.fleet")
+
+
+def tearDownModule() -> None:
+    logger.enable("cedarwick.fleet")
+
+
+class Files(Fake, CopyFolder):
+    """The files of copies in memory."""
+
+    def replace(self, name: str, by: str) -> None:
+        if self._call("replace"):
+            raise Crash
+        self.files[name] = self.files.pop(by)
+        self.open_files = {file: name for file, held in self.open_files.items() if held == by}
+
+
+class Member:
+    """One that keeps a copy; it dies with what it had in memory."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, bytearray] = {}
+        self.life = 0
+        self.start()
+
+    def start(self) -> None:
+        self.life += 1
+        self.folder = Files(self.files)
+        self.copies = Copies(self.folder, 1 << 22, now=lambda: 50)
+        self.copies.load()
+
+    def held(self) -> dict[int, Fact]:
+        found = self.copies.replica(BOOK)
+        return found.held if found is not None else {}
+
+    def on_disk(self) -> shipping.Place:
+        """Where its file ends, read by another process."""
+        other = Copies(Files({name: bytearray(data) for name, data in self.files.items()}), 1 << 22, now=lambda: 50)
+        other.load()
+        found = other.replica(BOOK)
+        return found.place if found is not None else shipping.NO_PLACE
+
+
+class Link:
+    """Messages under way; drawn from a seed."""
+
+    def __init__(self, seed: int, members: int = 2) -> None:
+        self.draw = random.Random(seed)
+        self.now = 0
+        self.wild = True
+        self.term = 0
+        self.number = BOOK << 32
+        self.bases: dict[int, Fact] = {}  # what the holder owes
+        self.ledger = Ledger(0)
+        self.members = dict(zip(NAMES, [Member() for _ in range(members)], strict=False))
+        self.under_way: list[tuple[str, int, Any]] = []  # member, its life or the holder's term, message
+        self.seen: dict[str, int] = {}  # acknowledged, when its file was looked at last
+        self.rise()
+
+    def rise(self) -> None:
+        """The holder begins a term, with what it owed before."""
+        self.term += 1
+        self.ledger.renew(self.term)
+        self.log = Log(BOOK, self.term, self.read, self.bases)
+        for name in self.members:
+            self.log.follow(name, self.now)
+
+    def read(self, number: int) -> Fact | None:
+        return trimmed(Fact(number, self.bases[number].base, self.ledger.known[number]))
+
+    def tell(self, fact: Fact) -> None:
+        if fact.base is not None:
+            self.bases[fact.number] = fact
+        if fact.number not in self.ledger.known:
+            del self.bases[fact.number]
+        self.log.append(fact, self.now)
+
+    def take(self, size: int = 60) -> int:
+        self.number += 1
+        kept = Kept(self.number, f"i{self.number}", "", 0, "free", "", 7, 10 ** 9, b"x" * size)
+        self.tell(self.ledger.kept(kept, kept.body or b""))
+        return self.number
+
+    def live(self, events: int) -> None:
+        """What comes at a holder that serves."""
+        for _ in range(events):
+            number = self.draw.choice(list(self.bases)) if self.bases else 0
+            what = self.draw.random()
+            if not number or what < 0.3:
+                self.take(self.draw.choice([0, 60, 900]))
+            elif what < 0.5:
+                self.tell(self.ledger.shot(number, self.now + 1, self.draw.randrange(3)))
+            elif what < 0.65:
+                self.tell(self.ledger.outcome(number, self.draw.random() < 0.5, completed=self.draw.random() < 0.3))
+            elif what < 0.75:
+                self.tell(self.ledger.ended(number, self.draw.random() < 0.5, 5))
+            else:
+                self.tell(self.ledger.over(number))
+
+    def turn(self) -> None:
+        """A few milliseconds: both sides send, some of what is under way arrives."""
+        self.now += self.draw.choice([1_000, 20_000, 200_000 if self.wild else 20_000])
+        for name, follower in self.log.followers.items():
+            while (message := follower.next(self.now)) is not None:
+                self.under_way.append((name, 0, message))
+        if self.wild:
+            self.draw.shuffle(self.under_way)
+        arriving, left = self.under_way, []
+        for each in arriving:
+            fate = self.draw.random() if self.wild else 0.5
+            if fate < 0.1:
+                continue
+            if fate > 0.65:
+                left.append(each)  # late, or twice
+            if fate < 0.8:
+                left.extend(self.arrive(*each))
+        self.under_way = left[-200:]
+        for member in self.members.values():
+            try:
+                member.copies.step()
+            except Crash:
+                member.start()
+        self.check()
+
+    def arrive(self, name: str, life: int, message: Any) -> list[tuple[str, int, Any]]:
+        member, follower = self.members[name], self.log.followers[name]
+        if life and isinstance(message, Digests):
+            follower.digests(self.now, message, life)
+        elif life:
+            follower.have(self.now, message, life)
+        else:
+            try:
+                answer = getattr(member.copies, type(message).__name__.lower())  # facts, piece, digests
+                return [(name, member.life, answer(message))]
+            except Crash:
+                member.start()
+        return []
+
+    def check(self) -> None:
+        """Nothing is taken for acknowledged that its file does not hold."""
+        for name, follower in self.log.followers.items():
+            if follower.life == self.members[name].life and follower.acked not in (0, self.seen.get(name)):
+                self.seen[name] = follower.acked
+                place = self.members[name].on_disk()
+                assert place[:2] >= (self.term, follower.acked), "acknowledged and not written"
+
+    def settle(self) -> None:
+        """The link is good and nothing new comes: the copies must come to what is owed."""
+        self.wild = False
+        for name, member in self.members.items():
+            if self.log.followers[name].life != member.life:
+                self.log.followers[name].lost()  # heard in its beats
+        for _ in range(400):
+            self.turn()
+            if all(each.whole and each.acked == self.log.next and not each.piece and not each.mends
+                   for each in self.log.followers.values()):
+                break
+        owed = {number: self.read(number) for number in self.bases}
+        for name, member in self.members.items():
+            follower = self.log.followers[name]
+            assert follower.whole and follower.lag(self.now) == (0, 0), f"{name} is not whole"
+            assert sorted(member.held()) == sorted(owed), f"{name} holds other envelopes than are owed"
+            for number, fact in member.held().items():
+                mine = owed[number]
+                assert mine is not None and fact.base == mine.base and join_facts(fact, mine) == fact, "knows less"
+            member.start()
+            assert sorted(member.held()) == sorted(owed), f"{name} reads back other envelopes"
+
+
+def history(seed: int, turns: int = 80) -> Link:
+    """A drawn history with crashes on both sides, a short window and files that are written anew."""
+    link = Link(seed)
+    for _ in range(turns):
+        link.live(link.draw.choice([0, 0, 1, 2, 30]))
+        link.turn()
+        for member in link.members.values():
+            fate = link.draw.random()
+            if fate < 0.03:
+                member.start()
+            elif fate < 0.06:
+                member.folder.crash_at = member.folder.calls + link.draw.randint(1, 4)
+            elif fate < 0.07:
+                member.files.clear()  # the folder is gone
+                member.start()
+            elif fate < 0.09:
+                member.folder.failing = {link.draw.choice(["append", "truncate", "replace", "create"])}
+            elif fate < 0.2:
+                member.folder.failing = set()
+        if link.draw.random() < 0.03:
+            link.rise()
+    for member in link.members.values():
+        member.folder.failing, member.folder.crash_at = set(), 0
+    link.settle()
+    return link
+
+
+class Histories(unittest.TestCase):
+    def setUp(self) -> None:
+        for module, values in ((shipping, {"WINDOW": 40, "PART": 5000, "COMPARE": 400_000, "RANGE": 4}),
+                               (copies, {"SMALL": 3000, "PART": 1500, "LOOK_BACK": 4})):
+            for name, value in values.items():
+                patched = unittest.mock.patch.object(module, name, value)
+                patched.start()
+                self.addCleanup(patched.stop)
+
+    def test_copies_come_to_what_is_owed(self) -> None:
+        links = [history(seed) for seed in range(25)]
+        followers = [each for link in links for each in link.log.followers.values()]
+        self.assertGreater(sum(each.pieces for each in followers), 100)
+
+    def caught(self, what: str, seeds: int = 40) -> None:
+        with self.assertRaises(AssertionError, msg=what):
+            for seed in range(seeds):
+                history(seed)
+
+    def test_an_old_piece_that_drops_what_the_tail_brought_is_noticed(self) -> None:
+        honest = Replica.piece
+
+        def piece(self: Replica, message: Piece) -> shipping.Step:
+            place = self.place
+            if message.term == place.term and message.next < place.next and message.after <= place.covered:
+                self.place = place._replace(next=message.next)
+                step = honest(self, message)
+                self.place = place
+                return step._replace(entry=step.entry and shipping.Entry(
+                    place.term, place.next, step.entry.covered, message.after, message.upto, message.facts))
+            return honest(self, message)
+
+        with unittest.mock.patch.object(Replica, "piece", piece):
+            self.caught("an old piece")
+
+    def test_an_answer_before_writing_is_noticed(self) -> None:
+        def done(self: Copies, copy: copies.Copy, step: shipping.Step) -> Any:
+            if step.entry is not None:
+                copy.replica.take(step.entry, step.facts)
+                self.copies[copy.replica.book] = copy
+            return step.have
+
+        with unittest.mock.patch.object(Copies, "_done", done):
+            self.caught("an answer before writing")
+
+    def test_a_join_that_forgets_a_shot_is_noticed(self) -> None:
+        with unittest.mock.patch.object(shipping, "join_facts", lambda a, b: a):
+            self.caught("a join that forgets")
+
+    def test_an_earlier_life_taken_at_its_word_is_noticed(self) -> None:
+        honest = shipping.Follower.have
+        with unittest.mock.patch.object(shipping.Follower, "have", lambda self, now, message, life:
+                                        honest(self, now, message, self.life if 0 <= self.life <= life else life)):
+            self.caught("a copy whose file is gone")
+
+    def test_ranges_that_differ_silently_are_sent_again(self) -> None:
+        link = Link(1)
+        link.wild = False
+        link.live(60)
+        link.settle()
+        held = link.members["b"].held()
+        lost, spoilt = list(held)[1], list(held)[-1]
+        del held[lost]
+        held[spoilt] = Fact(spoilt, held[spoilt].base, Known())
+        held[(BOOK << 32) + 99_999] = held[spoilt]
+        for _ in range(300):
+            link.turn()
+        link.settle()
+        self.assertGreater(link.log.followers["b"].mended, 0)
+        self.assertEqual(link.log.followers["c"].mended, 0)
+        more = link.members["c"].held()
+        number = next(iter(more))
+        more[number] = in_doubt(more[number], 7)  # the copy knows more: a join keeps that, so it is not sent for ever
+        for _ in range(400):
+            link.turn()
+        self.assertEqual(link.log.followers["c"].mended, shipping.TRIES)
+
+
+class AtTheCopy(unittest.TestCase):
+    def setUp(self) -> None:
+        self.link = Link(2, members=1)
+        self.link.settle()
+        for _ in range(20):
+            self.link.take(3000)
+            self.link.turn()
+        self.link.settle()
+        self.member = self.link.members["b"]
+
+    def facts(self, **told: Any) -> Facts:
+        data = told.pop("data", None) or encode_facts([])
+        return Facts(**{"book": BOOK, "term": 1, "first": 0, "facts": data, "digest": digest(data), **told})
+
+    def test_what_does_not_fit_is_dropped_whole(self) -> None:
+        wrong = encode_facts([Fact(5, None, Known())])
+        other = b"\x92\x63\x90"
+        for told, problem in (({"term": 0}, TERM), ({"digest": 1}, SPOILT), ({"data": b"\xc1"}, SPOILT),
+                              ({"data": wrong}, SPOILT), ({"data": other}, OTHER), ({"first": 21}, "gap"),
+                              ({"term": 2}, "gap")):
+            before = dict(self.member.held())
+            self.assertEqual(self.member.copies.facts(self.facts(**told)).problem, problem)
+            self.assertEqual(self.member.held(), before)
+        replica = Replica(BOOK)
+        low, high = [(BOOK << 32) + each for each in (1, 9)]
+        for after, numbers, problem in ((0, [], ""), (high, [], "gap"), (low, [low], SPOILT)):
+            data = encode_facts([Fact(number, None, Known()) for number in numbers])
+            step = replica.piece(Piece(BOOK, 1, after, low, data, 5, digest(data)))
+            self.assertEqual(step.have.problem, problem)
+            if step.entry is not None:
+                replica.take(step.entry, step.facts)
+        replica.take(shipping.Entry(1, 6, low, 0, 0, b""), [Fact(high, None, Known())])
+        self.assertEqual((replica.held, replica.place), ({}, (1, 6, low)))  # news of what a piece is still to bring
+
+    def test_behind_a_torn_record_nothing_is_written(self) -> None:
+        folder = self.member.folder
+        folder.room = sum(map(len, folder.files.values())) + 100
+        folder.failing = {"truncate"}
+        self.link.take(3000)
+        for _ in range(3):
+            self.link.turn()
+        self.assertEqual(self.link.log.followers["b"].problem, NO_ROOM)
+        folder.room = 1 << 60
+        told = self.facts(first=20, data=together(self.link.log.tail(20)))
+        self.assertEqual(self.member.copies.facts(told).problem, NO_ROOM)
+        for _ in range(200):
+            self.link.turn()  # written anew, since the torn end cannot be cut off
+        self.link.settle()
+        self.assertEqual(len(self.member.held()), 21)
+
+    def test_a_full_disk_refuses_and_says_so_and_drops_nothing(self) -> None:
+        self.link.take(3000)
+        self.member.copies.limit = 100
+        self.link.turn()
+        self.link.turn()
+        follower = self.link.log.followers["b"]
+        self.assertEqual((follower.problem, follower.whole, follower.lag(self.link.now)[0]), (NO_ROOM, False, 1))
+        self.member.copies.limit = 1 << 22
+        for _ in range(100):
+            self.link.turn()
+        self.link.settle()
+
+    def test_a_fresh_file_that_misses_an_entry_does_not_take_the_name(self) -> None:
+        folder, held = self.member.folder, self.member.copies
+        held._begin(held.copies[BOOK])
+        folder.room = sum(map(len, folder.files.values())) + 4000  # for the entry once, not twice
+        self.link.take(3000)
+        self.assertEqual(held.facts(self.facts(first=20, data=together(self.link.log.tail(20)))).next, 21)
+        folder.room = 1 << 60
+        while held.step():
+            pass
+        folder.failing, written = {"replace"}, held.written
+        held.copies[BOOK].torn = True  # it must be written anew
+        for _ in range(50):
+            held.step()  # what can't take the name is not written again and again
+        self.assertLess(held.written - written, 2 * held.used)
+        folder.failing = set()
+        self.member.start()
+        self.assertEqual([fact.known.doubt for fact in self.member.held().values()], [0] * 21)
+
+    def test_what_came_while_the_disk_was_busy_is_synced_too(self) -> None:
+        held, others = self.member.copies, [20, 21]
+        held.durable = True
+        self.link.take()
+        self.link.take()
+
+        def come(*_: Any) -> None:
+            first = others.pop(0)
+            held.facts(self.facts(first=first, data=together(self.link.log.tail(first)[:1])))
+
+        come()
+        held.flush(come)
+        self.assertTrue(held.unsynced)
+        held.flush()
+        self.assertFalse(held.unsynced)
+
+    def test_a_torn_end_is_cut_off_and_damage_puts_all_in_doubt(self) -> None:
+        name = f"{BOOK}.log"
+        whole = len(self.member.files[name])
+        self.member.files[name] += framed(b"x" * 99)[:50]
+        self.member.start()
+        self.assertEqual((len(self.member.files[name]), self.member.on_disk()[:2]), (whole, (1, 20)))
+        self.member.files[name][whole - FRAME.size - 100] ^= 1
+        self.member.start()
+        held = self.member.held()
+        self.assertTrue(held and all(fact.known.doubt == 50 for fact in held.values()))
+        self.assertEqual(self.member.on_disk(), (1, 0, 0))
+        for _ in range(5):
+            self.member.copies.step()
+        self.member.start()  # written anew: the doubt stays, the damage does not
+        self.assertTrue(all(fact.known.doubt == 50 for fact in self.member.held().values()))
+        self.link.settle()
+        self.assertEqual(len(self.member.held()), 20)
+
+    def test_a_file_of_another_version_is_put_aside(self) -> None:
+        name = f"{BOOK}.log"
+        with unittest.mock.patch.object(copies, "VERSION", 9):
+            self.member.start()
+        self.assertEqual((self.member.held(), list(self.member.files)), ({}, [name + ".other"]))
+        self.link.settle()
+        self.member.copies.drop(BOOK)
+        self.assertEqual(list(self.member.files), [name + ".other"])
+
+    def test_a_holder_that_was_superseded_stops(self) -> None:
+        before = self.link.log
+        self.link.rise()
+        self.link.settle()
+        follower = before.followers["b"]
+        follower.have(self.link.now, self.member.copies.facts(self.facts()), self.member.life)
+        self.assertTrue(follower.superseded)
+        self.assertIsNone(follower.next(self.link.now + 10 ** 9))
+
+    def test_a_walk_goes_on_where_it_was_cut_and_no_faster_than_its_share(self) -> None:
+        for _ in range(100):
+            self.link.take(3000)
+        self.link.rise()
+        log, now = self.link.log, self.link.now
+        follower = log.followers["b"]
+        follower.have(now, self.member.copies.facts(self.facts(term=2)), self.member.life)
+        sent: list[Piece] = []
+        while not follower.whole:
+            now += 1_000
+            message = follower.next(now)
+            if isinstance(message, Piece):
+                sent.append(message)
+                if len(sent) == 2:
+                    self.member.start()  # the copy's process ends; its file goes on
+                follower.have(now, self.member.copies.piece(message), self.member.life)
+        self.assertEqual([each.after for each in sent], [0, *[each.upto for each in sent[:-1]]])
+        self.assertEqual(sent[-1].upto, EVERYTHING)
+        rate = sum(len(each.facts) for each in sent[1:]) / (now - self.link.now) * 1e6
+        self.assertLess(rate, shipping.FLOOR * 1.3)
