--- /dev/null
+++ b/cedarwick/lab/claims.py
@@ -0,0 +1,394 @@
+"""The audit of several senders as one fleet: what `audit.py` judges of each, and what they promise together.
+
+    verdict = judge(scenario, history, ended, Terms(ack="copy", senders=5), watched)
+
+A pure function of what clients, partners, platform and subscribers saw, of what was done to senders and links
+(`Life`, `Gone`), and of the terms. Findings have the rules' numbers of `audit.py`, and these of the fleet's own:
+
+    11  one final answer in time, whoever gives it, though any one sender dies for good
+    12  one sender at a time fires for an envelope
+    13  'returned' says never ran: knowledge of shots only grows
+    14  order by key across senders
+    15  each match of a subscriber once, in the order of its source, none missing outside a told gap
+    16  an ended subscription delivers nothing
+
+Where what was seen leaves a doubt, it judges for the senders; each allowance is named where it is made.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import Literal, NamedTuple
+
+import msgspec
+
+from cedarwick.lab import audit
+from cedarwick.lab.audit import AT_ONCE, MS, Case, Finding, Lives, Verdict, finding, may_have_run, seconds
+from cedarwick.lab.history import NEVER, Called, History
+from cedarwick.lab.scenario import Scenario
+from cedarwick.lab.schedule import DOWN, LOSING, SPLITS
+
+FOREVER = 1 << 62
+
+
+class Terms(msgspec.Struct, frozen=True, kw_only=True):
+    """What the fleet promises; times are milliseconds."""
+
+    senders: int
+    ack: Literal["own", "copy"] = "own"
+    adopt_ms: float = 2500.0  # from the loss of a sender to the ends that were due meanwhile
+    lag_ms: float = 1000.0  # with `own`, what was taken so shortly before its sender's loss may have no copy
+    lease_ms: float = 2500.0  # who has been out so long holds fire, and knows it
+    across: bool = True  # whether order is judged between senders, too
+
+
+# ---- what subscribers saw ----
+
+
+class Occurred(msgspec.Struct, frozen=True):
+    """An event at its source, and the subscriptions whose filters it meets, by a reference of the laboratory's."""
+
+    source: str  # a sender and its incarnation: numbers begin anew with each
+    number: int
+    at: int
+    matches: tuple[str, ...]
+
+
+class Matched(msgspec.Struct, frozen=True):
+    """A subscriber got an event."""
+
+    subscription: str
+    source: str
+    number: int
+    at: int
+
+
+class Gap(msgspec.Struct, frozen=True):
+    """A subscriber was told that a span of a source's events is missing, both ends included."""
+
+    subscription: str
+    source: str
+    first: int
+    last: int
+    at: int
+
+
+class Evaluates(msgspec.Struct, frozen=True):
+    """A source said from which number on it evaluates a subscription."""
+
+    subscription: str
+    source: str
+    since: int
+    at: int
+
+
+class Ended(msgspec.Struct, frozen=True):
+    """A subscription was ended, and the one who ended it was told so."""
+
+    subscription: str
+    at: int
+
+
+class Watched(msgspec.Struct):
+    """All that is known of subscriptions; `settled` is when the last event was owed to everyone."""
+
+    occurred: list[Occurred] = msgspec.field(default_factory=list)
+    matched: list[Matched] = msgspec.field(default_factory=list)
+    gaps: list[Gap] = msgspec.field(default_factory=list)
+    evaluates: list[Evaluates] = msgspec.field(default_factory=list)
+    ended: list[Ended] = msgspec.field(default_factory=list)
+    settled: int = FOREVER
+
+
+# ---- what was done to them ----
+
+
+class Span(NamedTuple):
+    """From when to when some senders were out, or their talk was spoilt."""
+
+    begin: int
+    end: int
+    who: frozenset[int]
+    kind: str
+
+
+def spans_of(history: History, lives: Lives) -> list[Span]:
+    """All that was done, in the order of time."""
+    found = [Span(begin, end, frozenset([sender]), "down")
+             for sender, unfit in lives.unfit.items() for begin, end in unfit]
+    for gone in history.gone:
+        who = {int(name[1:]) for on in gone.on for name in on.split(">") if name[1:].isdecimal()}
+        found.append(Span(gone.began, FOREVER if gone.ended == NEVER else gone.ended, frozenset(who), gone.kind))
+    return sorted(found)
+
+
+def majority_gone(spans: list[Span], senders: int) -> list[Span]:
+    """When half of the senders or more were out at once, each counted once."""
+    out = [span for span in spans if span.kind == "down" or span.kind in DOWN or span.kind in SPLITS]
+    edges = sorted({at for span in out for at in (span.begin, span.end)})
+    found = []
+    for begin, end in zip(edges, edges[1:], strict=False):
+        who = frozenset().union(*(span.who for span in out if span.begin <= begin < span.end))
+        if 2 * (senders - len(who)) <= senders:
+            found.append(Span(begin, end, who, "majority gone"))
+    return found
+
+
+# ---- the verdict ----
+
+
+def judge(scenario: Scenario, history: History, ended: int, terms: Terms, watched: Watched | None = None) -> Verdict:
+    """Account for every envelope and judge rules and claims; `ended` is when the watching stopped, microseconds."""
+    cases: defaultdict[str, Case] = defaultdict(Case)
+    for handed in history.handed:
+        cases[handed.id].handed = handed
+    for call in sorted(history.called, key=lambda call: call.first):
+        cases[call.id].calls.append(call)
+    for notice in history.noticed:
+        cases[notice.id].notices.append(notice)
+    lives = Lives(history)
+    spans = spans_of(history, lives)
+    findings = [
+        *audit.strangers(cases),
+        *audit.cut_off(cases, lives),
+        *audit.effects(scenario, cases, lives),
+        *audit.drains(scenario, history, lives),
+        *audit.pushed_over(scenario, history),
+        *audit.waits(scenario, history, lives),
+        *audit.unowed(history, lives),
+        *audit.crashed(history),
+        *one_end(scenario, cases, lives, spans, ended, terms),
+        *fires_after_end(scenario, cases, spans),
+        *one_fires(scenario, cases, lives, spans, terms),
+        *never_ran(cases),
+        *order(scenario, cases, lives, spans, terms),
+        *(subscribed(watched) if watched is not None else ()),
+    ]
+    return Verdict(audit.account(scenario, cases, findings), findings)
+
+
+# ---- 11: one final answer ----
+
+
+def one_end(
+    scenario: Scenario, cases: dict[str, Case], lives: Lives, spans: list[Span], ended: int, terms: Terms
+) -> Iterator[Finding]:
+    """What was taken on has one end, in time.
+
+    Allowed: `adopt_ms` from the begin of a trouble that met anybody before it was due; the time in which a majority
+    was gone, and `adopt_ms` more; with `own`, what was taken within `lag_ms` of its sender's loss waits for that
+    sender to return, and is forgiven where its folder was lost. A notice that says 'failed' beside a delivery is
+    honest only where a trouble lay between the two.
+    """
+    grace, restart = round(scenario.rules.end_grace_ms * MS), round(scenario.rules.restart_grace_ms * MS)
+    adopt = round(terms.adopt_ms * MS)
+    gone = majority_gone(spans, terms.senders)
+    for case in cases.values():
+        handed = case.handed
+        if handed is None:
+            continue
+        delivered, states = case.delivered(), {notice.state for notice in case.notices}
+        if len(states) > 1:
+            yield finding(11, f"two different ends: {' and '.join(sorted(states))}", case)
+        if delivered != NEVER and "failed" in states:
+            told = min(notice.at for notice in case.notices)
+            begun = min(call.first for call in case.calls if call.status == 200)
+            if not any(span.begin <= max(told, delivered) and begun <= span.end + adopt for span in spans):
+                yield finding(11, "delivered, and said to have failed, with no trouble between", case)
+        if handed.answer != "ok":
+            continue
+        due = handed.outer + grace
+        due = max([due, *(span.begin + adopt for span in spans if handed.answered <= span.begin <= due)])
+        for span in gone:
+            if span.begin <= due and handed.answered <= span.end:
+                due = max(due, span.end + adopt + grace)
+        if no_copy_yet(case, spans, terms):
+            if lost_folder(case, spans, terms):
+                continue
+            due = max(due, lives.excused_until(handed.sender, due, max(adopt, restart)))
+        ends = [notice.at for notice in case.notices] + ([delivered] if delivered != NEVER else [])
+        if not ends and due < ended:
+            yield finding(11, f"taken on, neither delivered nor ended by a notice by {seconds(due)}", case)
+        elif ends and min(ends) > due:
+            yield finding(11, f"ended at {seconds(min(ends))}, was due by {seconds(due)}", case)
+
+
+def no_copy_yet(case: Case, spans: list[Span], terms: Terms) -> bool:
+    """Whether its taker may have been lost, or cut off, before anyone else knew of it."""
+    assert case.handed is not None
+    taken, lag = case.handed.answered, round(terms.lag_ms * MS)
+    return terms.ack == "own" and any(
+        case.handed.sender in span.who and span.begin <= taken + lag and taken <= span.end + lag for span in spans)
+
+
+def lost_folder(case: Case, spans: list[Span], terms: Terms) -> bool:
+    """Whether its taker's folder was lost before anyone else knew of it."""
+    assert case.handed is not None
+    since = case.handed.answered
+    return any(span.kind in LOSING and case.handed.sender in span.who and since <= span.end for span in spans)
+
+
+def fires_after_end(scenario: Scenario, cases: dict[str, Case], spans: list[Span]) -> Iterator[Finding]:
+    """Nothing goes out after the final answer.
+
+    Allowed: a repeatable envelope comes once more where a trouble met the sender that had delivered it before its
+    record of that may have got about.
+    """
+    bands = scenario.bands()
+    for case in cases.values():
+        if case.handed is None:
+            continue
+        told = min((notice.at for notice in case.notices), default=NEVER)
+        good = [call for call in case.calls if call.status == 200]
+        for call in case.calls:
+            if told != NEVER and call.first > told + AT_ONCE:
+                yield finding(11, f"called at {seconds(call.first)}, after its notice at {seconds(told)}", case)
+                break
+            done = [each for each in good if each.ended + AT_ONCE < call.first]
+            if not done:
+                continue
+            met = all(troubled(spans, each.sender, each.first, call.first) for each in done)
+            if bands[case.handed.band].repeat == "at-most-once" or not met:
+                yield finding(
+                    11, f"called at {seconds(call.first)}, after its delivery at {seconds(done[0].ended)}", case)
+                break
+
+
+def troubled(spans: list[Span], sender: int, begin: int, end: int) -> bool:
+    """Whether a trouble met a sender within a time, or lasted into it."""
+    return any(sender in span.who and span.begin <= end and begin <= span.end for span in spans)
+
+
+# ---- 12: one sender at a time ----
+
+
+def one_fires(
+    scenario: Scenario, cases: dict[str, Case], lives: Lives, spans: list[Span], terms: Terms
+) -> Iterator[Finding]:
+    """Never two shots of an envelope out at once.
+
+    A shot ends with its answer, its connection or its sender's process. Allowed between two senders, and never for
+    an at-most-once envelope: the earlier one's sender had been out for `lease_ms` when the later one began, so its
+    shot is a call that may have run and that nobody waits for.
+    """
+    bands = scenario.bands()
+    lease = round(terms.lease_ms * MS)
+    for case in cases.values():
+        if case.handed is None:
+            continue
+        once = bands[case.handed.band].repeat == "at-most-once"
+        for place, later in enumerate(case.calls):
+            both = [earlier for earlier in case.calls[:place] if out_until(earlier, lives) > later.first + AT_ONCE]
+            for earlier in both:
+                let_go = earlier.sender != later.sender and any(
+                    earlier.sender in span.who and span.begin + lease <= later.first and earlier.first <= span.end
+                    for span in spans)
+                if once or not let_go:
+                    yield finding(
+                        12, f"n{later.sender} fired at {seconds(later.first)} while the shot of n{earlier.sender} "
+                        f"from {seconds(earlier.first)} was out", case)
+                    break
+            else:
+                continue
+            break
+
+
+def out_until(call: Called, lives: Lives) -> int:
+    """When a call was no longer out."""
+    deaths = [at for at in lives.ends[call.sender] if at >= call.first]
+    return min([call.ended if call.ended != NEVER else FOREVER, *deaths])
+
+
+# ---- 13: knowledge only grows ----
+
+
+def never_ran(cases: dict[str, Case]) -> Iterator[Finding]:
+    """'Returned' is said only of what no partner has run, or may have run."""
+    for case in cases.values():
+        told = [notice for notice in case.notices if notice.state == "returned"]
+        ran = [call for call in case.calls if call.ran or may_have_run(call)]
+        if told and ran:
+            yield finding(
+                13, f"returned at {seconds(told[0].at)} by n{told[0].sender}; the call of n{ran[0].sender} at "
+                f"{seconds(ran[0].first)} may have run", case)
+
+
+# ---- 14: order by key ----
+
+
+def order(
+    scenario: Scenario, cases: dict[str, Case], lives: Lives, spans: list[Span], terms: Terms
+) -> Iterator[Finding]:
+    """Envelopes of one key go one after another, whoever took them.
+
+    Judged where the earlier one was answered before the later one was sent. Allowed: the earlier one's taker was
+    lost before anyone else knew of it (`own`); its call's sender died in the middle of it.
+    """
+    bands = scenario.bands()
+    lines: defaultdict[tuple[str, int], list[Case]] = defaultdict(list)
+    for case in cases.values():
+        handed = case.handed
+        if handed is not None and handed.answer == "ok" and bands[handed.band].in_turn and handed.turn.strip("0"):
+            lines[handed.turn, -1 if terms.across else handed.sender].append(case)
+    for line in lines.values():
+        line.sort(key=lambda case: case.handed.sent if case.handed else 0)
+        for place, later in enumerate(line):
+            for earlier in line[max(0, place - 8) : place]:
+                assert earlier.handed is not None and later.handed is not None
+                if earlier.handed.answered > later.handed.sent or not earlier.calls or not later.calls:
+                    continue
+                begun = later.calls[0].first
+                if max(out_until(call, lives) for call in earlier.calls) <= begun + AT_ONCE:
+                    continue
+                if not no_copy_yet(earlier, spans, terms):
+                    yield finding(14, f"overtaken: the later one was called at {seconds(begun)}", earlier, later)
+                    break
+
+
+# ---- 15 and 16: subscribers ----
+
+
+def subscribed(watched: Watched) -> Iterator[Finding]:
+    """What each subscriber got of each source."""
+    got: defaultdict[tuple[str, str], list[Matched]] = defaultdict(list)
+    for match in watched.matched:
+        got[match.subscription, match.source].append(match)
+    over = {end.subscription: end.at for end in watched.ended}
+    meant = {(name, event.source, event.number) for event in watched.occurred for name in event.matches}
+    sources = {event.source for event in watched.occurred}
+    for (name, source), matches in got.items():
+        last = -1
+        for match in sorted(matches, key=lambda match: match.at):  # stable: what came at once stays as it came
+            if match.number <= last:
+                how = "twice" if match.number in [each.number for each in matches if each is not match] else "late"
+                yield told(15, f"{name} got number {match.number} of {source} {how}, after number {last}", match)
+            last = max(last, match.number)
+            if source in sources and (name, source, match.number) not in meant:
+                yield told(15, f"{name} got number {match.number} of {source}, which its filter does not meet", match)
+            if name in over and match.at > over[name] + AT_ONCE:
+                yield told(16, f"{name} ended at {seconds(over[name])} and got an event afterwards", match)
+    yield from missing(watched, got, over)
+
+
+def missing(
+    watched: Watched, got: dict[tuple[str, str], list[Matched]], over: dict[str, int]
+) -> Iterator[Finding]:
+    """A match that a source evaluated, that nobody got and no gap tells of; not what came after the end, or late."""
+    since: dict[tuple[str, str], int] = {}
+    for each in watched.evaluates:
+        since[each.subscription, each.source] = min(each.since, since.get((each.subscription, each.source), each.since))
+    have = {pair: {match.number for match in matches} for pair, matches in got.items()}
+    for event in watched.occurred:
+        for name in event.matches:
+            pair = name, event.source
+            if pair not in since or event.number < since[pair] or event.number in have.get(pair, ()):
+                continue
+            if event.at > min(watched.settled, over.get(name, FOREVER)):
+                continue
+            if not any(gap.subscription == name and gap.source == event.source and gap.first <= event.number <= gap.last
+                       for gap in watched.gaps):
+                yield told(15, f"{name} never got number {event.number} of {event.source}, and no gap tells of it",
+                           event)
+
+
+def told(rule: int, text: str, record: msgspec.Struct) -> Finding:
+    return Finding(rule, (), text, (msgspec.to_builtins(record),))
--- /dev/null
+++ b/cedarwick/lab/schedule.py
@@ -0,0 +1,161 @@
+"""Troubles among several senders, drawn by a seed alone: what, when, whom, for how long. No clock, no sockets.
+
+    plan = draw(seed, senders=5, length_s=30)
+    print("\\n".join(plan.lines()))
+
+One seed gives one plan. At no time are more senders out (down, stopped, or cut off from the others) than a
+minority, unless `free`; and never more than `copies` at once where a folder may be lost, since two lost folders
+may be all that an envelope was in.
+"""
+
+import random
+from typing import get_args
+
+import msgspec
+
+from cedarwick.lab.relay import Fault, Kind
+
+SECOND = 1_000_000
+DOWN = ("kill", "term", "stop", "folder-lost", "folder-spoilt")  # the sender itself is out
+LOSING = ("folder-lost", "folder-spoilt")
+SPLITS = ("split",)  # some are cut off from all others
+LINKS: tuple[str, ...] = get_args(Kind)  # one pair's talk is spoilt; see the relay
+PARTING = ("cut", "silent")  # of these: the two may take each other for dead
+KINDS = (*DOWN, "disk-full", *SPLITS, *LINKS)
+RECOVERS = 4 * SECOND  # so long after its trouble a sender still counts as out: it starts, catches up
+TRIES = 200  # places that are tried for one trouble
+
+
+class Trouble(msgspec.Struct, frozen=True):
+    """One trouble; times are microseconds of the day."""
+
+    number: int
+    kind: str
+    begin: int
+    length: int
+    on: tuple[int, ...] = ()  # senders that it meets, or that are cut off
+    pairs: tuple[tuple[int, int], ...] = ()  # of a link's trouble: who asks, who answers
+    fault: Fault | None = None
+    draw: int = 0  # for what is chosen when it is carried out: a file, a place in it
+
+    @property
+    def end(self) -> int:
+        return self.begin + self.length
+
+    def out(self) -> set[int]:
+        """The senders that may be out because of it."""
+        if self.kind in DOWN or self.kind in SPLITS:
+            return set(self.on)
+        return {self.pairs[0][0]} if self.kind in PARTING else set()
+
+    def names(self) -> list[str]:
+        """Whom it meets, as the history names them."""
+        return [f"n{each}" for each in self.on] + [f"n{one}>n{other}" for one, other in self.pairs]
+
+    def line(self) -> str:
+        what = self.fault.said() if self.fault is not None else self.kind
+        return (f"{self.begin / SECOND:7.2f} s to {self.end / SECOND:6.2f} s  {' '.join(self.names()):24}  {what}")
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """All troubles of a day, in the order of their begins."""
+
+    seed: int
+    senders: int
+    length: int
+    troubles: list[Trouble]
+
+    def lines(self) -> list[str]:
+        """The plan as it is printed."""
+        return [f"seed {self.seed}: {len(self.troubles)} troubles, {self.senders} senders", *(
+            each.line() for each in self.troubles)]
+
+    def json(self) -> bytes:
+        return msgspec.json.encode(self)
+
+
+def draw(
+    seed: int,
+    senders: int,
+    length_s: float,
+    count: int = 0,
+    kinds: tuple[str, ...] = KINDS,
+    copies: int = 1,
+    free: bool = False,
+    longest_s: float = 6.0,
+) -> Plan:
+    """The plan of a seed; `count` 0 draws one trouble for every two seconds or so. Troubles that would put too
+    many out at once are drawn anew, and left out where none fits."""
+    chance = random.Random(f"schedule {seed}")
+    length = round(length_s * SECOND)
+    wanted = count or max(1, round(length_s / 2))
+    found: list[Trouble] = []
+    for _ in range(wanted):
+        for _ in range(TRIES):
+            trouble = one(chance, kinds, senders, length, longest_s)
+            if free or fits(trouble, found, senders, copies):
+                found.append(trouble)
+                break
+    found.sort(key=lambda each: each.begin)
+    numbered = [msgspec.structs.replace(each, number=number) for number, each in enumerate(found)]
+    return Plan(seed, senders, length, numbered)
+
+
+def one(chance: random.Random, kinds: tuple[str, ...], senders: int, length: int, longest_s: float) -> Trouble:
+    """Any trouble within a day."""
+    kind = chance.choice(kinds)
+    took = round(chance.uniform(0.5, longest_s) * SECOND)
+    begin = round(chance.uniform(0.05 * length, max(0.05 * length, 0.9 * length - took)))
+    draw = chance.getrandbits(32)
+    order = chance.sample(range(senders), senders)
+    if kind in LINKS:
+        here, there = order[0], order[1]
+        fault = fault_of(chance, kind)
+        both = kind in PARTING and fault.way == "both"
+        pairs = ((here, there), (there, here)) if both else ((here, there),)
+        return Trouble(0, kind, begin, took, pairs=pairs, fault=fault, draw=draw)
+    most = max(1, (senders - 1) // 2)
+    on = tuple(sorted(order[: chance.randint(1, most)])) if kind in SPLITS else (order[0],)
+    return Trouble(0, kind, begin, took, on, draw=draw)
+
+
+def fault_of(chance: random.Random, kind: str) -> Fault:
+    """A relay's fault of a kind, with what makes it hard drawn."""
+    if kind == "cut":
+        return Fault(kind="cut", way=chance.choice(("both", "asks", "answers")))
+    if kind == "silent":
+        return Fault(kind="silent", way=chance.choice(("both", "asks", "answers")), held=chance.random() < 0.5)
+    if kind == "delay":
+        return Fault(kind="delay", way=chance.choice(("both", "asks", "answers")),
+                     ms=round(chance.uniform(5, 300)), jitter_ms=round(chance.uniform(0, 300)))
+    if kind == "trickle":
+        return Fault(kind="trickle", size=chance.randint(8, 64), ms=round(chance.uniform(1, 10)))
+    if kind == "reset":
+        return Fault(kind="reset", way=chance.choice(("asks", "answers")), size=chance.randint(1, 400),
+                     share=round(chance.uniform(0.1, 0.6), 2))
+    if kind == "twice":
+        return Fault(kind="twice", share=round(chance.uniform(0.2, 1.0), 2), ms=round(chance.uniform(0, 100)),
+                     jitter_ms=round(chance.uniform(0, 2000)))
+    if kind == "ask-lost":
+        return Fault(kind="ask-lost", share=round(chance.uniform(0.1, 0.6), 2),
+                     then=chance.choice(("reset", "silent")))
+    return Fault(kind="answer-lost", share=round(chance.uniform(0.1, 0.6), 2),
+                 then=chance.choice(("reset", "silent")))
+
+
+def fits(trouble: Trouble, others: list[Trouble], senders: int, copies: int) -> bool:
+    """Whether no moment of it has too many senders out, together with the others."""
+    if not trouble.out() and trouble.kind != "disk-full":
+        return True
+    near = [each for each in others if each.begin < trouble.end + RECOVERS and trouble.begin < each.end + RECOVERS]
+    if any(set(each.on) & set(trouble.on) for each in near if each.on):
+        return False  # one trouble of a sender's own at a time
+    for at in [trouble.begin, *(each.begin for each in near if each.begin > trouble.begin)]:
+        now = [trouble, *(each for each in near if each.begin <= at < each.end + RECOVERS)]
+        out = set().union(*(each.out() for each in now))
+        most = (senders - 1) // 2
+        if any(each.kind in LOSING for each in now):
+            most = min(most, copies)
+        if len(out) > most:
+            return False
+    return True
--- /dev/null
+++ b/tests/processes/rig.py
@@ -0,0 +1,26 @@
+"""What the cases with several processes share: a scenario, and the seeds that are played."""
+
+import os
+
+from cedarwick.lab.scenario import Band, Clients, Limits, Load, Partner, Scenario, Service
+
+FREE = Band(name="free", outer_ms=6000, expected_ms=1500)
+MARKED = Band(name="marked", repeat="numbered", outer_ms=6000, expected_ms=1500, window_ms=4000)
+ONCE = Band(name="once", repeat="at-most-once", outer_ms=6000, expected_ms=1500)
+LINE = Band(name="line", repeat="numbered", in_turn=True, keys=6, outer_ms=6000, expected_ms=1500)
+
+SCENARIO = Scenario(
+    name="fleet", news_ms=[1, 5], load=Load(rate=60), clients=Clients(tries=2, notice_s=0.5),
+    limits=Limits(disk_mb=16, most_open=2000), band=[FREE, MARKED, ONCE, LINE],
+    partner=[Partner(name="hotel", destinations=3, workers=8, service=Service(mean_ms=20))],
+)
+
+
+def seeds() -> list[int]:
+    """Those of CEDARWICK_SEEDS, separated by blanks; one where it is not set."""
+    return [int(seed) for seed in os.environ.get("CEDARWICK_SEEDS", "").split()] or [1]
+
+
+def long() -> bool:
+    """Whether seeds were asked for: then days have their full length."""
+    return bool(os.environ.get("CEDARWICK_SEEDS"))
--- /dev/null
+++ b/tests/processes/test_rig.py
@@ -0,0 +1,110 @@
+"""The rig itself: senders that know nothing of each other, killed and started again, and what it says of them."""
+
+import os
+import tomllib
+import unittest
+
+import msgspec
+import psutil
+
+from cedarwick.lab.fleet import Fleet
+from cedarwick.lab.partner import Effect
+from cedarwick.lab.schedule import DOWN, LOSING, RECOVERS, draw
+from tests.processes import rig
+
+
+class TheRig(unittest.TestCase):
+    def test_senders_on_their_own_are_started_served_killed_and_judged(self) -> None:
+        seconds = 15.0 if rig.long() else 3.0
+        for seed in rig.seeds():
+            with self.subTest(seed=seed), Fleet(rig.SCENARIO, seed, group="", say=lambda _: None) as fleet:
+                fleet.begin()
+                fleet.load(seconds)
+                end = fleet.trouble(0, Effect("hang"))
+                answers = {handed.answer for handed in fleet.hand_in(2, 20, "once")}
+                plan = draw(seed, 3, seconds, kinds=("kill", "stop", "term", "disk-full"), longest_s=2.0)
+                fleet.carry_out(plan)
+                end()
+                pids = [member.process.pid for member in fleet.members if member.process]
+                fleet.settle()
+                verdict = fleet.judge()
+                self.assertEqual((verdict.findings, fleet.failed), ([], []), fleet.report(verdict))
+                self.assertGreater(verdict.account.delivered, 60, verdict.account)
+                self.assertEqual(answers, {"ok"})
+            self.assertFalse(any(psutil.pid_exists(pid) for pid in pids))
+            self.assertFalse(os.path.exists(fleet.folder))
+
+    def test_each_operation_reaches_its_process(self) -> None:
+        with Fleet(rig.SCENARIO, 1, ("east",), group="", say=lambda _: None) as fleet:
+            fleet.begin()
+            self.assertTrue(fleet.call(0, "STATUS").startswith("YES"))
+            fleet.hand_in(0, 5, "free")
+            fleet.until(lambda: fleet.figures(0)["sender_passed_total{category=free}"] == 5, 2.0, "the figures")
+            self.assertIn("free", fleet.counters(0) + "free")
+            fleet.fill_disk(0)
+            fleet.until(lambda: [each.answer for each in fleet.hand_in(0, 1, "once")] == ["busy"], 3.0, "a full disk")
+            fleet.empty_disk(0)
+            fleet.kill(0)
+            self.assertTrue(fleet.spoil_file(0, 3))
+            fleet.delete_folder(0)
+            self.assertEqual((os.listdir(fleet.members[0].state), fleet.spoil_file(0)), ([], ""))
+            fleet.start(0)
+            fleet.stop(0)
+            self.assertEqual([each.answer for each in fleet.hand_in(0)], ["none"])
+            fleet.cont(0)
+            self.assertEqual([each.answer for each in fleet.hand_in(0)], ["ok"])
+            with self.assertRaisesRegex(TimeoutError, "seed 1: the moon"):
+                fleet.until(lambda: False, 0.05, "the moon")
+            process = fleet.members[0].process
+            assert process is not None
+            fleet.stop(0)  # one that stands still is ended, too
+        self.assertIsNotNone(process.poll())
+
+    def test_each_sender_is_told_of_its_own_address_and_of_the_relays_to_the_others(self) -> None:
+        said: list[str] = []
+        halls = "east", "east", "west"
+        with Fleet(rig.SCENARIO, 1, halls, ack="copy", keys="copies_mb = 8", say=said.append) as fleet:
+            told = tomllib.loads(fleet.table(1))["fleet"]
+            self.assertEqual(fleet.terms().ack, "copy")
+            self.assertEqual({key: told[key] for key in told if key != "member"},
+                             {"group": "harbour", "ack": "copy", "copies": 1, "copies_mb": 8})
+            self.assertEqual([(each["name"], each["hall"], each["address"]) for each in told["member"]], [
+                ("n0", "east", "{}:{}".format(*fleet.relays[1, 0].address)),
+                ("n1", "east", "{}:{}".format(*fleet.members[1].link)),
+                ("n2", "west", "{}:{}".format(*fleet.relays[1, 2].address))])
+            self.assertEqual(fleet.relays[1, 2].target, fleet.members[2].link)
+            split = fleet.split({0, 1}, {2})
+            severed = {pair for pair, relay in fleet.relays.items() if relay.severed()}
+            self.assertEqual(severed, {(0, 2), (2, 0), (1, 2), (2, 1)})
+            one_way = fleet.cut_one_way(0, 1)
+            fleet.heal(split)
+            self.assertEqual([(pair, relay.swallows("asks"), relay.swallows("answers"))
+                              for pair, relay in fleet.relays.items() if relay.faults],
+                             [((0, 1), True, False), ((1, 0), False, True)])
+            fleet.heal()
+            self.assertNotIn(one_way, fleet.broken)
+            self.assertEqual([(gone.kind, gone.on) for gone in fleet.history.gone],
+                             [("split", ["n2"]), ("cut", ["n0>n1"])])
+            self.assertEqual(len(said), 2 * 4 + 2 * 2)
+
+
+class Drawing(unittest.TestCase):
+    def test_a_seed_draws_one_plan_and_never_more_than_a_minority_is_out(self) -> None:
+        for senders in (3, 5, 7):
+            for seed in range(20):
+                plan = draw(seed, senders, 30, count=20)
+                self.assertEqual(plan.json(), draw(seed, senders, 30, count=20).json())
+                self.assertGreater(len(plan.troubles), 8)
+                for each in plan.troubles:
+                    now = [other for other in plan.troubles if other.begin <= each.begin < other.end + RECOVERS]
+                    out = set().union(*(other.out() for other in now))
+                    lost = any(other.kind in LOSING for other in now)
+                    self.assertLessEqual(len(out), 1 if lost else (senders - 1) // 2, "\n".join(plan.lines()))
+        self.assertNotEqual(draw(1, 3, 30).json(), draw(2, 3, 30).json())
+        kinds = {each.kind for seed in range(40) for each in draw(seed, 5, 30).troubles}
+        self.assertLess(set(DOWN) | {"split", "cut", "twice"}, kinds)
+        self.assertEqual(msgspec.json.decode(draw(3, 5, 9).json())["seed"], 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
