--- /dev/null
+++ b/cedarwick/events/__init__.py
@@ -0,0 +1,1 @@
+"""Events of envelopes and senders, the filter language, its index, subscriptions and cursors."""
--- /dev/null
+++ b/cedarwick/events/index.py
@@ -0,0 +1,458 @@
+"""The index over many filters: an event meets only those filters that may match it.
+
+Each filter stands under keys of which one at least must hold where the filter is true (its access predicate, as in Le
+Subscribe: Fabret et al., 2001). A key is a set of equalities looked up at once in a hash map, a prefix, a span between
+two values, a bound on one side, or a field's presence; of a filter's conjuncts the one is taken that the fewest events
+should meet. What the key has not shown is tested by the compiled rest. Filters without a key are tested each.
+Filters of the same text are one.
+"""
+
+import itertools
+import math
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from operator import itemgetter
+from typing import Any, NamedTuple, Protocol
+
+from cedarwick.events.compiled import Test, Values, tested
+from cedarwick.events.kinds import FIELDS, Event, Type, Value
+from cedarwick.events.language import Filter
+from cedarwick.events.normal import normal
+from cedarwick.events.terms import Among, And, Compare, Has, Like, Not, Or, Range, Sample, Term, joined
+
+MOST_KEYS = 64  # of one filter
+MOST_TOGETHER = 3  # equalities that are looked up at once
+MOST_SETS = 24  # different sets of fields that are looked up, beside single ones
+CELLS = 4  # that a span is laid over, about
+# The share of events that should meet an equality on a field: a guess that orders keys, nothing more.
+SHARES = {
+    "id": 1e-5, "age": 1e-4, "wait": 1e-4, "worth": 1e-3, "destination": 1e-3, "receiver": 1e-3, "tenant": 0.01,
+    "sender": 0.05, "member": 0.05, "hall": 0.1, "kind": 0.1, "outcome": 0.1, "band": 0.2, "shots": 0.2,
+    "at_most_once": 0.5,
+}
+SPAN_SHARE, BOUND_SHARE, HAS_SHARE, LETTER_SHARE = 0.1, 0.4, 0.6, 0.2
+Number = int | float
+
+
+@dataclass(frozen=True, slots=True)
+class Equal:
+    """Fields that have these values, all of them."""
+
+    fields: tuple[str, ...]
+    values: tuple[Value, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Begins:
+    """A text that begins so."""
+
+    field: str
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class Within:
+    """A value between two, both included."""
+
+    field: str
+    low: Number
+    high: Number
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """A value at a bound or above it, or at it or below."""
+
+    field: str
+    above: bool
+    limit: Number
+
+
+@dataclass(frozen=True, slots=True)
+class Present:
+    """A field that is there."""
+
+    field: str
+
+
+# Danger: keys of two kinds must never be equal, or a filter would stand under one of them only: no plain tuples.
+Key = Equal | Begins | Within | Bound | Present
+
+
+class Access(NamedTuple):
+    """Keys of which one must hold, each with the leaves it shows to be true, and the share of events that meet one."""
+
+    keys: dict[Key, frozenset[Term]]
+    share: float
+
+
+class Entry(NamedTuple):
+    """A filter under one of its keys: the test of what the key has not shown, and who has such a filter."""
+
+    test: Test | None
+    names: set[str]
+
+
+@dataclass(slots=True)
+class Group:
+    """The subscriptions with one and the same filter."""
+
+    names: set[str]
+    keys: tuple[Key, ...]
+
+
+Entries = dict[str, Entry]  # by the filter's text
+
+
+class Store(Protocol):
+    """Keeps entries under one type of key."""
+
+    def add(self, key: Any, text: str, entry: Entry) -> None: ...
+
+    def remove(self, key: Any, text: str) -> None: ...
+
+    def find(self, held: Values, found: list[Entries]) -> None: ...
+
+
+class Held(dict[str, Any]):
+    """An event's values; an absent one reads as None."""
+
+    def __missing__(self, name: str) -> None:
+        return None
+
+
+class Index:
+    """Filters by name, and which of them an event matches."""
+
+    def __init__(self) -> None:
+        self.groups: dict[str, Group] = {}  # by text
+        self.texts: dict[str, str] = {}  # by name
+        self.each: Entries = {}  # those without a key
+        self.equals = Equals()
+        self.stores: dict[type[Any], Store] = {
+            Equal: self.equals, Begins: Prefixes(), Within: Spans(), Bound: Bounds(), Present: Presences(),
+        }
+        self.finds: list[Callable[[Values, list[Entries]], None]] = []  # of the stores that hold something
+
+    def __len__(self) -> int:
+        return len(self.texts)
+
+    def add(self, name: str, filter_: Filter) -> None:
+        """Add a filter under a name, in place of one that had it."""
+        if self.texts.get(name) == filter_.text:
+            return
+        self.remove(name)
+        self.texts[name] = filter_.text
+        group = self.groups.get(filter_.text)
+        if group is None:
+            group = self.groups[filter_.text] = self._placed(filter_)
+        group.names.add(name)
+
+    def remove(self, name: str) -> None:
+        """Take a name out; nothing where it isn't in."""
+        text = self.texts.pop(name, None)
+        if text is None:
+            return
+        group = self.groups[text]
+        group.names.remove(name)
+        if not group.names:
+            del self.groups[text]
+            self.each.pop(text, None)
+            for key in group.keys:
+                self.stores[type(key)].remove(key, text)
+            self._note_filled()
+
+    def matches(self, event: Event) -> list[str]:
+        """The names of the filters that are true for an event, sorted, each once."""
+        held = Held(event.fields)
+        held["kind"] = event.kind
+        found: list[Entries] = [self.each]
+        for find in self.finds:
+            find(held, found)
+        # Danger: a filter with several keys may be met under more than one; it must be named once.
+        names: set[str] = set()
+        for entries in found:
+            for test, here in entries.values():
+                if test is None or test(held):
+                    names |= here
+        return sorted(names)
+
+    def _placed(self, filter_: Filter) -> Group:
+        term, names = normal(filter_.term), set[str]()
+        access = self._access(term)
+        if access is None:
+            self.each[filter_.text] = Entry(tested(term), names)
+            return Group(names, ())
+        for key, shown in access.keys.items():
+            rest = [each for each in _conjuncts(term) if not _follows(each, shown)]
+            entry = Entry(tested(joined(And, tuple(rest))) if rest else None, names)
+            self.stores[type(key)].add(key, filter_.text, entry)
+        self._note_filled()
+        return Group(names, tuple(access.keys))
+
+    def _note_filled(self) -> None:
+        self.finds = [store.find for store in self.stores.values() if any(vars(store).values())]
+
+    def _access(self, term: Term) -> Access | None:
+        """The most selective keys that are necessary for a normal term; None where it has none."""
+        if isinstance(term, And):
+            options = [*(self._access(_spread(each, term)) for each in term.terms), self._together(term)]
+            possible = [each for each in options if each is not None]
+            return min(possible, key=lambda each: each.share) if possible else None
+        if isinstance(term, Or):
+            parts = [self._access(each) for each in term.terms]
+            keys: dict[Key, frozenset[Term]] = {}
+            for part in parts:
+                # Danger: one branch without a key, and the filter would be missed where that branch is true.
+                if part is None:
+                    return None
+                keys |= part.keys
+            share = sum(part.share for part in parts if part)
+            return Access(keys, share) if len(keys) <= MOST_KEYS else None
+        return _leaf_access(term)
+
+    def _together(self, term: And) -> Access | None:
+        """Several equalities of a conjunction as one key for each combination."""
+        best: dict[str, Compare | Among] = {}
+        for each in term.terms:
+            if isinstance(each, Among) or isinstance(each, Compare) and each.sign == "=":
+                if each.field not in best or len(_values(each)) < len(_values(best[each.field])):
+                    best[each.field] = each
+        chosen: list[Compare | Among] = []
+        count, share = 1, 1.0
+        for name in sorted(best, key=lambda name: (SHARES[name] * len(_values(best[name])), name)):
+            values = len(_values(best[name]))
+            if len(chosen) < MOST_TOGETHER and count * values <= MOST_KEYS:
+                chosen.append(best[name])
+                count *= values
+                share *= min(1.0, SHARES[name] * values)
+        chosen.sort(key=lambda each: each.field)
+        fields = tuple(each.field for each in chosen)
+        # Danger: each set of fields costs every event a look; drawn filters could ask for hundreds of sets.
+        if len(chosen) < 2 or not self.equals.takes(fields):
+            return None
+        keys = (Equal(fields, values) for values in itertools.product(*map(_values, chosen)))
+        return Access(dict.fromkeys(keys, frozenset(chosen)), share)
+
+
+def _spread(term: Term, beside: And) -> Term:
+    """An `or` with the equalities that stand beside it within each of its branches; any other term as it is."""
+    equalities = tuple(each for each in beside.terms if _is_equality(each))
+    if not isinstance(term, Or) or not equalities:
+        return term
+    return Or(tuple(joined(And, (each, *equalities)) for each in term.terms))
+
+
+def _follows(term: Term, shown: frozenset[Term]) -> bool:
+    """Whether a term is true once some leaves are."""
+    if isinstance(term, And):
+        return all(_follows(each, shown) for each in term.terms)
+    return any(_follows(each, shown) for each in term.terms) if isinstance(term, Or) else term in shown
+
+
+def _is_equality(term: Term) -> bool:
+    return isinstance(term, Among) or isinstance(term, Compare) and term.sign == "="
+
+
+def _conjuncts(term: Term) -> tuple[Term, ...]:
+    return term.terms if isinstance(term, And) else (term,)
+
+
+def _values(term: Compare | Among) -> tuple[Value, ...]:
+    return term.values if isinstance(term, Among) else (term.value,)
+
+
+def _leaf_access(term: Term) -> Access | None:
+    if isinstance(term, Has):
+        return Access({Present(term.field): frozenset({term})}, HAS_SHARE)
+    if isinstance(term, Among) or isinstance(term, Compare) and term.sign == "=":
+        values = _values(term)
+        if len(values) <= MOST_KEYS:
+            keys: dict[Key, frozenset[Term]] = {Equal((term.field,), (value,)): frozenset({term}) for value in values}
+            return Access(keys, min(1.0, SHARES[term.field] * len(values)))
+    elif isinstance(term, Compare) and term.sign != "!=":
+        return _bound_access(term)
+    elif isinstance(term, Range):
+        return Access({Within(term.field, term.low, term.high): frozenset()}, SPAN_SHARE)
+    elif isinstance(term, Like) and term.head:
+        whole: frozenset[Term] = frozenset({term} if term.prefix is not None else ())
+        return Access({Begins(term.field, term.head): whole}, LETTER_SHARE ** len(term.head))
+    return _presence(term)
+
+
+def _bound_access(term: Compare) -> Access:
+    assert not isinstance(term.value, str)
+    above, limit = term.sign in (">", ">="), term.value
+    # Danger: between a number and the next float lie whole numbers that an event may carry; those are tested.
+    shown: frozenset[Term] = frozenset({term} if "=" in term.sign or FIELDS[term.field] is not Type.NUMBER else ())
+    if shown and "=" not in term.sign:
+        limit += 1 if above else -1
+    return Access({Bound(term.field, above, limit): shown}, BOUND_SHARE)
+
+
+def _presence(term: Term) -> Access | None:
+    """A leaf that is unknown where its field is absent; only `not has` is true there."""
+    leaf = term.term if isinstance(term, Not) else term
+    if isinstance(leaf, Compare | Among | Like | Sample):
+        return Access({Present("id" if isinstance(leaf, Sample) else leaf.field): frozenset()}, HAS_SHARE)
+    return None
+
+
+class Equals:
+    """Equalities: a hash map for each set of fields."""
+
+    def __init__(self) -> None:
+        self.single: dict[str, dict[Value, Entries]] = {}
+        self.sets: dict[tuple[str, ...], dict[tuple[Value, ...], Entries]] = {}
+        self.looks: list[tuple[Callable[[Values], Any], dict[Any, Entries]]] = []  # how each set is looked up
+
+    def takes(self, fields: tuple[str, ...]) -> bool:
+        """Whether a set of fields may be looked up together."""
+        return fields in self.sets or len(self.sets) < MOST_SETS
+
+    def add(self, key: Equal, text: str, entry: Entry) -> None:
+        if len(key.fields) == 1:
+            self.single.setdefault(key.fields[0], {}).setdefault(key.values[0], {})[text] = entry
+        else:
+            if key.fields not in self.sets:
+                table = self.sets[key.fields] = {}
+                self.looks.append((itemgetter(*key.fields), table))
+            self.sets[key.fields].setdefault(key.values, {})[text] = entry
+
+    def remove(self, key: Equal, text: str) -> None:
+        if len(key.fields) == 1:
+            _take_out(self.single, key.fields[0], key.values[0], text)
+        else:
+            _take_out(self.sets, key.fields, key.values, text)
+            if key.fields not in self.sets:
+                self.looks = [(itemgetter(*fields), table) for fields, table in self.sets.items()]
+
+    def find(self, held: Values, found: list[Entries]) -> None:
+        # An absent field gives None, which no key has.
+        for name, table in self.single.items():
+            entries = table.get(held[name])
+            if entries is not None:
+                found.append(entries)
+        for look, tables in self.looks:
+            entries = tables.get(look(held))
+            if entries is not None:
+                found.append(entries)
+
+
+def _take_out(tables: dict[Any, dict[Any, Entries]], first: Any, second: Any, text: str) -> None:
+    """Take a filter from a map of maps of entries, and what becomes empty with it."""
+    entries = tables[first][second]
+    del entries[text]
+    if not entries:
+        del tables[first][second]
+        if not tables[first]:
+            del tables[first]
+
+
+class Prefixes:
+    """Beginnings of texts, by field and length."""
+
+    def __init__(self) -> None:
+        self.tables: dict[tuple[str, int], dict[str, Entries]] = {}
+
+    def add(self, key: Begins, text: str, entry: Entry) -> None:
+        table = self.tables.setdefault((key.field, len(key.prefix)), {})
+        table.setdefault(key.prefix, {})[text] = entry
+
+    def remove(self, key: Begins, text: str) -> None:
+        _take_out(self.tables, (key.field, len(key.prefix)), key.prefix, text)
+
+    def find(self, held: Values, found: list[Entries]) -> None:
+        for (name, length), table in self.tables.items():
+            text = held.get(name)
+            entries = table.get(text[:length]) if isinstance(text, str) else None
+            if entries is not None:
+                found.append(entries)
+
+
+class Spans:
+    """Spans between two values, laid on cells whose width is a power of two near their own.
+
+    An event looks at one cell for each width that is in use. A cell names more than its spans: the rest is tested.
+    """
+
+    def __init__(self) -> None:
+        self.tables: dict[tuple[str, float], dict[int, Entries]] = {}
+
+    def add(self, key: Within, text: str, entry: Entry) -> None:
+        width, cells = self._cells(key)
+        table = self.tables.setdefault((key.field, width), {})
+        for cell in cells:
+            table.setdefault(cell, {})[text] = entry
+
+    def remove(self, key: Within, text: str) -> None:
+        width, cells = self._cells(key)
+        for cell in cells:
+            _take_out(self.tables, (key.field, width), cell, text)
+
+    def find(self, held: Values, found: list[Entries]) -> None:
+        for (name, width), table in self.tables.items():
+            value: Any = held.get(name)
+            entries = table.get(value // width) if value is not None else None
+            if entries is not None:
+                found.append(entries)
+
+    @staticmethod
+    def _cells(key: Within) -> tuple[float, Iterator[int]]:
+        """The width of cells and those that a span touches: two to CELLS + 2."""
+        # Danger: the difference of two large whole numbers as floats may be far off, and the cells too many.
+        exponent = math.ceil(math.log2(max((key.high - key.low) / CELLS, 1e-9)))
+        width: float = 2.0 ** exponent
+        if isinstance(key.low, int) and isinstance(key.high, int):
+            width = max(1, int(width))
+        return width, iter(range(int(key.low // width), int(key.high // width) + 1))
+
+
+class Bounds:
+    """Bounds on one side, sorted: those that a value has reached lie together."""
+
+    def __init__(self) -> None:
+        self.tables: dict[tuple[str, bool], tuple[list[Number], dict[Number, Entries]]] = {}
+
+    def add(self, key: Bound, text: str, entry: Entry) -> None:
+        limits, table = self.tables.setdefault((key.field, key.above), ([], {}))
+        if key.limit not in table:
+            insort(limits, key.limit)
+            table[key.limit] = {}
+        table[key.limit][text] = entry
+
+    def remove(self, key: Bound, text: str) -> None:
+        limits, table = self.tables[key.field, key.above]
+        del table[key.limit][text]
+        if not table[key.limit]:
+            del table[key.limit]
+            del limits[bisect_left(limits, key.limit)]
+            if not limits:
+                del self.tables[key.field, key.above]
+
+    def find(self, held: Values, found: list[Entries]) -> None:
+        for (name, above), (limits, table) in self.tables.items():
+            value: Any = held.get(name)
+            if value is not None:
+                reached = limits[:bisect_right(limits, value)] if above else limits[bisect_left(limits, value):]
+                found += [table[limit] for limit in reached]
+
+
+class Presences:
+    """Fields that are there."""
+
+    def __init__(self) -> None:
+        self.table: dict[str, Entries] = {}
+
+    def add(self, key: Present, text: str, entry: Entry) -> None:
+        self.table.setdefault(key.field, {})[text] = entry
+
+    def remove(self, key: Present, text: str) -> None:
+        del self.table[key.field][text]
+        if not self.table[key.field]:
+            del self.table[key.field]
+
+    def find(self, held: Values, found: list[Entries]) -> None:
+        found += [entries for name, entries in self.table.items() if name in held]
+
--- /dev/null
+++ b/cedarwick/events/naive.py
@@ -0,0 +1,65 @@
+"""The reference: a filter's terms walked for each event in three-valued logic (Kleene's strong logic, 1938).
+
+Slow and plain on purpose; what is compiled and indexed is tested against it.
+"""
+
+import operator
+from collections.abc import Callable
+from typing import Any
+
+import xxhash
+
+from cedarwick.events.kinds import Event, Value
+from cedarwick.events.terms import Among, And, Compare, Has, Like, Not, Range, Sample, Term
+
+SIGNS: dict[str, Callable[[Any, Any], bool]] = {
+    "=": operator.eq, "!=": operator.ne, "<": operator.lt, "<=": operator.le, ">": operator.gt, ">=": operator.ge,
+}
+
+
+def matches(term: Term, event: Event) -> bool:
+    """Whether a filter is true for an event; neither false nor unknown will do."""
+    return value(term, event.values()) is True
+
+
+def value(term: Term, held: dict[str, Value]) -> bool | None:
+    """True, false, or None where an absent field leaves it unknown."""
+    if isinstance(term, Not):
+        inner = value(term.term, held)
+        return None if inner is None else not inner
+    if isinstance(term, Has):
+        return term.field in held
+    if isinstance(term, Sample):
+        return sampled(term, held["id"]) if "id" in held else None
+    if isinstance(term, Compare | Among | Range | Like):
+        if term.field not in held:
+            return None
+        found: Any = held[term.field]
+        if isinstance(term, Compare):
+            return SIGNS[term.sign](found, term.value)
+        if isinstance(term, Among):
+            return found in term.values
+        return term.low <= found <= term.high if isinstance(term, Range) else globbed(term.pattern, found)
+    inners = [value(each, held) for each in term.terms]
+    decides = not isinstance(term, And)  # the value that decides alone
+    if decides in inners:
+        return decides
+    return None if None in inners else not decides
+
+
+def sampled(term: Sample, id_: Any) -> bool:
+    """Whether an id is in a sample: by its hash, so that every sender says the same."""
+    return bool(xxhash.xxh3_64_intdigest(id_.encode(errors="surrogatepass")) % term.whole < term.part)
+
+
+def globbed(pattern: str, text: str) -> bool:
+    """Whether a glob matches a whole text: the set of places in the pattern that may have been reached."""
+    reached = {0}
+    for character in text:
+        reached = {place for place in _past_stars(pattern, reached) if place < len(pattern)}
+        reached = {place + (pattern[place] != "*") for place in reached if pattern[place] in (character, "?", "*")}
+    return len(pattern) in _past_stars(pattern, reached)
+
+
+def _past_stars(pattern: str, reached: set[int]) -> set[int]:
+    return reached | {place + 1 for place in reached if pattern[place:place + 1] == "*"}
--- /dev/null
+++ b/cedarwick/events/streams.py
@@ -0,0 +1,217 @@
+"""Matches on their way from the sender where they arise to the subscriber: numbers, bounded buffers, gaps, cursors.
+
+A source is one boot of one sender. It numbers its events; each subscription has an `Outbox` there, and an `Inbox` at
+the sender where the subscriber is. The outbox offers a window of items and keeps it until the subscriber has seen it
+(go-back-N with one window); what is offered is never dropped, so that counts of gaps are exact. No I/O.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from cedarwick.errors import Trouble
+from cedarwick.events.bad import BadFilter
+from cedarwick.events.index import Index
+from cedarwick.events.kinds import LARGEST, Event, Value
+from cedarwick.events.language import read
+from cedarwick.events.registry import NAME, Entry
+
+MOST_HELD = 1000  # matches of one subscription at one source
+MOST_BYTES = 1 << 18
+WINDOW = 100  # items that are offered at a time
+EVENT_BYTES = 150  # of an event besides its texts, about
+MOST_SOURCES = 256
+
+
+class BadCursors(Trouble):
+    """What a subscriber gave as its cursors can't be read."""
+
+    code = "CW824"
+    remedy = "give them as they were told, 'NAME SOURCE:NUMBER ...', or the name alone to begin anew"
+
+
+class Gap(msgspec.Struct, frozen=True, tag="gap"):
+    """Matches that were dropped as a buffer was full: so many, the first and last of these numbers."""
+
+    source: str
+    first: int
+    last: int
+    count: int
+
+
+class From(msgspec.Struct, frozen=True, tag="from"):
+    """The source evaluates the filter from this number on; of events before it nothing is known."""
+
+    source: str
+    number: int
+
+
+class Ended(msgspec.Struct, frozen=True, tag="ended"):
+    """The source has ended; what it had matched after this number and not handed over is lost, if there was any."""
+
+    source: str
+    after: int
+
+
+class Match(msgspec.Struct, frozen=True, tag="match"):
+    """An event that the filter is true for."""
+
+    event: Event
+
+
+Item = Match | Gap | From
+
+
+def position(item: Item) -> int:
+    """The cursor that a subscriber has once it has seen an item."""
+    if isinstance(item, Match):
+        return item.event.number
+    return item.last if isinstance(item, Gap) else item.number - 1
+
+
+class Outbox:
+    """What one subscription has matched at this source and the subscriber has not yet seen."""
+
+    def __init__(self, source: str, begins: int, most: int = MOST_HELD, most_bytes: int = MOST_BYTES) -> None:
+        self.source = source
+        self.most = most
+        self.most_bytes = most_bytes
+        self.window: list[Item] = []  # offered, not yet seen
+        self.beginning: From | None = From(source, begins)
+        self.gap: Gap | None = None  # between the window and what waits
+        self.waiting: deque[tuple[Event, int]] = deque()  # with their bytes
+        self.bytes = 0  # of what waits
+
+    def add(self, event: Event) -> None:
+        """Keep a match; the oldest that wait give way."""
+        size = weight(event)
+        self.waiting.append((event, size))
+        self.bytes += size
+        # Danger: a subscriber that reads slowly or is gone would take the sender's memory.
+        while len(self.waiting) > self.most or self.bytes > self.most_bytes:
+            dropped, size = self.waiting.popleft()
+            self.bytes -= size
+            first, count = (self.gap.first, self.gap.count) if self.gap else (dropped.number, 0)
+            self.gap = Gap(self.source, first, dropped.number, count + 1)
+
+    def offer(self) -> list[Item]:
+        """The items to send now, in order; the same ones until some are seen."""
+        if not self.window:
+            self.window = [item for item in (self.beginning, self.gap) if item is not None]
+            self.beginning = self.gap = None
+            while self.waiting and len(self.window) < WINDOW:
+                event, size = self.waiting.popleft()
+                self.bytes -= size
+                self.window.append(Match(event))
+        return list(self.window)
+
+    def seen(self, cursor: int) -> None:
+        """The subscriber has seen all up to a number; what was never offered stays."""
+        self.window = [item for item in self.window if position(item) > cursor]
+
+
+def weight(event: Event) -> int:
+    """The bytes that an event takes, about."""
+    texts = sum(len(value) for value in event.fields.values() if isinstance(value, str))
+    return EVENT_BYTES + 16 * len(event.fields) + 4 * texts
+
+
+class Source:
+    """One boot of this sender: numbers what happens and evaluates the subscriptions at it."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.next = 1
+        self.index = Index()
+        self.outboxes: dict[str, Outbox] = {}
+        self.unread: dict[str, tuple[str, BadFilter]] = {}  # filters that can't be evaluated here
+
+    def evaluate(self, subscriptions: Mapping[str, Entry]) -> dict[str, BadFilter]:
+        """From the next event on these are the living subscriptions, by name.
+
+        One that has a new filter begins anew: what the old one matched and nobody has seen is dropped. Gives those
+        that this sender can't evaluate, such as come from a newer version, with the reason.
+        """
+        for name in self.outboxes.keys() - subscriptions.keys():
+            self._drop(name)
+        self.unread = {name: held for name, held in self.unread.items() if name in subscriptions}
+        for name, entry in subscriptions.items():
+            if entry.filter not in (self.index.texts.get(name), self.unread.get(name, ("",))[0]):
+                self._drop(name)
+                self.unread.pop(name, None)
+                try:
+                    self.index.add(name, read(entry.filter))
+                except BadFilter as error:
+                    self.unread[name] = entry.filter, error
+                else:
+                    self.outboxes[name] = Outbox(self.name, self.next)
+        return {name: error for name, (_, error) in self.unread.items()}
+
+    def _drop(self, name: str) -> None:
+        self.index.remove(name)
+        self.outboxes.pop(name, None)
+
+    def happened(self, at: int, kind: str, fields: dict[str, Value]) -> list[str]:
+        """Number an event and keep it for those it matches; their names. Raises BadEvent, with the number used up."""
+        number = self.next
+        self.next += 1
+        if not self.outboxes:
+            return []
+        event = Event(self.name, number, at, kind, fields)
+        names = self.index.matches(event)
+        for name in names:
+            self.outboxes[name].add(event)
+        return names
+
+
+class Inbox:
+    """One subscription at the sender where its subscriber is: each match once, in the order of its source."""
+
+    def __init__(self, cursors: Mapping[str, int] | None = None) -> None:
+        self.cursors = dict(cursors or {})  # what was passed on, by source
+        self.dropped = 0  # items not passed on: given before, another's, or of one source too many
+
+    def receive(self, source: str, items: Iterable[Item]) -> list[Item]:
+        """What a source offers; gives what is new, to be passed on in this order."""
+        new: list[Item] = []
+        for item in items:
+            held = self.cursors.get(source)
+            reached = position(item)
+            named = item.event.source if isinstance(item, Match) else item.source
+            # Danger: an offer that is given twice, or late, would give matches twice; one under another's name would
+            # move a cursor that is not its own; sources without end would take memory.
+            again = reached <= held if held is not None else len(self.cursors) >= MOST_SOURCES
+            if again or named != source:
+                self.dropped += 1
+                continue
+            self.cursors[source] = reached
+            new.append(item)
+        return new
+
+    def end(self, source: str) -> list[Ended]:
+        """A source has ended for good: its cursor is let go, and the subscriber is told."""
+        cursor = self.cursors.pop(source, None)
+        return [] if cursor is None else [Ended(source, cursor)]
+
+
+def encoded(name: str, cursors: Mapping[str, int]) -> str:
+    """A subscription's name and cursors as a subscriber keeps them: `NAME SOURCE:NUMBER ...`."""
+    return " ".join([name, *(f"{source}:{cursors[source]}" for source in sorted(cursors))])
+
+
+def decoded(text: str) -> tuple[str, dict[str, int]]:
+    """A subscription's name and cursors from their text. Raises BadCursors."""
+    name, *parts = text.split(" ", MOST_SOURCES + 1)
+    if not NAME.fullmatch(name):
+        raise BadCursors(f"'{name[:80]}' can't name a subscription")
+    if len(parts) > MOST_SOURCES:
+        raise BadCursors(f"more than {MOST_SOURCES} sources")
+    cursors: dict[str, int] = {}
+    for part in parts:
+        source, _, number = part.rpartition(":")
+        plain = number.isascii() and number.isdigit() and len(number) < 20 and int(number) <= LARGEST
+        if not plain or not NAME.fullmatch(source) or source in cursors:
+            raise BadCursors(f"'{part[:80]}' is no cursor, or the source is named twice")
+        cursors[source] = int(number)
+    return name, cursors
--- /dev/null
+++ b/cedarwick/fleet/adoption.py
@@ -0,0 +1,223 @@
+"""Who goes on with a book: the heirs of one whose holder is gone, and the owner at its boot. No I/O, no clock.
+
+One `Adoption` a book at each member that has the book's records, as holder or as copy. The node asks `step` at each
+turn what is to be done, sends what `holder.asks` gives, and tells `holder.answered` of the answers.
+
+    following  another member holds it and its promise runs
+    waiting    the promise has run out; asks when it is this member's turn
+    asking     for the next term
+    holding    granted: IMPORT until `imported`, then it may fire once its heirs are known (`holder.may_fire`)
+    closing    nothing is owed: the right is being closed at a majority
+    offering   it held the book and another one does now: OFFER what only it knows, until `offered`
+    gone       DROP all of it
+
+Turns: an heir waits 300 ms for each heir before it in the set that may be alive. Where the holder is not known to be
+dead but has not renewed, it may come back at any moment (a restart, a cut): then an heir has `PATIENCE` first.
+All times are whole microseconds of the member's own clock that goes on while the machine sleeps.
+"""
+
+from collections.abc import Callable, Collection
+from enum import Enum
+from typing import NamedTuple
+
+from cedarwick.errors import Trouble
+from cedarwick.fleet.leases import EPOCH_BITS, SPAN, Grantor, Holder, Tenure, right_of
+from cedarwick.fleet.members import Standing
+from cedarwick.fleet.messages import Grant
+
+TURN = 300_000  # microseconds that each heir has before the next one asks: an ask, its answers, and an ask again
+PATIENCE = 3 * SPAN  # for a holder that is alive and does not renew; a restart takes about a second
+
+
+class Stage(Enum):
+    """How a member stands to a book."""
+
+    FOLLOWING = "following"
+    WAITING = "waiting"
+    ASKING = "asking"
+    HOLDING = "holding"
+    CLOSING = "closing"
+    OFFERING = "offering"
+    GONE = "gone"
+
+
+class Do(Enum):
+    """What is to be done now."""
+
+    NOTHING = "nothing"
+    ASK = "ask"  # told once, for the log: a new term is asked for
+    IMPORT = "import"  # take the copy's facts into the own folder, then call `imported`
+    CLOSE = "close"  # told once, for the log: nothing is owed, the right is being closed
+    OFFER = "offer"  # send what is known to `to`; once it has taken all, call `offered`
+    DROP = "drop"  # the book's records and this object
+
+
+class Step(NamedTuple):
+    """What is to be done, and with whom."""
+
+    do: Do
+    to: str = ""
+
+
+NOTHING = Step(Do.NOTHING)
+AWAY = (Standing.DEAD, Standing.LEFT)
+
+
+class BooksUsedUp(Trouble):
+    """A sender has opened all the books that its name has numbers for."""
+
+    code = "CW731"
+    remedy = "give the sender another name in the members' list of every sender"
+
+
+class Adoption:
+    """One book at one member. `term`: the newest that the folder says this member has held it in, 0 for a copy.
+
+    `resume`: at boot, for a book that the folder says this member held, and for one that it opens.
+    `open`: new envelopes are taken in it, so it is not closed while it is empty.
+    """
+
+    def __init__(
+        self, book: int, me: str, names: Collection[str], term: int = 0, resume: bool = False, open: bool = False
+    ) -> None:
+        self.book = book
+        self.me = me
+        self.open = open
+        self.stage = Stage.FOLLOWING
+        self.holder = Holder(right_of(book), me, names)
+        self.holder.term = term
+        self._held = resume  # it may know what nobody else does
+        self._resume = resume
+        self._imported = False
+        self._away: tuple[str, int] | None = None  # the holder that is away, and since when
+        self._lost = 0  # when the right was lost, or not got
+
+    def imported(self, now: int, heirs: Collection[str]) -> None:
+        """The facts are in the own folder. `heirs`: whose copies are whole by them, in the order of adoption."""
+        self._imported = True
+        self.holder.name(now, heirs)
+
+    def offered(self) -> None:
+        """The newer holder has taken all that this member knows."""
+        if self.stage is Stage.OFFERING:
+            self.stage = Stage.GONE
+
+    def step(
+        self, now: int, grant: Grant, promised: int, standing: Callable[[str], Standing], whole: bool, owed: int
+    ) -> Step:
+        """What is to be done now.
+
+        `grant` and `promised` are the own grantor's (`Grantor.grant`, `Grantor.promised`); `standing` tells how a
+        member stands; `whole`: this member's records of the book are all that the holder named it an heir for, and
+        none was lost since; `owed`: envelopes without an end.
+        """
+        self.holder.look(now)
+        if self.holder.state is Tenure.CLOSED or (grant.closed and self.stage is not Stage.CLOSING):
+            self.stage = Stage.GONE
+        if self.stage is Stage.GONE:
+            return Step(Do.DROP)
+        if self.holder.state is Tenure.LOST and self.stage in (Stage.ASKING, Stage.HOLDING, Stage.CLOSING):
+            self._lost = now
+            self.stage = Stage.WAITING
+            self._imported = False
+        if self.stage is Stage.ASKING and self.holder.state is Tenure.HELD:
+            self.stage = Stage.HOLDING
+            self._held = True
+        if self.stage is Stage.HOLDING:
+            return self._serve(now, owed)
+        if self.stage in (Stage.ASKING, Stage.CLOSING):
+            return NOTHING
+        return self._watch(now, grant, promised, standing, whole)
+
+    def _serve(self, now: int, owed: int) -> Step:
+        if not self._imported:
+            return Step(Do.IMPORT)
+        if owed or self.open:
+            return NOTHING
+        self.holder.close(now)
+        self.stage = Stage.CLOSING
+        return Step(Do.CLOSE)
+
+    def _watch(
+        self, now: int, grant: Grant, promised: int, standing: Callable[[str], Standing], whole: bool
+    ) -> Step:
+        """Somebody else may hold it: follow, wait for the turn, or offer what only this member knows."""
+        # Danger: a term may be another's at the grantors that count and ours at our own; then the other one holds it.
+        term, holder = (grant.term, grant.holder) if grant.term > self.holder.newer[0] else self.holder.newer
+        if whole and self._turn(now, grant, promised, standing, holder):
+            self._resume = False
+            self.stage = Stage.ASKING
+            self.holder.begin(now, grant)
+            return Step(Do.ASK)
+        if self._held and holder not in ("", self.me) and term >= self.holder.term:
+            self.stage = Stage.OFFERING
+            return Step(Do.OFFER, holder) if standing(holder) not in AWAY else NOTHING
+        self.stage = Stage.FOLLOWING if now < promised else Stage.WAITING
+        return NOTHING
+
+    def _turn(
+        self, now: int, grant: Grant, promised: int, standing: Callable[[str], Standing], holder: str
+    ) -> bool:
+        """Whether it is this member's turn to ask."""
+        away = holder in ("", self.me) or standing(holder) in AWAY
+        if not away:
+            self._away = None
+        elif self._away is None or self._away[0] != holder:
+            self._away = (holder, now)
+        if self._resume and holder in ("", self.me):
+            return True  # nobody was promised anything but we, in a boot before this one
+        # Danger: a copy that is no heir lacks shots; grantors would refuse it, but its asks would cost them the term.
+        if self.me not in grant.heirs:
+            return grant.set == 0 and self._held and now >= max(promised, self._lost + SPAN)
+        before = grant.heirs[: grant.heirs.index(self.me)]
+        place = sum(standing(name) not in AWAY for name in before)
+        # Danger: who was refused must let the promises to itself run out, or two heirs would split each vote.
+        quiet = max(promised, self._lost + SPAN if self._lost else 0)
+        since = max(quiet, self._away[1]) if away and self._away else quiet + PATIENCE
+        return now >= since + place * TURN
+
+
+class Ownership:
+    """In which book a member takes new envelopes: the newest of its folder while that can be resumed, else a new one.
+
+    `kept`: the books of the own slot that the folder says this member held, with the newest term of each.
+    """
+
+    def __init__(self, me: str, slot: int, names: Collection[str], kept: dict[int, int]) -> None:
+        self.me = me
+        self.slot = slot
+        self.names = names
+        self.current: Adoption | None = None
+        self._kept = dict(kept)
+        self._newest = max((book % (1 << EPOCH_BITS) for book in kept), default=-1)
+
+    def step(self, grantor: Grantor) -> Adoption | None:
+        """A book's adoption that begins now, for the node to run with all others; None: none begins.
+
+        While the own grantor learns nothing is opened: the table may know books that this member has forgotten.
+        Raises `BooksUsedUp`.
+        """
+        if self.current is not None and not self._is_lost(self.current):
+            return None
+        if self.current is None and self._kept:
+            book = max(self._kept)
+            self.current = Adoption(book, self.me, self.names, self._kept[book], resume=True, open=True)
+            return self.current
+        if grantor.learning:
+            return None
+        # Danger: a number that was used before would make two envelopes one.
+        epoch = max(grantor.newest(self.slot), self._newest) + 1
+        if epoch >> EPOCH_BITS:
+            raise BooksUsedUp(f"{self.me}: all {1 << EPOCH_BITS} books of its slot have been opened")
+        if self.current is not None:
+            self.current.open = False  # if it comes back, it is closed once nothing is owed
+        self._newest = epoch
+        self.current = Adoption(self.slot << EPOCH_BITS | epoch, self.me, self.names, resume=True, open=True)
+        return self.current
+
+    def book(self, now: int) -> int | None:
+        """The book in which new envelopes may be taken now; None: there is none, and clients are told `-BUSY`."""
+        return self.current.book if self.current is not None and self.current.holder.may_fire(now) else None
+
+    def _is_lost(self, current: Adoption) -> bool:
+        return current.stage in (Stage.OFFERING, Stage.GONE)
--- /dev/null
+++ b/cedarwick/fleet/leases.py
@@ -0,0 +1,397 @@
+"""Who holds a right: grantors that promise, holders that ask (Gray and Cheriton 1989, with a majority of grantors).
+
+Every member is a `Grantor`; whoever wants a right has a `Holder` for it. Both are told the time, whole microseconds of
+the member's own clock that goes on while the machine sleeps; no time of one member is ever compared with another's.
+
+Why at most one holder may fire. A promise runs for a span from when the ask *arrived*; the right lasts for less than
+that span from when it was *sent*. Two majorities share a grantor, and that one grants the second holder only when its
+promise to the first has run out: `DRIFT` keeps this true where one clock is up to 5% slower than another.
+
+Why only an heir follows. A set of heirs names the members (the holder first) whose copies are whole. Sets are numbered
+`term << 20 | n`, so those of a newer term are newer. A grantor keeps the newest it was told, and grants a newer term to
+members of it only. A holder may fire only from when a majority knows a set of *its own* term: from then on members
+of older sets, who can't know its shots, are refused by a majority. What a holder that fired nothing has named binds
+nobody, so the heirs of its predecessor may still go on when it dies between grant and naming.
+
+What must survive: the rows of a grantor's table are in its folder before the answer is sent (`dirty`); the own grantor
+is asked before any other one, so a restarted member knows each term it ever asked for and never asks for it again.
+
+A grantor whose table is gone learns it from others and grants nothing meanwhile. It reads their tables only after one
+whole span: an ask that it granted before it forgot counts for its holder no longer then, so whoever else granted that
+ask has it in its table by now. It has learned enough when members that are not learning, as many as every majority
+must share one with (3 members: 2, 4: 2, 5: 3), have told theirs, or when all others have told theirs, learning or not.
+So: the first start of a fleet needs every member up at the same time, once; a member whose folder was deleted needs
+`needed` others that have their tables, and one span. Two tables gone at the same time need all others up.
+"""
+
+from collections.abc import Collection, Iterable
+from enum import Enum
+
+from cedarwick.fleet.messages import Ask, Grant, Table, Told
+
+SPAN = 1_200_000  # microseconds: four asks fit in, so three may be lost; long enough for a pause of a process
+DRIFT = 20  # one part in so many: clocks of two machines may differ in pace by 5%, a hundred times what NTP bears
+STOPS = 50_000  # microseconds: between the look at the lease and the first byte a process may be off the processor
+ASKS = 4  # in a span
+SET_BITS = 20  # of a set's number; over them the term that named it
+EPOCH_BITS = 12
+BOOK = "book:"
+UPTO = "closed:"  # a row `closed:<slot>` says in `term` up to which epoch all books of the slot are closed
+
+
+def majority_of(members: int) -> int:
+    """How many of so many are a majority."""
+    return members // 2 + 1
+
+
+def right_of(book: int) -> str:
+    """The right over a book."""
+    return f"{BOOK}{book}"
+
+
+def book_of(right: str) -> int | None:
+    """The book that a right is over; None for any other right."""
+    number = right.removeprefix(BOOK)
+    return int(number) if number != right and number.isdecimal() else None
+
+
+class Grantor:
+    """One member's table of rights, by right the newest term that it has granted.
+
+    `grants` is what the folder has (None: it has no table, or a spoilt one; an empty one is a table). While `dirty`,
+    `table()` must be written to the folder before the answer that made it so is sent; then `dirty` is set to False.
+    """
+
+    def __init__(
+        self, me: str, names: Collection[str], boot: int, grants: Iterable[Grant] | None, span: int = SPAN
+    ) -> None:
+        self.me = me
+        self.span = span
+        self.boot = boot
+        self.dirty = False
+        self.learning = grants is None
+        self._names = frozenset(names) | {me}
+        self._grants: dict[str, Grant] = {}
+        self._until: dict[str, int] = {}  # when a promise runs out, by right
+        self._upto: dict[int, int] = {}  # the epoch up to which all books are closed, by slot
+        self._told: dict[str, bool] = {}  # whose tables came, and whether they were whole
+        for grant in grants or ():
+            self._join(grant)
+        # Danger: what was promised before the restart is not in the folder; each promise may have a whole span to go.
+        self._until = dict.fromkeys(self._grants, self._promised_at_boot())
+        if self.learning and len(self._names) == 1:
+            self.learning, self.dirty = False, True
+
+    def ask(self, now: int, ask: Ask) -> Told:
+        """Grant the right or refuse it; look at `dirty` before the answer is sent."""
+        known = self.grant(ask.right)
+        granted = (
+            not self.learning
+            and self._open(known, ask)
+            and self._term_fits(known, ask)
+            and self._promise_over(now, known, ask)
+            and self._is_heir(known, ask)
+        )
+        if granted:
+            # Danger: an heir's set may be newer than ours: a majority knew it, and some of that may be down now.
+            newest: Ask | Grant = ask if ask.set > known.set else known
+            kept = Grant(ask.right, ask.term, ask.holder, newest.heirs, newest.set, known.closed or ask.closed)
+            until = now + ask.span
+            self._until[ask.right] = max(until, self.promised(ask.right)) if ask.span else now
+            if kept != known:
+                self._grants[ask.right] = known = kept
+                self.dirty = True
+            if kept.closed:
+                self._prune(ask.right)
+        return Told(granted, known.term, known.holder, known.heirs, known.set, known.closed)
+
+    def _open(self, known: Grant, ask: Ask) -> bool:
+        """A closed right is never granted again; closing it twice is the same closing."""
+        return not known.closed or (ask.closed and (ask.term, ask.holder) == (known.term, known.holder))
+
+    def _term_fits(self, known: Grant, ask: Ask) -> bool:
+        """Each term has one holder at a grantor; an older one never comes back."""
+        return ask.term > known.term or (ask.term == known.term and ask.holder == known.holder)
+
+    def _promise_over(self, now: int, known: Grant, ask: Ask) -> bool:
+        """The holder may renew, and may follow itself: it asks for a newer term only when it has given up the older."""
+        if ask.span > self.span:
+            return False  # Danger: we could not keep this promise over a restart
+        return ask.holder == known.holder or now >= self.promised(ask.right)
+
+    def _is_heir(self, known: Grant, ask: Ask) -> bool:
+        """A newer term is for members of the newest set that the two know; a right that nobody held has none."""
+        if ask.term == known.term:
+            return True
+        heirs = ask.heirs if ask.set > known.set else known.heirs
+        return ask.holder in heirs or not known.set
+
+    # ---- what the table says ----
+
+    def grant(self, right: str) -> Grant:
+        """The row of a right; term 0 and no holder where it was never granted here."""
+        found = self._grants.get(right)
+        if found is not None:
+            return found
+        book = book_of(right)
+        closed = book is not None and book % (1 << EPOCH_BITS) <= self._upto.get(book >> EPOCH_BITS, -1)
+        return Grant(right, 0, "", closed=closed)
+
+    def promised(self, right: str) -> int:
+        """Until when the right is promised; 0 where it never was."""
+        return self._until.get(right, 0)
+
+    def table(self) -> Table:
+        """The whole table: for the folder, and for a member that learns."""
+        upto = (Grant(f"{UPTO}{slot}", epoch, "", closed=True) for slot, epoch in sorted(self._upto.items()))
+        return Table(self.learning, (*self._grants.values(), *upto))
+
+    def newest(self, slot: int) -> int:
+        """The largest epoch of a slot that this table knows; -1: none."""
+        books = (book_of(right) for right in self._grants)
+        epochs = [book % (1 << EPOCH_BITS) for book in books if book is not None and book >> EPOCH_BITS == slot]
+        return max([*epochs, self._upto.get(slot, -1)])
+
+    def replace(self, names: Collection[str]) -> None:
+        """The members from now on. One may come or go at a time, so that majorities before and after share one."""
+        self._names = frozenset(names) | {self.me}
+        self._look()
+
+    # ---- a table that is gone ----
+
+    @property
+    def needed(self) -> int:
+        """How many whole tables of others share one with each majority."""
+        return min(len(self._names) - 1, len(self._names) - majority_of(len(self._names)) + 1)
+
+    def wants(self, now: int) -> tuple[str, ...]:
+        """Whose tables are to be asked for now."""
+        if not self.learning or now < self._promised_at_boot():
+            return ()
+        return tuple(sorted(name for name in self._names - {self.me} if not self._told.get(name)))
+
+    def learned(self, sent_at: int, name: str, table: Table) -> bool:
+        """Another's table, asked for at that time; whether it is the one that made this table whole."""
+        # Danger: an older table may lack what a holder counts as granted by us, from before we forgot.
+        if not self.learning or name not in self._names - {self.me} or sent_at < self._promised_at_boot():
+            return False
+        for grant in table.grants:
+            self._join(grant)
+            if grant.right in self._grants:
+                # Danger: with no promise its holder, who lives, would be taken for one that is gone.
+                self._until[grant.right] = max(self.promised(grant.right), sent_at + self.span)
+        self._told[name] = not table.learning
+        self._look()
+        return not self.learning
+
+    def closed_elsewhere(self, table: Table) -> None:
+        """Another's table says which books were closed while this member was away; nothing else of it is taken over.
+
+        A closed book's holder had stopped firing, and owed nothing.
+        """
+        for grant in table.grants:
+            if grant.closed and grant != self._grants.get(grant.right):
+                self._join(grant)
+                self.dirty = True
+
+    def _look(self) -> None:
+        others = self._names - {self.me}
+        told = others & set(self._told)
+        if self.learning and (sum(self._told[name] for name in told) >= self.needed or told == others):
+            self.learning, self.dirty = False, True
+
+    def _promised_at_boot(self) -> int:
+        return self.boot + self.span
+
+    def _join(self, grant: Grant) -> None:
+        """What one more table says of a right."""
+        if grant.right.startswith(UPTO):
+            slot = int(grant.right.removeprefix(UPTO))
+            self._upto[slot] = max(grant.term, self._upto.get(slot, -1))
+            for right in [right for right in self._grants if self._passed(right)]:
+                del self._grants[right]
+            return
+        if self._passed(grant.right):
+            return
+        known = self._grants.get(grant.right, grant)
+        newer = max(known, grant, key=lambda one: (one.term, one.set))
+        closed = newer.closed or (known.term == grant.term and (known.closed or grant.closed))
+        # Danger: two members had the same term from parts of the grantors; we can't tell which was promised by us.
+        tie = (known.term, known.set) == (grant.term, grant.set) and known.holder != grant.holder
+        holder = "" if tie else newer.holder
+        self._grants[grant.right] = Grant(grant.right, newer.term, holder, newer.heirs, newer.set, closed)
+        if closed:
+            self._prune(grant.right)
+
+    def _passed(self, right: str) -> bool:
+        book = book_of(right)
+        return book is not None and book % (1 << EPOCH_BITS) <= self._upto.get(book >> EPOCH_BITS, -1)
+
+    def _prune(self, right: str) -> None:
+        """Keep one number for the closed books of a slot: the epoch up to which all are closed, without a gap."""
+        book = book_of(right)
+        if book is None:
+            return
+        slot = book >> EPOCH_BITS
+        while True:
+            following = right_of(slot << EPOCH_BITS | (self._upto.get(slot, -1) + 1))
+            grant = self._grants.get(following)
+            if grant is None or not grant.closed:
+                return
+            self._upto[slot] = self._upto.get(slot, -1) + 1
+            del self._grants[following]
+            self._until.pop(following, None)
+
+
+class Tenure(Enum):
+    """How a holder stands to its right."""
+
+    IDLE = "idle"  # it asks for nothing
+    ASKING = "asking"  # for a term that no majority has granted it yet
+    HELD = "held"  # granted; `may_fire` tells whether it still is, and whether a set is known
+    CLOSING = "closing"  # held, to be closed for good; fires nothing
+    CLOSED = "closed"  # a majority says so
+    LOST = "lost"  # it has run out, and another one has a newer term or none could be had
+
+
+class Holder:
+    """One member's side of one right, through all its terms there. Times are microseconds of the member's clock."""
+
+    def __init__(self, right: str, me: str, names: Collection[str], span: int = SPAN) -> None:
+        self.right = right
+        self.me = me
+        self.span = span
+        self.state = Tenure.IDLE
+        self.term = 0
+        self.newer: tuple[int, str] = (0, "")  # the newest term that somebody else was said to hold, and who
+        self.known = 0  # the newest set of this term that a majority knows; 0: none yet
+        self.set = 0  # the newest set
+        self._names = frozenset(names) | {me}
+        self._sets: dict[int, tuple[str, ...]] = {}  # that one, and those named since, by number
+        self._heard = 0  # the newest term heard of
+        self._begun = 0
+        self._due = 0
+        self._granted: dict[str, tuple[int, int]] = {}  # when the ask was sent, and the set, by grantor
+        self._closed: dict[str, int] = {}  # when the ask was sent, by grantor
+
+    def begin(self, now: int, grant: Grant) -> None:
+        """Ask for the next term. `grant` is the own grantor's row: from it come the heirs, for grantors that lag.
+
+        Only for a member whose copy is whole, or for a right that nobody has held.
+        """
+        self.term = self._heard = max(grant.term, self.term, self._heard) + 1
+        self.state = Tenure.ASKING
+        self._begun = self._due = now
+        self.known, self.set, self._sets = 0, grant.set, {grant.set: grant.heirs}
+        self._granted, self._closed = {}, {}
+
+    def asks(self, now: int) -> Ask | None:
+        """What is to be sent to all members now, the own grantor before any other; None: it is not due."""
+        self._settle(now)
+        if self.state not in (Tenure.ASKING, Tenure.HELD, Tenure.CLOSING) or now < self._due:
+            return None
+        self._due = now + self.span // ASKS
+        heirs = self._sets[self.set]
+        return Ask(self.right, self.term, self.me, self.span, heirs, self.set, self.state is Tenure.CLOSING)
+
+    def look(self, now: int) -> None:
+        """Let the time that has passed count."""
+        self._settle(now)
+
+    def answered(self, now: int, sent_at: int, grantor: str, told: Told) -> None:
+        """A grantor's answer to the ask that was sent at `sent_at`, which is the time given to `asks`."""
+        if grantor not in self._names:
+            return
+        self._heard = max(self._heard, told.term)
+        if told.holder not in ("", self.me):
+            self.newer = max(self.newer, (told.term, told.holder))
+        at = self._counted_from(sent_at, now)
+        if sent_at >= self._begun and told.granted and told.term == self.term:
+            # Danger: an answer that comes late, or twice, must not take away what a newer one has given.
+            self._granted[grantor] = max(self._granted.get(grantor, (0, 0)), (at, told.set))
+        if told.closed:
+            self._closed[grantor] = max(self._closed.get(grantor, 0), at)
+        self._settle(now)
+
+    def name(self, now: int, heirs: Collection[str]) -> None:
+        """Name the set of heirs from now on: the members whose copies are whole, in the order in which they adopt."""
+        named = (self.me, *(name for name in heirs if name != self.me))
+        if self.state is not Tenure.HELD or named == self._sets[self.set] and self._own(self.set):
+            return
+        self.set = max(self.set, self.term << SET_BITS) + 1
+        self._sets[self.set] = named
+        self._due = now
+
+    def close(self, now: int) -> None:
+        """Nothing is owed any more: close the right for good."""
+        if self.state is Tenure.HELD:
+            self.state = Tenure.CLOSING
+            self._due = now
+
+    def release(self) -> Ask | None:
+        """Give the right up at once, so that an heir needs not wait; what is to be sent to all, None: nothing."""
+        held = self.state in (Tenure.ASKING, Tenure.HELD)
+        self.state = Tenure.IDLE
+        return Ask(self.right, self.term, self.me, 0, self._sets[self.set], self.set) if held else None
+
+    def replace(self, names: Collection[str]) -> None:
+        """The members from now on; see `Grantor.replace`."""
+        self._names = frozenset(names) | {self.me}
+
+    def may_fire(self, now: int) -> bool:
+        """Whether a shot's first byte may be written now: the last look before the write."""
+        return self.state is Tenure.HELD and self.known > 0 and now < self.valid_until
+
+    @property
+    def valid_until(self) -> int:
+        """When the right runs out unless it is renewed; 0: no majority has granted it."""
+        return self._after_majority([sent for sent, _ in self._granted.values()], self._usable(), 0)
+
+    @property
+    def heirs(self) -> tuple[str, ...]:
+        """The set that a majority knows, the holder first; empty while there is none of this term."""
+        return self._sets[self.known] if self.known else ()
+
+    @property
+    def bound(self) -> frozenset[str]:
+        """All that may be granted the next term: each must have a record before it counts as on every heir."""
+        return frozenset(name for heirs in self._sets.values() for name in heirs)
+
+    def _usable(self) -> int:
+        """How long the right lasts from when the ask was sent."""
+        return self.span - self.span // DRIFT - STOPS
+
+    def _counted_from(self, sent_at: int, now: int) -> int:
+        """Danger: the promise began somewhere between sending and answer; only the sending is surely before it."""
+        return sent_at
+
+    def _own(self, number: int) -> bool:
+        """Danger: until a majority knows a set of this term, it may yet grant to heirs that can't know our shots."""
+        return number >> SET_BITS == self.term
+
+    def _after_majority(self, values: list[int], more: int, none: int) -> int:
+        """The value that a majority has reached, and so much more."""
+        majority = majority_of(len(self._names))
+        return sorted(values, reverse=True)[majority - 1] + more if len(values) >= majority else none
+
+    def _settle(self, now: int) -> None:
+        """Take the state that all answers so far amount to."""
+        # Danger: a grantor that has lost its table since has forgotten what it answered; only answers as young as the
+        # lease count, since it grants nothing for as long, and then reads the tables of others.
+        oldest = now - self._usable()
+        sets = [number for sent, number in self._granted.values() if sent > oldest]
+        closed = [sent for sent in self._closed.values() if sent > oldest]
+        majority = majority_of(len(self._names))
+        if len(closed) >= majority:
+            self.state = Tenure.CLOSED
+        elif self.state is Tenure.ASKING:
+            if len(sets) >= majority:
+                self.state = Tenure.HELD
+            elif self._heard > self.term or now >= self._begun + self.span:
+                self.state = Tenure.LOST  # so promises of a vote that was split run out
+        elif self.state in (Tenure.HELD, Tenure.CLOSING) and now >= self.valid_until and self._heard > self.term:
+            self.state = Tenure.LOST
+        number = self._after_majority(sets, 0, 0)
+        if self.state is Tenure.HELD and number > self.known and self._own(number):
+            self.known = number
+            self._sets = {one: heirs for one, heirs in self._sets.items() if one >= number}
--- /dev/null
+++ b/cedarwick/fleet/members.py
@@ -0,0 +1,159 @@
+"""Who is alive: silence seen by a majority (suspicion and incarnations as in SWIM, Das et al. 2002), no I/O.
+
+Each member tells every other one how long ago it has heard each. A member is dead where a majority of all members say
+that they have not heard it for 1.5 s. Only what members say counts whom I hear now: the last words of one that has
+fallen silent itself may be from the wrong side of a cut, or from before the other spoke again. Ages count as they were
+told and are not made older here: since the telling the other may have been heard. The member in question has no
+say. So in a group of two nobody is ever dead, only suspected: there is no majority without it.
+
+All times are whole microseconds of the member's own clock that goes on while the machine sleeps.
+"""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from cedarwick.fleet.leases import majority_of
+
+ALIVE_WITHIN = 1_000_000  # microseconds: three beats may be lost
+DEAD_AFTER = 1_500_000
+SLOW_AFTER = 500_000  # what an answer may take
+
+
+class Standing(Enum):
+    """How a member stands."""
+
+    ALIVE = "alive"
+    SUSPECTED = "suspected"  # not heard by me
+    DEAD = "dead"  # not heard by a majority
+    LEFT = "left"  # it said so
+    UNKNOWN = "unknown"  # never heard since my boot, and no majority says it is dead
+
+
+class Change(NamedTuple):
+    """A member that stands otherwise than at the last look."""
+
+    name: str
+    before: Standing
+    now: Standing
+
+
+@dataclass
+class _Member:
+    hall: str
+    incarnation: int = 0
+    heard: int | None = None  # when
+    leaving: bool = False
+    ages: Mapping[str, int] = field(default_factory=dict)  # as it told them in its last beat
+    took: int = 0  # its last answer
+
+
+class Members:
+    """What one member knows of the group. `names_to_halls` has all members, `me` among them."""
+
+    def __init__(self, me: str, names_to_halls: Mapping[str, str], incarnation: int, now: int) -> None:
+        self.me = me
+        self.incarnation = incarnation
+        self.halls = dict(names_to_halls)
+        self._boot = now
+        self._members = {name: _Member(hall) for name, hall in names_to_halls.items() if name != me}
+        self._since = dict.fromkeys(self._members, now)  # when each began to be a member here
+        self._last = dict.fromkeys(self._members, Standing.UNKNOWN)
+
+    @property
+    def names(self) -> frozenset[str]:
+        """All members, me among them."""
+        return frozenset(self.halls)
+
+    @property
+    def majority(self) -> int:
+        """How many members are a majority of all."""
+        return majority_of(len(self.halls))
+
+    def heard(self, now: int, name: str, incarnation: int, reported: Mapping[str, int], leaving: bool) -> bool:
+        """A beat; False where it is from nobody we know, or from a boot before the newest: it changes nothing."""
+        member = self._members.get(name)
+        if member is None or incarnation < member.incarnation:
+            return False
+        if incarnation > member.incarnation:
+            member.leaving, member.took = False, 0
+        member.incarnation = incarnation
+        member.heard = now
+        member.leaving = member.leaving or leaving  # Danger: beats may come in another order than they were sent
+        member.ages = dict(reported)
+        return True
+
+    def slow(self, now: int, name: str, took: int) -> None:
+        """How long an answer of a member took, or how long we have been waiting for one."""
+        if name in self._members:
+            self._members[name].took = took
+
+    def state(self, now: int, name: str) -> Standing:
+        """How a member stands; I am alive, and who is no member has left."""
+        if name == self.me:
+            return Standing.ALIVE
+        member = self._members.get(name)
+        if member is None or member.leaving:
+            return Standing.LEFT
+        if self._age(now, name) < ALIVE_WITHIN:
+            return Standing.ALIVE if member.heard is not None else Standing.UNKNOWN
+        votes = sum(one.ages.get(name, 0) >= DEAD_AFTER for one in self._speakers(now, name))
+        if self._age(now, name) >= DEAD_AFTER and votes + 1 >= self.majority:
+            return Standing.DEAD
+        return Standing.SUSPECTED if member.heard is not None else Standing.UNKNOWN
+
+    def notes(self, now: int, name: str) -> tuple[str, ...]:
+        """For on-call staff: `cut` where one direction alone works, `slow` where answers take long."""
+        member = self._members.get(name)
+        if member is None:
+            return ()
+        here = member.heard is not None and now - member.heard < ALIVE_WITHIN
+        others = any(one.ages.get(name, ALIVE_WITHIN) < ALIVE_WITHIN for one in self._speakers(now, name))
+        cut = member.ages.get(self.me, 0) >= ALIVE_WITHIN if here else others
+        return ("cut",) * cut + ("slow",) * (member.took > SLOW_AFTER)
+
+    def beat_ages(self, now: int) -> dict[str, int]:
+        """For the next beat: how long ago each other member was heard; since my boot where it never was."""
+        return {name: self._age(now, name) for name in self._members}
+
+    def changes(self, now: int) -> list[Change]:
+        """Who stands otherwise than at the last call, by name."""
+        found = [Change(name, self._last[name], self.state(now, name)) for name in sorted(self._members)]
+        self._last = {change.name: change.now for change in found}
+        return [change for change in found if change.before is not change.now]
+
+    def incarnation_of(self, name: str) -> int:
+        """The newest boot heard of a member; 0: none."""
+        if name == self.me:
+            return self.incarnation
+        return self._members[name].incarnation if name in self._members else 0
+
+    def replace(self, now: int, names_to_halls: Mapping[str, str]) -> None:
+        """The members from now on; who stays keeps what is known of it."""
+        self.halls = dict(names_to_halls)
+        members = {}
+        for name, hall in names_to_halls.items():
+            if name != self.me:
+                members[name] = self._members.get(name, _Member(hall))
+                members[name].hall = hall
+        self._members = members
+        self._since = {name: self._since.get(name, now) for name in members}
+        self._last = {name: self._last.get(name, Standing.UNKNOWN) for name in members}
+
+    def _age(self, now: int, name: str) -> int:
+        heard = self._members[name].heard
+        return max(0, now - (self._since[name] if heard is None else heard))
+
+    def _speakers(self, now: int, about: str) -> list[_Member]:
+        """The others whom I hear now."""
+        return [
+            member
+            for name, member in self._members.items()
+            if name != about and member.heard is not None and now - member.heard < ALIVE_WITHIN
+        ]
+
+
+def standings(members: Members, now: int, names: Collection[str]) -> dict[str, Standing]:
+    """How each of some members stands."""
+    return {name: members.state(now, name) for name in names}
--- /dev/null
+++ b/tests/explore.py
@@ -0,0 +1,361 @@
+"""Every history of three members and one book, to a stated number of actions: breadth first over distinct states.
+
+The owner H, an heir A, and B, whose copy was whole once. An action is one of: the time goes on by a quarter of a span
+(H's clock runs 5% slower); a member asks, once between two ticks, and with each other grantor that ask is answered,
+lost, late, or its answer is late; something late arrives, once or twice; a holder names heirs and asks, or closes; a
+member crashes and restarts, with its folder or without; one that forgot reads a table. Nobody is forced to act while
+the time goes on, so a member that is stopped and wakes is among the histories. How many messages are late, and how
+many crashes there are, is bounded for each history.
+
+`judge` holds each state against the claims; `Broken` names the one that fails, with the actions that led there.
+"""
+
+from collections.abc import Callable, Iterator
+from functools import partial
+from typing import Any, NamedTuple
+
+from cedarwick.fleet.leases import SET_BITS, SPAN, Grantor, Holder, Tenure, right_of
+from cedarwick.fleet.messages import Ask, Grant, Told
+
+BOOK = 7 << 12
+RIGHT = right_of(BOOK)
+NAMES = ("H", "A", "B")
+PACE = {"H": 285_000, "A": 300_000, "B": 300_000}  # microseconds of each clock, between two ticks
+OTHERS = {name: tuple(other for other in NAMES if other != name) for name in NAMES}
+BEGIN = 4  # the tick at which histories begin
+TERMS = 3
+SETS = 3  # that one term names
+SET = (1 << SET_BITS) - 1
+
+
+class Broken(Exception):
+    """A claim that a state does not keep."""
+
+
+class Look(NamedTuple):
+    """What counts of a node at a time."""
+
+    key: tuple[Any, ...]  # tells two nodes apart for all that may follow: times as distances, cut off at their ends
+    fires: bool
+    valid: bool  # granted by a majority, fires or not
+
+
+class Node:
+    """A member; never changed once it is made."""
+
+    def __init__(self, name: str, grantor: Grantor, holder: Holder | None, whole: bool) -> None:
+        self.name = name
+        self.grantor = grantor
+        self.holder = holder
+        self.whole = whole
+        self._looks: dict[int, Look] = {}
+
+    def but(self, holder: Holder | None) -> "Node":
+        return Node(self.name, self.grantor, holder, self.whole)
+
+    def look(self, tick: int) -> Look:
+        found = self._looks.get(tick)
+        if found is None:
+            found = self._looks[tick] = self._look(tick * PACE[self.name])
+        return found
+
+    def _look(self, now: int) -> Look:
+        grantor, holder = self.grantor, self.holder
+        silence = (max(0, grantor.boot + SPAN - now), *sorted(grantor._told.items())) if grantor.learning else None
+        granted = grantor.grant(RIGHT)
+        row = (granted.term, granted.holder, granted.heirs, granted.set, granted.closed)
+        key: tuple[Any, ...] = (self.whole, row, max(0, grantor.promised(RIGHT) - now), silence)
+        if holder is None:
+            return Look(key, False, False)
+        granted_at = sorted(holder._granted.items())
+        live = tuple((who, now - at, number) for who, (at, number) in granted_at if now - at <= SPAN)
+        shut = tuple(sorted((who, now - at) for who, at in holder._closed.items() if now - at <= SPAN))
+        begun = min(now - holder._begun, SPAN) if holder.state is Tenure.ASKING else 0
+        told = (holder.state.value, holder.term, holder._heard, holder.newer, holder.known, holder.set, begun)
+        key = (key, told, tuple(holder._sets.items()), live, shut)
+        return Look(key, holder.may_fire(now), holder.state is Tenure.HELD and now < holder.valid_until)
+
+
+class Late(NamedTuple):
+    """A message on its way between a holder and a grantor, sent at the holder's time."""
+
+    holder: str
+    grantor: str
+    sent: int
+    body: Ask | Told
+
+
+class World(NamedTuple):
+    tick: int
+    nodes: dict[str, Node]
+    late: frozenset[Late]
+    crashes: int  # still to come
+    lates: int  # messages still to be late
+    asked: frozenset[str] = frozenset()  # since the last tick
+    fired: tuple[str, int] = ("", 0)  # who may have fired last, in which term
+    legit: frozenset[str] = frozenset()  # who may follow it
+    closed: bool = False
+
+
+def twin(one: Any) -> Any:
+    """A copy that shares nothing that changes."""
+    new = object.__new__(type(one))
+    new.__dict__.update({key: value.copy() if type(value) is dict else value for key, value in one.__dict__.items()})
+    return new
+
+
+def named(holder: Holder) -> frozenset[str]:
+    """Whom a holder has named in its own term, and so given all that it knows: they may follow it."""
+    sets = [heirs for number, heirs in holder._sets.items() if number >> SET_BITS == holder.term]
+    return frozenset(name for heirs in sets for name in heirs)
+
+
+class Model:
+    """The actions, with the grantors and holders of the program or of a mutant."""
+
+    def __init__(self, grantor: type[Grantor], holder: type[Holder], actions: str, crashes: int, lates: int) -> None:
+        self.grantor = grantor
+        self.holder = holder
+        self.allowed = actions.split()
+        self.crashes = crashes
+        self.lates = lates
+
+    # ---- where histories begin ----
+
+    def blank(self) -> World:
+        """Nobody has ever held the book; all tables are there, and empty."""
+        nodes = {name: Node(name, self.grantor(name, NAMES, 0, ()), None, name == "H") for name in NAMES}
+        return World(BEGIN, nodes, frozenset(), self.crashes, self.lates)
+
+    def running(self, late: bool = False) -> World:
+        """H holds it with its own grantor and A's. B was its heir before A was; it has not heard that, nor H lately.
+
+        `late`: B has heard H's last ask as well, but the answers of both are late.
+        """
+        rows = {name: self._row("H", 1, 2, "H", "A") for name in NAMES} | {"B": self._row("H", 1, 1, "H", "B")}
+        nodes = {name: Node(name, self.grantor(name, NAMES, 0, (rows[name],)), None, True) for name in NAMES}
+        held = self.holder(RIGHT, "H", NAMES)
+        held.begin(0, Grant(RIGHT, 0, ""))
+        held.set, held._sets = rows["H"].set, {rows["H"].set: rows["H"].heirs}
+        now = BEGIN * PACE["H"]
+        answers = {name: Told(True, 1, "H", row.heirs, row.set) for name, row in rows.items()}
+        for name in NAMES:
+            nodes[name].grantor._until[RIGHT] = BEGIN * PACE[name] + SPAN // (1 if late or name != "B" else 4)
+            held.answered(now, now - (late and name != "H") * PACE["H"], name, answers[name])
+        nodes["H"] = nodes["H"].but(held)
+        waiting = frozenset(Late("H", name, now, answers[name]) for name in OTHERS["H"] if late)
+        return World(BEGIN, nodes, waiting, self.crashes, self.lates, fired=("H", 1), legit=named(held))
+
+    def late(self) -> World:
+        """As `running`, with late answers."""
+        return self.running(True)
+
+    def granted(self) -> World:
+        """H is gone, A and B were its heirs; A is granted the next term by its own grantor and B's, names none yet."""
+        world = self.running()
+        for name in NAMES:
+            world.nodes[name].grantor._join(self._row("H", 1, 3, "H", "A", "B"))
+        world = world._replace(tick=BEGIN + 4, legit=frozenset(NAMES))
+        nodes = world.nodes | {"H": world.nodes["H"].but(None)}
+        return self.judge(self._ask(world._replace(nodes=nodes), "A", ("lost", "done"), True))
+
+    def woken(self) -> World:
+        """A has adopted while H was stopped, and named itself; H wakes and knows nothing of it."""
+        world = self.granted()
+        world = world._replace(nodes=world.nodes | {"H": self.running().nodes["H"]})
+        return self.judge(self._name(world, "A", ("A",), ("lost", "done")))
+
+    @staticmethod
+    def _row(holder: str, term: int, number: int, *heirs: str) -> Grant:
+        return Grant(RIGHT, term, holder, heirs, term << SET_BITS | number)
+
+    # ---- actions ----
+
+    def actions(self, world: World) -> Iterator[tuple[tuple[Any, ...], Callable[[], World]]]:
+        """Each action that this world allows, with its name."""
+        yield ("tick",), lambda: world._replace(tick=world.tick + 1, asked=frozenset())
+        for name, node in world.nodes.items():
+            state = node.holder.state if node.holder else Tenure.IDLE
+            asking = state in (Tenure.ASKING, Tenure.HELD, Tenure.CLOSING)
+            term = max(node.grantor.grant(RIGHT).term, node.holder.term if node.holder else 0)
+            begin = not asking and state is not Tenure.CLOSED and node.whole and term < TERMS
+            if (asking or begin) and name not in world.asked and name in self.allowed:
+                for modes in ASKED[world.lates]:
+                    yield ("ask", name, modes), partial(self._ask, world, name, modes, begin)
+            if state is Tenure.HELD and node.holder and name in self.allowed:
+                yield from self._holders(world, name, node.holder)
+            if world.crashes:
+                for fault in ("crash", "wipe"):
+                    if fault in self.allowed:
+                        yield (fault, name), partial(self._restart, world, name, fault == "wipe")
+            for other in node.grantor.wants(world.tick * PACE[name]):
+                yield ("learn", name, other), partial(self._learn, world, name, other)
+        for late in world.late:
+            yield ("arrive", late), partial(self._arrive, world, late, False)
+            if world.lates and isinstance(late.body, Ask):
+                yield ("arrive twice", late), partial(self._arrive, world, late, True)
+
+    def _holders(
+        self, world: World, name: str, holder: Holder
+    ) -> Iterator[tuple[tuple[Any, ...], Callable[[], World]]]:
+        heirs = [(name, other) for other in OTHERS[name]] if "name" in self.allowed else []
+        if holder.set & SET < SETS or not holder._own(holder.set):
+            for chosen in ((name,), *heirs):
+                if not holder._own(holder.set) or holder._sets[holder.set] != chosen:
+                    for modes in ASKED[world.lates]:
+                        yield ("name", chosen, modes), partial(self._name, world, name, chosen, modes)
+        if "close" in self.allowed and holder.known and name not in world.asked:
+            yield ("close", name), partial(self._close, world, name)
+
+    def _ask(self, world: World, name: str, modes: tuple[str, ...], begin: bool) -> World:
+        nodes = dict(world.nodes)
+        now = world.tick * PACE[name]
+        node = nodes[name]
+        holder: Holder = twin(node.holder) if node.holder else self.holder(RIGHT, name, NAMES)
+        if begin:
+            holder.begin(now, node.grantor.grant(RIGHT))
+        holder._due = 0
+        ask = holder.asks(now)
+        nodes[name] = node.but(holder)
+        late = list(world.late)
+        if ask is not None:
+            for grantor, mode in ((name, "done"), *zip(OTHERS[name], modes, strict=True)):
+                if mode in ("done", "answer"):
+                    told = self._granted(nodes, world.tick, grantor, ask)
+                    if mode == "done":
+                        holder.answered(now, now, grantor, told)
+                    else:
+                        late.append(Late(name, grantor, now, told))
+                elif mode == "later":
+                    late.append(Late(name, grantor, now, ask))
+        more = len(late) - len(world.late)
+        asked = world.asked | {name}
+        return world._replace(nodes=nodes, late=frozenset(late), lates=world.lates - more, asked=asked)
+
+    @staticmethod
+    def _granted(nodes: dict[str, Node], tick: int, name: str, ask: Ask) -> Told:
+        grantor = twin(nodes[name].grantor)
+        nodes[name] = Node(name, grantor, nodes[name].holder, nodes[name].whole)
+        told: Told = grantor.ask(tick * PACE[name], ask)
+        return told
+
+    def _arrive(self, world: World, late: Late, twice: bool) -> World:
+        nodes = dict(world.nodes)
+        left = world.late - {late}
+        if isinstance(late.body, Ask):
+            told = self._granted(nodes, world.tick, late.grantor, late.body)
+            left |= {late} if twice else frozenset()
+            return world._replace(nodes=nodes, late=left | {late._replace(body=told)}, lates=world.lates - twice)
+        node = nodes[late.holder]
+        if node.holder is not None:
+            holder = twin(node.holder)
+            holder.answered(world.tick * PACE[late.holder], late.sent, late.grantor, late.body)
+            nodes[late.holder] = node.but(holder)
+        return world._replace(nodes=nodes, late=left)
+
+    def _name(self, world: World, name: str, heirs: tuple[str, ...], modes: tuple[str, ...]) -> World:
+        nodes = dict(world.nodes)
+        holder = twin(nodes[name].holder)
+        holder.name(world.tick * PACE[name], heirs)
+        nodes[name] = nodes[name].but(holder)
+        for heir in heirs:  # the holder names whom it has given all
+            nodes[heir] = Node(heir, nodes[heir].grantor, nodes[heir].holder, True)
+        return self._ask(world._replace(nodes=nodes), name, modes, False)
+
+    @staticmethod
+    def _close(world: World, name: str) -> World:
+        holder = twin(world.nodes[name].holder)
+        holder.close(world.tick * PACE[name])
+        return world._replace(nodes=world.nodes | {name: world.nodes[name].but(holder)})
+
+    def _restart(self, world: World, name: str, wipe: bool) -> World:
+        node = world.nodes[name]
+        rows = None if wipe or node.grantor.learning else node.grantor.table().grants
+        grantor = self.grantor(name, NAMES, world.tick * PACE[name], rows)
+        nodes = world.nodes | {name: Node(name, grantor, None, node.whole and not wipe)}
+        late = frozenset(one for one in world.late if one.holder != name or isinstance(one.body, Ask))
+        return world._replace(nodes=nodes, late=late, crashes=world.crashes - 1, asked=world.asked - {name})
+
+    @staticmethod
+    def _learn(world: World, name: str, other: str) -> World:
+        node = world.nodes[name]
+        grantor = twin(node.grantor)
+        grantor.learned(world.tick * PACE[name], other, world.nodes[other].grantor.table())
+        return world._replace(nodes=world.nodes | {name: Node(name, grantor, node.holder, node.whole)})
+
+    # ---- the claims ----
+
+    def judge(self, world: World) -> World:
+        """The world with what it adds to the history; `Broken` where a claim does not hold."""
+        fired, legit, closed = world.fired, world.legit, world.closed
+        looks = {name: node.look(world.tick) for name, node in world.nodes.items()}
+        firing = [name for name, look in looks.items() if look.fires]
+        if closed and any(look.valid for look in looks.values()):
+            raise Broken("a closed book has a holder")
+        if len(firing) > 1:
+            raise Broken(f"{' and '.join(firing)} may fire at once")
+        holders = {name: node.holder for name, node in world.nodes.items() if node.holder}
+        if firing and (firing[0], holders[firing[0]].term) != fired:
+            name, term = firing[0], holders[firing[0]].term
+            if fired[1] and name not in legit:
+                raise Broken(f"{name} adopts from {fired[0]} and is no heir")
+            if term <= fired[1]:
+                raise Broken(f"{name} fires in term {term} after {fired}")
+            fired = (name, term)
+        if fired[0] in holders and holders[fired[0]].term == fired[1]:
+            legit = named(holders[fired[0]])
+        for name, holder in holders.items():  # one that may follow and has not fired yet may give all to more
+            if holder.state is Tenure.HELD and holder.term > fired[1] and name in legit:
+                legit |= named(holder)
+        closed = closed or any(holder.state is Tenure.CLOSED for holder in holders.values())
+        return world._replace(fired=fired, legit=legit, closed=closed)
+
+    @staticmethod
+    def key(world: World) -> tuple[Any, ...]:
+        """What tells two worlds apart for all that may follow."""
+        ages = [(m.holder, m.grantor, min(SPAN, world.tick * PACE[m.holder] - m.sent), m.body) for m in world.late]
+        return (frozenset(ages), *[node.look(world.tick).key for node in world.nodes.values()], *world[3:])
+
+
+# How it goes with one grantor, and how many late messages that makes.
+MODES = {"done": 0, "lost": 0, "answer": 1, "later": 1}
+ASKED = {
+    lates: [(one, two) for one in MODES for two in MODES if MODES[one] + MODES[two] <= lates] for lates in range(4)
+}
+
+
+class Found(NamedTuple):
+    """What an exploration came to: the distinct states, and the claim that broke, with the way there."""
+
+    states: int
+    broken: str
+    way: list[Any]
+
+
+def explore(model: Model, begin: World, depth: int) -> Found:
+    """All states within so many actions, up to the first that breaks a claim."""
+    seen = {hash(model.key(begin))}
+    layer: list[tuple[World, Any]] = [(begin, None)]  # each with its last action and the way before it
+    for _ in range(depth):
+        after: list[tuple[World, Any]] = []
+        for world, before in layer:
+            for name, act in model.actions(world):
+                way = (before, name)
+                try:
+                    new = model.judge(act())
+                except Broken as error:
+                    return Found(len(seen), str(error), _unrolled(way))
+                told = hash(model.key(new))
+                if told not in seen:
+                    seen.add(told)
+                    after.append((new, way))
+        layer = after
+    return Found(len(seen), "", [])
+
+
+def _unrolled(way: Any) -> list[Any]:
+    names = []
+    while way is not None:
+        way, name = way
+        names.append(name)
+    return names[::-1]
--- /dev/null
+++ b/tests/test_filters.py
@@ -0,0 +1,271 @@
+import re
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cedarwick.events import bad, language, naive, terms
+from cedarwick.events.bad import BadFilter, TooNew
+from cedarwick.events.compiled import compiled, globber
+from cedarwick.events.index import MOST_KEYS, MOST_SETS, Index
+from cedarwick.events.kinds import FIELDS, KINDS, WORDS, BadEvent, Event, Type
+
+DRAWN = settings(derandomize=True, max_examples=120, deadline=None)
+TEXTS = ["a", "ab", "abc", "b", "", 'é"\\\n']
+VALUES: dict[Type, st.SearchStrategy[Any]] = {
+    Type.TEXT: st.sampled_from(TEXTS), Type.WHOLE: st.integers(-2, 5),
+    Type.SPAN: st.sampled_from([0, 1, 1500, 60_000_000]),
+    Type.NUMBER: st.sampled_from([0.0, 0.5, -3.0, 1e17, 9007199254740992.0]), Type.FLAG: st.booleans(),
+}
+EVENT_VALUES = {**VALUES, Type.NUMBER: st.sampled_from([0, 0.5, -3.0, 10**17, 9007199254740993, 2.0])}
+NAMES = ["kind", "id", "tenant", "destination", "age", "worth", "at_most_once", "shots"]
+
+
+def values(name: str) -> st.SearchStrategy[Any]:
+    return st.sampled_from(["taken", "nacked"]) if name == "kind" else VALUES[FIELDS[name]]
+
+
+@st.composite
+def leaves(draw: st.DrawFn) -> terms.Term:
+    name = draw(st.sampled_from(NAMES))
+    ordered, text = FIELDS[name].ordered, FIELDS[name] is Type.TEXT
+    shapes = ["compare", "among", "has", "sample"] + ["range"] * ordered + ["like"] * text
+    shape = draw(st.sampled_from(shapes))
+    if shape == "compare":
+        signs = list(terms.INVERSE) if ordered else ["=", "!="]
+        return terms.Compare(name, draw(st.sampled_from(signs)), draw(values(name)))
+    if shape == "among":
+        return terms.Among(name, tuple(draw(st.lists(values(name), min_size=1, max_size=3, unique=True))))
+    if shape == "range":
+        return terms.Range(name, *sorted([draw(values(name)), draw(values(name))]))
+    if shape == "like":
+        return terms.Like(name, draw(st.sampled_from(["a*", "*", "?b*", "a?", "ab", "*b*c"])))
+    return terms.Has(name) if shape == "has" else terms.Sample(draw(st.integers(1, 2)), 2)
+
+
+def wider(inner: st.SearchStrategy[terms.Term]) -> st.SearchStrategy[terms.Term]:
+    several = st.lists(inner, min_size=2, max_size=3).map(tuple)
+    return (inner.map(terms.Not) | several.map(lambda each: terms.joined(terms.And, each))
+            | several.map(lambda each: terms.joined(terms.Or, each)))
+
+
+TERMS = st.recursive(leaves(), wider, max_leaves=8)
+
+
+@st.composite
+def events(draw: st.DrawFn) -> Event:
+    kind = draw(st.sampled_from(["taken", "nacked", "member-came"]))
+    names = [name for name in NAMES if name in KINDS[kind] and draw(st.booleans())]
+    return event(kind, **{name: draw(EVENT_VALUES[FIELDS[name]]) for name in names})
+
+
+def event(kind: str = "nacked", **fields: Any) -> Event:
+    return Event("a.1", 1, 0, kind, fields)
+
+
+class Reading(unittest.TestCase):
+    @DRAWN
+    @given(TERMS)
+    def test_a_printed_filter_reads_as_the_same_filter(self, term: terms.Term) -> None:
+        made = language.checked(term)
+        self.assertEqual(language.read(language.printed(made)), made)
+
+    def test_every_error_names_code_place_and_what_to_write(self) -> None:
+        cases: list[tuple[str, type[BadFilter], tuple[int, int], str]] = [
+            ("destinaton = 5", bad.UnknownField, (1, 1), "write 'destination'"),
+            ("tenant =\n acme", bad.WrongType, (2, 2), 'write "acme"'),
+            ('tenant == "a"', bad.Unread, (1, 8), "write ="),
+            ("age > 5", bad.WrongType, (1, 7), "like 5s"),
+            ("age > 1.5s", bad.WrongType, (1, 7), "1500ms"),
+            ("age > 5sec", bad.WrongType, (1, 7), "ms, s, m or h"),
+            ("age > 9999999999999h", bad.OutOfBounds, (1, 7), "at most"),
+            ('kind = "take"', bad.UnknownWord, (1, 8), "write 'taken'"),
+            ('outcome = "timeout"', bad.UnknownWord, (1, 11), "write 'time-out'"),
+            ('tenant < "b"', bad.WrongType, (1, 8), "= or !="),
+            ('tenant in "a".."b"', bad.WrongType, (1, 1), "in (a, b)"),
+            ('shots like "1*"', bad.WrongType, (1, 1), "= or in"),
+            ("shots = 2.5", bad.WrongType, (1, 9), "like 5"),
+            ("shots = 2 && age > 2s", bad.Unread, (1, 11), "write 'and'"),
+            ("shots = 2 AND age > 2s", bad.Unread, (1, 11), "'and' in small"),
+            ("tenant = 'a'", bad.Unread, (1, 10), "double quotes"),
+            ('tenant = "\\x"', bad.Unread, (1, 10), "\\u00e9"),
+            ("(shots = 1", bad.Unread, (1, 11), "but )"),
+            ("shots in 5..2", bad.OutOfBounds, (1, 10), "2..5"),
+            ("shots = 99999999999999999999", bad.OutOfBounds, (1, 9), "at most"),
+            ("worth < 1e999", bad.OutOfBounds, (1, 9), "at most"),
+            ("sample(2/1)", bad.OutOfBounds, (1, 8), "sample(1/100)"),
+            ("sample(0/0)", bad.OutOfBounds, (1, 8), "sample(1/100)"),
+            ("sample(.5/1)", bad.Unread, (1, 8), "instead"),
+            ("sample(1/2.5)", bad.WrongType, (1, 10), "sample(1/100)"),
+            ('id like ""', bad.BadGlob, (1, 9), "1 to 64"),
+            ('id like "' + "a" * 65 + '"', bad.BadGlob, (1, 9), "1 to 64"),
+            ('id = "' + "a" * 257 + '"', bad.OutOfBounds, (1, 6), "shorter"),
+            ("not " * 33 + "has id", bad.TooDeep, (1, 0), "not not"),
+            ("shots in (" + ",".join(map(str, range(257))) + ")", bad.TooMany, (1, 0), "split"),
+            (" or ".join(['id like "*a"'] * 9), bad.TooCostly, (1, 0), "fewer globs"),
+            ("has id" + " " * 4096, bad.TooLong, (1, 0), "split"),
+            ('id="123456"or ' * 255 + "has id", bad.TooLong, (1, 0), "split"),  # it fits, its canonical text doesn't
+        ]
+        for text, kind, place, instead in cases:
+            with self.subTest(text[:40]), self.assertRaises(kind) as caught:
+                language.read(text)
+            self.assertEqual(caught.exception.place, place)
+            self.assertIn(instead, str(caught.exception))
+
+    def test_canonical_text(self) -> None:
+        for text, canonical in [('band  in("a" ,"a")', 'band in ("a")'), ('id like "a**"', 'id like "a*"'),
+                                ("(age>60000ms)and(has id and not(has wait))", "age > 1m and has id and not has wait"),
+                                ("worth = 1e3 and age = 0h", "worth = 1000 and age = 0s")]:
+            self.assertEqual(language.read(text).text, canonical)
+
+    def test_the_page_shows_filters_that_read_and_the_words_there_are(self) -> None:
+        with open("docs/filters.md", encoding="utf-8") as file:
+            page = file.read()
+        shown = [line for block in re.findall(r"```filter\n(.*?)```", page, re.DOTALL) for line in block.splitlines()]
+        self.assertEqual(len([language.read(line) for line in shown]), 8)
+        words = {*FIELDS, *KINDS, *WORDS["outcome"], *(f"{each.code}" for each in BadFilter.__subclasses__())}
+        self.assertEqual([word for word in sorted(words) if not re.search(rf"\b{word}\b", page)], [])
+
+    def test_deep_parentheses_and_any_text_end_in_an_answer(self) -> None:
+        self.assertEqual(language.read("(" * 2000 + "has id" + ")" * 2000).text, "has id")
+        for text in ("", "\x00", "\ud800 = 1", '"', "9" * 4000, "shots = " + "9" * 4000, "(" * 4096, "sample(1/1) has"):
+            with self.subTest(text[:9]), self.assertRaises(BadFilter):
+                language.read(text)
+
+    def test_a_member_that_is_too_old_is_named(self) -> None:
+        language.check_levels(language.read("shots > 2"), {"elm": 1, "fir": 1})
+        for text in ("not sample(1/100) and shots > 2", 'id like "a*"'):
+            with self.assertRaisesRegex(TooNew, r"level 2.*lack: elm \(level 1\); "):
+                language.check_levels(language.read(text), {"elm": 1, "fir": 2})
+
+
+class Evaluation(unittest.TestCase):
+    @DRAWN
+    @given(TERMS, st.lists(events(), min_size=3, max_size=6))
+    def test_compiled_says_what_the_reference_says(self, term: terms.Term, drawn: list[Event]) -> None:
+        test = compiled(term)
+        self.assertEqual([test(each) for each in drawn], [naive.matches(term, each) for each in drawn])
+
+    def test_an_absent_field_is_unknown_and_only_true_matches(self) -> None:
+        bare = event("taken", destination=5)
+        for text, expected in [
+            ("not (age > 5s)", False), ("age > 5s or not age > 5s", False), ("age != 5s", False),
+            ("not age in (5s)", False), ("not age in 1s..2s", False), ("not sample(1/1)", False),
+            ('not id like "a*"', False), ("not (age > 5s and destination = 6)", True),
+            ("age > 5s or destination = 5", True), ("not has age", True), ("not (has age or age > 5s)", False),
+            ("not (destination = 6 or not has age) or destination = 5", True),
+        ]:
+            with self.subTest(text):
+                made = language.read(text)
+                index = Index()
+                index.add("x", made)
+                found = naive.matches(made.term, bare), compiled(made.term)(bare), index.matches(bare) == ["x"]
+                self.assertEqual(found, (expected,) * 3)
+
+    @DRAWN
+    @given(st.text("ab*?", max_size=7), st.text("ab", max_size=8))
+    def test_globs_match_as_the_reference_does(self, pattern: str, text: str) -> None:
+        self.assertEqual(globber(pattern)(text), naive.globbed(pattern, text))
+
+    def test_globs(self) -> None:
+        for pattern, text, expected in [("7f3a*", "7f3a", True), ("7f3a*", "x7f3a", False), ("?a", "a", False),
+                                        ("*a*b", "xaxbb", True), ("*a*b", "xaxbc", False), ("a*a", "a", False)]:
+            self.assertEqual((globber(pattern)(text), naive.globbed(pattern, text)), (expected, expected), pattern)
+
+    def test_a_sample_is_the_same_share_everywhere(self) -> None:
+        test = compiled(language.read("sample(1/100)").term)
+        taken = [n for n in range(10_000) if test(event(id=f"id-{n}"))]
+        self.assertEqual((len(taken), taken[:3]), (83, [24, 52, 56]))
+
+    def test_an_event_of_another_shape_is_refused(self) -> None:
+        cases: list[tuple[str, dict[str, Any]]] = [
+            ("boom", {}), ("taken", {"shots": 1}), ("taken", {"destination": "5"}), ("taken", {"destination": True}),
+            ("taken", {"worth": float("nan")}), ("taken", {"worth": float("inf")}), ("taken", {"id": "x" * 257}),
+            ("taken", {"destination": 1 << 63}), ("taken", {"at_most_once": 1}),
+        ]
+        for kind, fields in cases:
+            with self.subTest(fields), self.assertRaises(BadEvent):
+                event(kind, **fields)
+
+    def test_kinds_and_fields_agree(self) -> None:
+        self.assertEqual(set().union(*KINDS.values()) | {"kind"}, set(FIELDS))
+        self.assertIn("time-out", WORDS["outcome"])
+
+
+class Indexed(unittest.TestCase):
+    @DRAWN
+    @given(st.lists(st.tuples(st.integers(0, 5), TERMS | st.none()), min_size=4, max_size=14),
+           st.lists(events(), min_size=4, max_size=8))
+    def test_the_index_finds_what_the_reference_finds(self, steps: list[tuple[int, terms.Term | None]],
+                                                      drawn: list[Event]) -> None:
+        index, held = Index(), dict[str, terms.Term]()
+        for name, term in steps:  # None takes the name out
+            if term is None:
+                index.remove(str(name))
+                held.pop(str(name), None)
+            else:
+                index.add(str(name), language.checked(term))
+                held[str(name)] = term
+            for each in drawn:
+                expected = sorted(name for name in held if naive.matches(held[name], each))
+                self.assertEqual(index.matches(each), expected)
+
+    def test_nothing_is_left_of_what_was_taken_out(self) -> None:
+        index, empty = Index(), repr(vars(Index().equals))
+        for number, text in enumerate(['tenant = "a" and destination in (1, 2)', 'id like "ab*"', "shots in 2..9",
+                                       "age > 2s", "age < 2s or has wait", "not has wait", "worth in -1..1e9"] * 2):
+            index.add(str(number), language.read(text))
+        self.assertEqual(index.matches(event(tenant="a", destination=2, shots=3, age=5_000_000, worth=2)),
+                         [str(n) for n in sorted([0, 2, 3, 5, 6, 7, 9, 10, 12, 13], key=str)])
+        for number in range(14):
+            index.remove(str(number))
+        self.assertEqual((len(index), index.groups, index.each, repr(vars(index.equals))), (0, {}, {}, empty))
+        left = [vars(store) for store in index.stores.values()]
+        self.assertFalse([each for held in left for each in held.values() if each], left)
+
+    def test_at_the_edges_all_three_agree(self) -> None:
+        drawn = [event(shots=n, worth=n / 2, id=text) for n in range(7, 14) for text in ("ab", "abc", "abd", "b")]
+        drawn += [event(worth=9007199254740993), event()]
+        for leaf in [*(f"{name} {sign} {value}" for sign in terms.INVERSE for name, value in [
+                     ("shots", 10), ("worth", 5), ("worth", 9007199254740992)]),
+                     "shots in 9..11", "worth in 4.5..5", 'id like "ab*"', 'id like "ab"', 'id like "ab?"']:
+            for text in (leaf, f"not {leaf}"):
+                made, index = language.read(text), Index()
+                index.add("x", made)
+                expected = [naive.matches(made.term, each) for each in drawn]
+                self.assertEqual([bool(index.matches(each)) for each in drawn], expected, text)
+                self.assertEqual([compiled(made.term)(each) for each in drawn], expected, text)
+
+    def test_a_filter_stands_under_few_keys(self) -> None:
+        many = ", ".join(map(str, range(40)))
+        more, names = ", ".join(map(str, range(65))), ", ".join(f'"t{n}"' for n in range(40))
+        for text in [f"destination in ({more})", f"destination in ({many}) and tenant in ({names})",
+                     f"destination in ({many}) or shots in ({many})", "shots in 0..9223372036854775807",
+                     "shots in 4611686018427387905..4611686018427388404"]:
+            index = Index()
+            index.add("x", language.read(text))
+            keys, tables = index.groups[language.read(text).text].keys, [vars(store) for store in index.stores.values()]
+            self.assertLessEqual(len(keys), MOST_KEYS)
+            self.assertLess(len(repr(tables)), 64 * 400)
+            shots = 4611686018427387950 if ".." in text else 7
+            self.assertEqual(index.matches(event(destination=5, tenant="t5", shots=shots)), ["x"])
+
+    def test_keys_of_two_kinds_are_not_taken_for_one(self) -> None:
+        index = Index()
+        index.add("x", language.read("shots in 1..5 or shots >= 5"))
+        self.assertEqual(index.matches(event(shots=9)), ["x"])
+
+    def test_sets_of_fields_that_are_looked_up_stay_few(self) -> None:
+        index = Index()
+        names = [name for name in FIELDS if FIELDS[name] is Type.TEXT and name not in WORDS]
+        pairs = [(a, b) for a in names for b in names if a < b]
+        for a, b in pairs:
+            index.add(a + b, language.read(f'{a} = "x" and {b} = "y"'))
+        self.assertGreater(len(pairs), 20)
+        for number, (a, b) in enumerate(pairs):
+            index.add(f"{number}", language.read(f'{a} = "x" and {b} = "y" and destination = 1'))
+        self.assertEqual(len(index.equals.sets), MOST_SETS)
+        self.assertEqual(index.matches(event(id="x", tenant="y")), ["idtenant"])
+        self.assertEqual(index.matches(event(tenant="y", id="x", destination=1)), sorted(
+            ["idtenant", str(pairs.index(("id", "tenant")))]))
--- /dev/null
+++ b/tests/test_fleet_explore.py
@@ -0,0 +1,282 @@
+"""No history of three members breaks a claim, to a stated depth; without any one guard some history does."""
+
+import random
+import unittest
+from collections.abc import Collection, Iterable
+from typing import NamedTuple
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from cedarwick.fleet.adoption import Adoption, Do, Stage
+from cedarwick.fleet.leases import Grantor, Holder, Tenure, majority_of
+from cedarwick.fleet.members import Standing
+from cedarwick.fleet.messages import Ask, Grant, Table, Told
+from tests.explore import BOOK, RIGHT, Found, Model, explore, named
+
+
+class Part(NamedTuple):
+    """Where histories begin, who may act and how, faults for each, actions, and the distinct states there are."""
+
+    begin: str
+    actions: str
+    crashes: int
+    lates: int
+    depth: int
+    states: int
+
+
+PARTS = {
+    "first": Part("blank", "H A B crash name", 1, 1, 3, 1907),
+    "late answers": Part("late", "A name", 0, 0, 8, 931),
+    "crash": Part("running", "A B crash", 1, 0, 7, 5907),
+    "forgot": Part("running", "H A B wipe", 1, 0, 5, 5264),
+    "closing": Part("running", "H A B close", 0, 0, 5, 4424),
+    "heirs": Part("running", "A B name", 0, 0, 6, 579),
+    "woken": Part("woken", "H crash", 1, 0, 7, 1158),
+    "two heirs": Part("granted", "A B", 0, 0, 6, 1932),
+    "dead adopter": Part("granted", "A B crash", 1, 0, 5, 2865),
+}
+
+
+class AnyTerm(Grantor):
+    def _term_fits(self, known: Grant, ask: Ask) -> bool:
+        return True
+
+
+class NoPromise(Grantor):
+    def _promise_over(self, now: int, known: Grant, ask: Ask) -> bool:
+        return True
+
+
+class AnyHeir(Grantor):
+    def _is_heir(self, known: Grant, ask: Ask) -> bool:
+        return True
+
+
+class Reopening(Grantor):
+    def _open(self, known: Grant, ask: Ask) -> bool:
+        return True
+
+
+class NoSilence(Grantor):
+    def _promised_at_boot(self) -> int:
+        return self.boot
+
+
+class NoLearning(Grantor):
+    def __init__(self, me: str, names: Collection[str], boot: int, grants: Iterable[Grant] | None) -> None:
+        super().__init__(me, names, boot, grants or ())
+
+
+class NoMargin(Holder):
+    def _usable(self) -> int:
+        return self.span
+
+
+class FromAnswer(Holder):
+    def _counted_from(self, sent_at: int, now: int) -> int:
+        return now
+
+
+class FiresUnnamed(Holder):
+    def _own(self, number: int) -> bool:
+        return True
+
+
+MUTANTS: dict[type[Grantor] | type[Holder], tuple[str, str]] = {
+    AnyTerm: ("woken", "no heir"),
+    NoPromise: ("late answers", "at once"),
+    AnyHeir: ("heirs", "no heir"),
+    Reopening: ("closing", "closed"),
+    NoSilence: ("crash", "at once"),
+    NoLearning: ("forgot", "no heir"),
+    NoMargin: ("late answers", "at once"),
+    FromAnswer: ("late answers", "at once"),
+    FiresUnnamed: ("two heirs", "no heir"),
+}
+
+
+def explored(part: Part, grantor: type[Grantor] = Grantor, holder: type[Holder] = Holder) -> Found:
+    model = Model(grantor, holder, part.actions, part.crashes, part.lates)
+    return explore(model, getattr(model, part.begin)(), part.depth)
+
+
+class EveryHistory(unittest.TestCase):
+    def test_no_history_of_three_members_breaks_a_claim(self) -> None:
+        for name, part in PARTS.items():
+            with self.subTest(name):
+                self.assertEqual(explored(part), (part.states, "", []))
+
+    def test_a_missing_guard_breaks_a_claim(self) -> None:
+        for mutant, (name, broken) in MUTANTS.items():
+            with self.subTest(mutant.__name__):
+                if issubclass(mutant, Grantor):
+                    found = explored(PARTS[name], grantor=mutant)
+                else:
+                    found = explored(PARTS[name], holder=mutant)
+                self.assertIn(broken, found.broken)
+
+
+MEMBERS = ("a", "b", "c", "d", "e")
+STEP = 100_000  # microseconds
+
+
+class Sender:
+    """One member as its node would run it: what is in its folder, and what a restart forgets."""
+
+    def __init__(self, name: str, pace: int) -> None:
+        self.name = name
+        self.pace = pace  # microseconds of its clock for each 1,000 true ones
+        self.rows: tuple[Grant, ...] | None = ()
+        self.whole = name == "a"
+        self.term = 0 if name == "a" else -1  # the newest that it held; -1: it is a copy
+        self.up = True
+        self.runs = True
+        self.boot(0)
+
+    def boot(self, now: int) -> None:
+        self.grantor = Grantor(self.name, MEMBERS, now, self.rows)
+        held = self.term >= 0
+        self.adoption = Adoption(BOOK, self.name, MEMBERS, max(0, self.term), resume=held)
+
+
+class Histories(RuleBasedStateMachine):
+    """Five members, their clocks up to 5% apart, and messages that are lost, late, doubled, in any order."""
+
+    @initialize(seed=st.integers(0, 1 << 32))
+    def begin(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now = 0  # true time
+        self.faulty = True
+        self.forgot = False
+        self.senders = {name: Sender(name, self.random.choice((950, 975, 1000))) for name in MEMBERS}
+        self.late: list[tuple[int, str, str, int, object]] = []  # when, to, from, sent at, body
+        self.fired, self.legit = ("", 0), frozenset(MEMBERS[:1])
+
+    @rule(steps=st.integers(1, 30))
+    def goes_on(self, steps: int) -> None:
+        for _ in range(steps):
+            self.now += STEP
+            due = [one for one in self.late if one[0] <= self.now and self.senders[one[1]].runs]
+            self.late = [one for one in self.late if one not in due]
+            for one in self.random.sample(due, len(due)):
+                self.arrive(*one[1:])
+            for sender in self.random.sample(list(self.senders.values()), len(self.senders)):
+                if sender.up and sender.runs:
+                    self.turn(sender)
+            self.judge()
+
+    @rule(name=st.sampled_from(MEMBERS), how=st.sampled_from(("crash", "stop", "crash", "stop", "forget")))
+    def fails(self, name: str, how: str) -> None:
+        sender = self.senders[name]
+        if how == "stop":
+            sender.runs = not sender.runs
+        elif sender.up:
+            sender.up = False
+            self.late = [one for one in self.late if one[1] != name]
+            if how == "forget" and not self.forgot:
+                self.forgot, sender.rows, sender.whole, sender.term = True, None, False, -1
+        else:
+            self.restart(sender)
+
+    def restart(self, sender: Sender) -> None:
+        sender.up = sender.runs = True
+        sender.boot(self.clock(sender))
+
+    def clock(self, sender: Sender) -> int:
+        return self.now * sender.pace // 1000
+
+    def standing(self, name: str) -> Standing:
+        return Standing.ALIVE if self.senders[name].up and self.senders[name].runs else Standing.DEAD
+
+    def send(self, to: str, sender: Sender, sent: int, body: object) -> None:
+        if not self.faulty or to == sender.name:
+            return self.arrive(to, sender.name, sent, body)
+        for _ in range(self.random.choice((0, 1, 1, 1, 2))):
+            wait = self.random.choice((0, 0, 20_000, 200_000, 1_500_000, 4_000_000))
+            self.late.append((self.now + wait, to, sender.name, sent, body))
+
+    def arrive(self, to: str, by: str, sent: int, body: object) -> None:
+        sender, now = self.senders[to], self.clock(self.senders[to])
+        if not (sender.up and sender.runs):
+            return
+        if isinstance(body, Ask):
+            told = sender.grantor.ask(now, body)
+            if sender.grantor.dirty:
+                sender.rows, sender.grantor.dirty = sender.grantor.table().grants, False
+            self.send(by, sender, sent, told)
+        elif isinstance(body, Told):
+            sender.adoption.holder.answered(now, sent, by, body)
+        elif isinstance(body, Table):
+            sender.grantor.learned(sent, by, body)
+            if sender.grantor.dirty:
+                sender.rows, sender.grantor.dirty = sender.grantor.table().grants, False
+        else:
+            self.send(by, sender, sent, sender.grantor.table())
+
+    def turn(self, sender: Sender) -> None:
+        now, grantor, adoption = self.clock(sender), sender.grantor, sender.adoption
+        for other in grantor.wants(now):
+            self.send(other, sender, now, "tables")
+        step = adoption.step(now, grantor.grant(RIGHT), grantor.promised(RIGHT), self.standing, sender.whole, 1)
+        if step.do is Do.IMPORT or (adoption.stage is Stage.HOLDING and self.random.random() < 0.02):
+            others = [one for one in self.senders.values() if one.up and one is not sender]
+            heirs = self.random.sample(others, min(2, len(others)))
+            adoption.imported(now, [one.name for one in heirs])
+            for one in heirs:
+                one.whole = True
+        elif step.do is Do.OFFER and self.senders[step.to].adoption.stage is Stage.HOLDING:
+            adoption.offered()
+        elif step.do is Do.DROP:
+            sender.adoption, sender.whole, sender.term = Adoption(BOOK, sender.name, MEMBERS), False, -1
+        if adoption.holder.state is Tenure.HELD:
+            sender.term = adoption.holder.term
+        ask = sender.adoption.holder.asks(now)
+        if ask is not None:
+            for to in (sender.name, *(name for name in MEMBERS if name != sender.name)):
+                self.send(to, sender, now, ask)
+
+    def judge(self) -> None:
+        holders = {name: one.adoption.holder for name, one in self.senders.items() if one.up}
+        firing = [name for name, holder in holders.items() if holder.may_fire(self.clock(self.senders[name]))]
+        assert len(firing) <= 1, f"{firing} may fire at once"
+        for name in firing:
+            if (name, holders[name].term) != self.fired:
+                assert not self.fired[1] or name in self.legit, f"{name} adopts from {self.fired} and is no heir"
+                assert holders[name].term > self.fired[1], f"{name} fires in an older term"
+                self.fired = (name, holders[name].term)
+        last = holders.get(self.fired[0])
+        if last is not None and last.term == self.fired[1]:
+            self.legit = named(last)
+        for name, holder in holders.items():  # one that may follow and has not fired yet may give all to more
+            if holder.state is Tenure.HELD and holder.term > self.fired[1] and name in self.legit:
+                self.legit |= named(holder)
+
+    def teardown(self) -> None:
+        """Once all faults stop, an heir or the owner holds it again."""
+        if not hasattr(self, "random"):
+            return
+        self.faulty, self.late = False, []
+        for sender in self.senders.values():
+            sender.runs = True
+            if not sender.up:
+                self.restart(sender)
+        heirs = [name for name in self.legit if self.senders[name].whole]
+        for _ in range(10):
+            self.goes_on(24)
+            if any(one.adoption.holder.may_fire(self.clock(one)) for one in self.senders.values()):
+                return
+        assert not heirs, f"nobody holds the book, though {heirs} could"
+
+
+class ManyHistories(unittest.TestCase):
+    def test_drawn_histories_of_five_members_keep_the_claims(self) -> None:
+        self.assertEqual(majority_of(len(MEMBERS)), 3)
+        Histories.TestCase.settings = settings(
+            max_examples=60, stateful_step_count=25, derandomize=True, deadline=None, database=None
+        )
+        result = Histories.TestCase("runTest").run()
+        assert result is not None
+        self.assertEqual([*result.failures, *result.errors], [])
