--- /dev/null
+++ b/cedarwick/fleet/decrees.py
@@ -0,0 +1,266 @@
+"""Decrees: one value for each move of a session, decided once by a majority; no I/O, no clock.
+
+Single-decree Paxos (Lamport 1998, 2001), an instance a move. A move's name is `stamp/giver/taker`; a giver's stamps
+only grow, over restarts too (they begin at its incarnation). A ballot is `(round, mark)`: round 1 belongs to the taker
+of the move alone, for the value 'taker', and needs no first phase; everybody else, and the taker after a while, starts
+at round 2 with both phases. A mark is the text of one proposer of one boot: no ballot is ever used for two values.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from typing import Literal, NamedTuple
+
+Value = Literal["taker", "off"]
+Ballot = tuple[int, str]
+NO_BALLOT: Ballot = (0, "")
+KEPT = 3_600_000_000  # a decided row is kept for so long, in microseconds
+OLD = 60_000_000  # an undecided row of this age wants somebody to settle it
+MOST = 100_000  # rows
+PATIENCE = 100_000  # until a proposer asks once more those who have not answered
+ROUND = 400_000  # until it goes on to a higher round
+
+
+def name_move(stamp: int, giver: str, taker: str) -> str:
+    """The name of a move. ValueError if a member's name has a slash or the stamp isn't positive."""
+    if "/" in giver or "/" in taker or not giver or not taker or stamp <= 0:
+        raise ValueError(f"no name of a move: {stamp}/{giver}/{taker}")
+    return f"{stamp}/{giver}/{taker}"
+
+
+def parts(move: str) -> tuple[int, str, str]:
+    """Stamp, giver and taker of a move's name; ValueError if it isn't one."""
+    found = move.split("/")
+    if len(found) != 3 or not found[0].isdecimal() or not all(found):
+        raise ValueError(f"not the name of a move: {move!r}")
+    return int(found[0]), found[1], found[2]
+
+
+@dataclass(slots=True)
+class Row:
+    """What an acceptor has promised and accepted for one move; written before any answer that tells of it."""
+
+    move: str
+    promised: Ballot = NO_BALLOT
+    accepted: Ballot = NO_BALLOT
+    value: Value | None = None  # accepted, or decided
+    decided: bool = False
+    at: int = 0  # last changed, in the time of this boot
+
+
+class Table(NamedTuple):
+    """All that an acceptor must have on the disk."""
+
+    rows: list[Row]
+    floors: dict[str, int]  # by giver: of moves with a lower stamp and no row here this acceptor knows nothing
+
+
+class Answer(NamedTuple):
+    """An acceptor's answer to `prepare` and `accept`."""
+
+    granted: bool
+    promised: Ballot  # the highest: a proposer that was refused goes above it
+    accepted: Ballot
+    value: Value | None
+    decided: bool  # then `value` is what was decided, whatever was asked
+    write: Row | None = None  # to be on the disk before the answer leaves; not a part of what is sent
+
+
+ABSTAINS = Answer(False, NO_BALLOT, NO_BALLOT, None, False)
+
+
+class Acceptor:
+    """One member's votes. Every call answers at once; where `Answer.write` is set the row is written first.
+
+    Args:
+        lost: there is no table, though this member may have voted before. Then it abstains from a giver's moves until
+            `learned` was called with the giver's next stamp, and for ever from that giver's earlier moves.
+        table: what was loaded, where there was one.
+    """
+
+    def __init__(self, now: int, lost: bool = False, table: Table | None = None) -> None:
+        self.rows: dict[str, Row] = {}
+        self.floors: dict[str, int] = {}
+        self.lost = lost
+        if table is not None:
+            self.load(table, now)
+
+    def table(self) -> Table:
+        """What must be on the disk, whole."""
+        floors = dict(self.floors)
+        if self.lost:
+            floors[""] = 1
+        return Table(list(self.rows.values()), floors)
+
+    def load(self, table: Table, now: int) -> None:
+        """Take up a table after a restart. Ages begin anew: the clock of an earlier boot means nothing."""
+        self.rows = {row.move: replace(row, at=now) for row in table.rows}
+        self.floors = dict(table.floors)
+        self.lost = self.floors.pop("", 0) > 0
+
+    def learned(self, giver: str, next_stamp: int) -> None:
+        """A giver has told the stamp that its next move will have; `table` must be written before the next vote."""
+        if next_stamp > self.floors.get(giver, 0):
+            self.floors[giver] = next_stamp
+
+    def prepare(self, move: str, ballot: Ballot, now: int) -> Answer:
+        """The first phase: promise to accept nothing below `ballot`."""
+        row = self._row(move, ballot)
+        if row is None:
+            return ABSTAINS
+        # Danger: a ballot that was promised already may come twice; to the same question the same answer.
+        if row.decided or ballot < row.promised or ballot[0] < 2:
+            return self._answer(row, False)
+        return self._answer(row, True, self._changed(row, now, promised=ballot))
+
+    def accept(self, move: str, ballot: Ballot, value: Value, now: int) -> Answer:
+        """The second phase: accept `value` unless something higher was promised."""
+        row = self._row(move, ballot)
+        if row is None:
+            return ABSTAINS
+        # Danger: round 1 has no first phase; a value of anybody else's in it could be a second one.
+        ours = ballot[0] >= 2 or (ballot == (1, parts(move)[2]) and value == "taker")
+        if row.decided or ballot < row.promised or not ours:
+            return self._answer(row, False)
+        return self._answer(row, True, self._changed(row, now, promised=ballot, accepted=ballot, value=value))
+
+    def may_open(self, move: str) -> bool:
+        """Whether this is the first that is heard of a move, and its votes can be trusted to be the first."""
+        stamp, giver, _ = parts(move)
+        # Danger: who has forgotten a promise or a vote must not vote again on the same move.
+        known = stamp >= self.floors[giver] if giver in self.floors else not self.lost
+        return known and move not in self.rows and len(self.rows) < MOST
+
+    def settled(self, move: str, value: Value, now: int) -> Row | None:
+        """Somebody has told what was decided; the row to be written, if that is news."""
+        row = self.rows.get(move)
+        if row is None or row.decided:
+            return None
+        row.value, row.decided, row.at = value, True, now
+        return row
+
+    def prune(self, now: int) -> bool:
+        """Forget decided rows that are old; True: `table` must be written whole before the next vote."""
+        old = [row.move for row in self.rows.values() if row.decided and row.at <= now - KEPT]
+        for move in old:
+            stamp, giver, _ = parts(move)
+            # Danger: a late message would find an empty row, and a decided move could be decided once more.
+            self.floors[giver] = max(self.floors.get(giver, 0), stamp + 1)
+            del self.rows[move]
+        return bool(old)
+
+    def stale(self, now: int) -> list[str]:
+        """Moves that have been undecided for so long that whoever sees them should settle them."""
+        return [row.move for row in self.rows.values() if not row.decided and row.at <= now - OLD]
+
+    def _row(self, move: str, ballot: Ballot) -> Row | None:
+        """The row of a move, a new one where it may be opened; None: this acceptor abstains."""
+        if move not in self.rows and (ballot[0] < 1 or not self.may_open(move)):
+            return None
+        return self.rows.get(move) or Row(move)
+
+    def _changed(self, row: Row, now: int, promised: Ballot, accepted: Ballot | None = None,
+                 value: Value | None = None) -> Row | None:
+        if promised == row.promised and accepted in (None, row.accepted):
+            return None
+        row.promised, row.at = promised, now
+        if accepted is not None:
+            row.accepted, row.value = accepted, value
+        self.rows[row.move] = row
+        return row
+
+    @staticmethod
+    def _answer(row: Row, granted: bool, write: Row | None = None) -> Answer:
+        return Answer(granted, row.promised, row.accepted, row.value, row.decided, write)
+
+
+class Ask(NamedTuple):
+    """A question to one acceptor: `prepare` where `value` is None, else `accept`."""
+
+    to: str
+    move: str
+    ballot: Ballot
+    value: Value | None
+
+
+@dataclass(slots=True)
+class Proposer:
+    """Gets one move decided. One object a move and boot.
+
+    `wait` is called with the number of failed rounds and returns microseconds until the next one (full jitter,
+    so that two proposers do not overtake one another for ever).
+    """
+
+    move: str
+    mark: str  # this member and boot, for instance `name#incarnation`
+    voters: tuple[str, ...]
+    wait: Callable[[int], int]
+    ballot: Ballot = NO_BALLOT
+    value: Value | None = None  # asked for in the second phase; None: in the first, or resting
+    decided: Value | None = None
+    answers: dict[str, Answer] = field(default_factory=dict)
+    highest: int = 1  # the highest round heard of
+    failed: int = 0  # rounds
+    resting: bool = False
+    next_at: int = 0  # ask again, or start the next round
+    ends_at: int = 0  # the round is given up
+
+    def as_taker(self, now: int) -> list[Ask]:
+        """Ballot 1, the taker's own: no first phase, 'taker'. Asked again after a restart it is the same vote."""
+        return self._begin((1, parts(self.move)[2]), "taker", now)
+
+    def settle(self, now: int) -> list[Ask]:
+        """Both phases in a round above all that was heard of; proposes 'off' unless a value was accepted."""
+        return self._begin((self.highest + 1, self.mark), None, now)
+
+    def answered(self, voter: str, ballot: Ballot, value: Value | None, answer: Answer, now: int) -> list[Ask]:
+        """An answer to the question `ballot` and `value`, which may be an old one or come twice."""
+        if self.decided is not None or voter not in self.voters:
+            return []
+        if answer.decided:
+            self.decided = answer.value
+            return []
+        self.highest = max(self.highest, answer.promised[0])
+        if self.resting or ballot != self.ballot or value != self.value:
+            return []
+        if not answer.granted:
+            if answer.promised > self.ballot:
+                self._rest(now)
+            return []  # else it abstains, and is asked again
+        self.answers[voter] = answer
+        granted = list(self.answers.values())
+        if len(granted) > len(self.voters) // 2:
+            if self.value is not None:
+                self.decided = self.value
+                return []
+            # A value that any of them has accepted may have been decided already: it must be taken over.
+            last = max(granted, key=lambda each: each.accepted)
+            self.value = last.value if last.value is not None else "off"
+            self.answers = {}
+            return self._asks(self.voters, now)
+        return []
+
+    def due(self, now: int) -> list[Ask]:
+        """Called when `next_at` has come: ask those who are silent again, or go on to the next round."""
+        if self.decided is not None or self.ballot == NO_BALLOT or now < self.next_at:
+            return []
+        if self.resting:
+            return self.settle(now)
+        if now >= self.ends_at:
+            self._rest(now)
+            return []
+        return self._asks([voter for voter in self.voters if voter not in self.answers], now)
+
+    def _begin(self, ballot: Ballot, value: Value | None, now: int) -> list[Ask]:
+        self.ballot, self.value, self.answers, self.resting = ballot, value, {}, False
+        self.highest = max(self.highest, ballot[0])
+        self.ends_at = now + ROUND
+        return self._asks(self.voters, now)
+
+    def _asks(self, voters: Iterable[str], now: int) -> list[Ask]:
+        self.next_at = now + PATIENCE
+        return [Ask(voter, self.move, self.ballot, self.value) for voter in voters]
+
+    def _rest(self, now: int) -> None:
+        self.failed += 1
+        self.resting = True
+        self.next_at = now + self.wait(self.failed)
--- /dev/null
+++ b/cedarwick/fleet/moves.py
@@ -0,0 +1,495 @@
+"""Moves: a session goes from one sender, the giver, to another, the taker; no I/O, no clock.
+
+At the giver: held, freezing, offered, forwarding, closed. At the taker: staged, granted, active, or dropped. From the
+first mark to the decree the session's envelopes are inert on both sides. The steps, and what is on the disk before:
+
+1. The giver freezes: no new shot; what is out is awaited for `FREEZE`, then goes along as may-have-run. It marks
+   the facts (own folder and every heir of its book: an heir without the mark would fire), and sends `Stage`.
+2. The taker keeps them, marked, under its own numbers (own folder and every heir), answers `Staged`, and asks for the
+   decree with ballot 1.
+3. Decided for the taker: it goes active and tells all; the giver forwards, and its facts are over without a notice once
+   the taker has said that it is active. Decided 'off': the giver's live again, the taker's are dropped.
+
+Whoever holds marked facts without knowing the decree (giver or taker after a while or a restart, the adopter of
+either book) settles it; a decree is on a majority's disks, so what it lets happen needs no record of its own.
+The sequence of a session grows by one at each move begun, called off or taken, so that a cleared mark wins any join.
+"""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Literal, NamedTuple
+
+from cedarwick.fleet.decrees import Acceptor, Answer, Ask, Proposer, Value, parts
+from cedarwick.fleet.placement import weight
+
+FREEZE = 100_000  # what is out is awaited for so long
+CALL_OFF = 500_000  # after the freeze began: the giver settles what is undecided
+AGAIN = 100_000  # a question without an answer is asked again, then at doubled spans up to
+AGAIN_MOST = 2_000_000
+FORWARDS = 60_000_000  # the old sender passes on what comes on the live connection for so long
+KEPT = 60_000_000  # a finished move is remembered for so long
+WAITS = 250_000  # a client's request on a frozen session waits for so long, then it is answered -BUSY
+MOST_OUT = 20  # moves at once at a giver
+MOST_IN = 20  # staged at once at a taker
+
+
+class Giving(Enum):
+    FREEZING = "freezing"
+    OFFERED = "offered"
+    FORWARDING = "forwarding"
+    CLOSED = "closed"
+    HELD = "held"  # called off
+
+
+class Taking(Enum):
+    STAGED = "staged"
+    GRANTED = "granted"
+    ACTIVE = "active"
+    DROPPED = "dropped"
+
+
+class Do(Enum):
+    """What the caller is to do; all of it may be done twice."""
+
+    FREEZE = "freeze"  # no new shot of the key; call `idle` once nothing of it is out
+    MARK = "mark"  # unsettled shots become may-have-run; mark in own folder and at every heir; then `marked`
+    STAGE = "stage"  # send the facts and ids to `to`
+    WRITE = "write"  # keep what was staged, marked, in own folder and at every heir; then `written`
+    STAGED = "staged"  # answer the giver
+    REFUSE = "refuse"  # answer the giver that it is not taken
+    ASK = "ask"  # put `ask` to an acceptor (its own too), give the answer to `answered`
+    TELL = "tell"  # send `Settled(move, value, active)` to whoever holds the book of `to`; empty: to all members
+    ACTIVATE = "activate"  # clear the taker's marks, resume the envelopes; then `activated`
+    DROP = "drop"  # the taker's are over without a notice
+    RELEASE = "release"  # clear the giver's marks, thaw the key
+    OVER = "over"  # the giver's are over without a notice
+    FORWARD = "forward"  # pass on what comes on the live connection to `to`
+    CLOSE = "close"  # no longer
+
+
+class Act(NamedTuple):
+    do: Do
+    move: str
+    to: str = ""
+    ask: Ask | None = None
+    value: Value | None = None
+    active: bool = False
+
+
+@dataclass(slots=True)
+class Move:
+    """What one member knows of one move; it may have either side, by adoption both."""
+
+    name: str
+    key: int
+    giving: Giving | None = None
+    taking: Taking | None = None
+    marking: bool = False  # the marks are being written
+    written: bool = False  # what was staged is kept
+    heard: bool = False  # the taker has answered `Staged`
+    confirmed: bool = False  # the taker is active
+    value: Value | None = None  # the decree, once known
+    proposer: Proposer | None = None
+    began: int = 0
+    settled_at: int = 0
+    next_at: int = 0  # ask again
+    asked: int = 0  # times
+
+
+class Moves:
+    """All moves that this member has a side of.
+
+    Args:
+        name: this member.
+        mark: a text of this boot alone, as `name#incarnation`.
+        voters: all members, itself among them.
+        acceptor: its own.
+        wait: as in `Proposer`.
+    """
+
+    def __init__(self, name: str, mark: str, voters: tuple[str, ...], acceptor: Acceptor,
+                 wait: Callable[[int], int]) -> None:
+        self.name = name
+        self.mark = mark
+        self.voters = voters
+        self.acceptor = acceptor
+        self.wait = wait
+        self.moves: dict[str, Move] = {}
+        self.by_key: dict[int, str] = {}  # the newest move of a session
+        self.proposers = 0
+
+    # ---- the giver ----
+
+    def begin(self, name: str, key: int, now: int) -> list[Act]:
+        """Start to give a session away; nothing where it is on the move or too many are."""
+        open_one = self.moves.get(self.by_key.get(key, ""))
+        giving = sum(1 for move in self.moves.values() if move.giving in (Giving.FREEZING, Giving.OFFERED))
+        if (open_one is not None and not self._finished(open_one)) or giving >= MOST_OUT or name in self.moves:
+            return []
+        self.moves[name] = Move(name, key, Giving.FREEZING, began=now)
+        self.by_key[key] = name
+        return [Act(Do.FREEZE, name)]
+
+    def idle(self, name: str, now: int) -> list[Act]:
+        """Nothing of the session is out any more, or has been awaited for long enough."""
+        move = self.moves.get(name)
+        if move is None or move.giving is not Giving.FREEZING or move.marking:
+            return []
+        move.marking = True
+        return [Act(Do.MARK, name)]
+
+    def marked(self, name: str, now: int) -> list[Act]:
+        """Own folder and every heir of the book have the marks."""
+        move = self.moves.get(name)
+        if move is None or move.giving is not Giving.FREEZING:
+            return []
+        move.giving = Giving.OFFERED
+        move.next_at = now + AGAIN
+        return [Act(Do.STAGE, name, parts(name)[2])]
+
+    def staged(self, name: str, now: int) -> list[Act]:
+        """The taker has kept it. It asks for the decree itself; the giver only stops to send."""
+        move = self.moves.get(name)
+        if move is not None:
+            move.heard = True
+        return []
+
+    def call_off(self, name: str, now: int) -> list[Act]:
+        """The giver wants it back: its time is over, the taker has refused, or staff say so."""
+        move = self.moves.get(name)
+        if move is None or move.giving not in (Giving.FREEZING, Giving.OFFERED):
+            return []
+        if move.giving is Giving.FREEZING:  # no taker has ever heard of it
+            return self._decided(move, "off", now)
+        # Danger: a `Stage` that was refused or got no answer may have come twice, and been kept the other time.
+        return self._settle(move, now)
+
+    def client_gone(self, key: int, now: int) -> list[Act]:
+        """The live connection has ended."""
+        move = self.moves.get(self.by_key.get(key, ""))
+        return self._close(move, now) if move is not None and move.giving is Giving.FORWARDING else []
+
+    # ---- the taker ----
+
+    def stage(self, name: str, key: int, room: bool, now: int) -> list[Act]:
+        """A giver offers a session. `room`: whether the folder and the load allow for it."""
+        move = self.moves.get(name)
+        if move is not None and move.taking is not None:
+            return [Act(Do.STAGED, name, parts(name)[1])] if move.written else []
+        staged = sum(1 for each in self.moves.values() if each.taking is Taking.STAGED)
+        # Danger: a `Stage` that comes late or twice would be taken again after its envelopes have gone out or been
+        # dropped. The own acceptor votes as soon as it is kept: a move that it knows was staged, or is being settled.
+        if not room or staged >= MOST_IN or parts(name)[2] != self.name or not self.acceptor.may_open(name):
+            return [Act(Do.REFUSE, name, parts(name)[1])]
+        self._open(name, key, now).taking = Taking.STAGED
+        return [Act(Do.WRITE, name)]
+
+    def written(self, name: str, now: int) -> list[Act]:
+        """What was staged is in the own folder and at every heir of the own book."""
+        move = self.moves.get(name)
+        if move is None or move.taking is not Taking.STAGED or move.written:
+            return []
+        move.written = True
+        asks = self._proposer(move).as_taker(now) if move.proposer is None else []
+        return [Act(Do.STAGED, name, parts(name)[1]), *self._asks(asks)]
+
+    def activated(self, name: str, now: int) -> list[Act]:
+        """The envelopes are live here."""
+        move = self.moves.get(name)
+        if move is None or move.taking is not Taking.GRANTED:
+            return []
+        move.taking = Taking.ACTIVE
+        told = Act(Do.TELL, name, value="taker", active=True)
+        return [told, *self._confirmed(move, now)]
+
+    # ---- the decree ----
+
+    def answered(self, ask: Ask, answer: Answer, now: int) -> list[Act]:
+        """An acceptor's answer."""
+        move = self.moves.get(ask.move)
+        if move is None or move.proposer is None or move.value is not None:
+            return []
+        asks = move.proposer.answered(ask.to, ask.ballot, ask.value, answer, now)
+        if move.proposer.decided is None:
+            return self._asks(asks)
+        value = move.proposer.decided
+        return [Act(Do.TELL, ask.move, value=value), *self._decided(move, value, now)]
+
+    def settled(self, name: str, value: Value, active: bool, now: int) -> list[Act]:
+        """Somebody tells the decree; `active`: and that the taker's side is live. Also the answer to a `TELL`."""
+        move = self.moves.get(name)
+        if move is None:
+            return []
+        acts = self._decided(move, value, now)
+        if active and value == "taker":
+            acts += self._confirmed(move, now)
+        return acts
+
+    def said(self, name: str) -> tuple[Value | None, bool]:
+        """What to answer to somebody's `Settled`: the decree as far as known, and whether it is active here."""
+        move = self.moves.get(name)
+        return (None, False) if move is None else (move.value, move.taking is Taking.ACTIVE)
+
+    # ---- restarts and books that change hands ----
+
+    def found(self, name: str, key: int, giving: bool, now: int) -> list[Act]:
+        """Marked facts lie in a book that this member holds: after its restart, or adopted.
+
+        For the taker's side only once every heir of that book has them (again): it may ask for the decree at once.
+        """
+        move = self._open(name, key, now)
+        if giving and move.giving is None:
+            move.giving = Giving.OFFERED
+        elif not giving and move.taking is None:
+            move.taking, move.written = Taking.STAGED, True
+        else:
+            return []
+        if move.value is not None:
+            value, move.value = move.value, None
+            acts = self._decided(move, value, now)
+            return acts + (self._confirmed(move, now) if move.taking is Taking.ACTIVE else [])
+        if not giving and parts(name)[2] == self.name and move.proposer is None:
+            return self._asks(self._proposer(move).as_taker(now))
+        return self._settle(move, now)
+
+    def lost(self, name: str, giving: bool) -> None:
+        """The book with this side has another holder now; nothing of it is done here any more."""
+        move = self.moves.get(name)
+        if move is None:
+            return
+        if giving:
+            move.giving = None
+        else:
+            move.taking = None
+        if move.giving is None and move.taking is None:
+            del self.moves[name]
+            if self.by_key.get(move.key) == name:
+                del self.by_key[move.key]
+
+    # ---- for the desk ----
+
+    def standing(self, key: int) -> tuple[Literal["here", "wait", "pass"], str]:
+        """What to do with a request for a session that this member holds or is to hold; whom to pass it to."""
+        move = self.moves.get(self.by_key.get(key, ""))
+        if move is None:
+            return "here", ""
+        if move.giving is Giving.FORWARDING:
+            return "pass", parts(move.name)[2]
+        frozen = move.giving in (Giving.FREEZING, Giving.OFFERED) or move.taking in (Taking.STAGED, Taking.GRANTED)
+        return ("wait" if frozen else "here"), ""
+
+    def near_limit(self, name: str) -> Literal["failed", "over"] | None:
+        """What becomes of a marked envelope within 300 ms of its outer limit.
+
+        'failed': the holder of the giver's book answers so, it may have run at the taker. 'over': the taker has it, no
+        answer from here. None: the taker's own, undecided; the giver answers.
+        """
+        move = self.moves.get(name)
+        if move is None or move.giving in (None, Giving.CLOSED):
+            return None
+        return "over" if move.value == "taker" else "failed"
+
+    # ---- time ----
+
+    def next_at(self) -> int | None:
+        """When `due` wants to be called."""
+        return min((self._due_at(move) for move in self.moves.values()), default=None)
+
+    def due(self, now: int) -> list[Act]:
+        """What the time asks for."""
+        acts: list[Act] = []
+        for move in [each for each in self.moves.values() if self._due_at(each) <= now]:
+            if self._finished(move):
+                del self.moves[move.name]
+                if self.by_key.get(move.key) == move.name:
+                    del self.by_key[move.key]
+            elif move.giving is Giving.FORWARDING and now >= move.settled_at + FORWARDS:
+                acts += self._close(move, now)
+            elif move.giving is Giving.FORWARDING and not move.confirmed:
+                self._again(move, now)
+                acts.append(Act(Do.TELL, move.name, parts(move.name)[2], value="taker"))
+            elif move.value is not None:
+                self._again(move, now)
+                acts.append(Act(Do.ACTIVATE, move.name))
+            elif move.proposer is not None:
+                acts += self._asks(move.proposer.due(now))
+            elif move.giving is not None and now >= move.began + CALL_OFF:
+                acts += self.call_off(move.name, now)
+            elif move.giving is None:  # it can't be kept here, or not at every heir
+                acts += self._settle(move, now)
+            elif move.giving is Giving.FREEZING:
+                acts += self.idle(move.name, now)
+            elif move.giving is Giving.OFFERED and not move.heard:
+                self._again(move, now)
+                acts.append(Act(Do.STAGE, move.name, parts(move.name)[2]))
+        return acts
+
+    def _due_at(self, move: Move) -> int:
+        if self._finished(move):
+            return move.settled_at + KEPT
+        if move.giving is Giving.FORWARDING:
+            return move.settled_at + FORWARDS if move.confirmed else min(move.next_at, move.settled_at + FORWARDS)
+        if move.value is not None:
+            return move.next_at
+        if move.proposer is not None:
+            return move.proposer.next_at
+        if move.giving is Giving.FREEZING and not move.marking:
+            return move.began + FREEZE
+        if move.giving is Giving.OFFERED and not move.heard:
+            return min(move.next_at, move.began + CALL_OFF)
+        return move.began + CALL_OFF
+
+    # ---- within ----
+
+    def _open(self, name: str, key: int, now: int) -> Move:
+        if name not in self.moves:
+            self.moves[name] = Move(name, key, began=now)
+            self.by_key[key] = name
+        return self.moves[name]
+
+    @staticmethod
+    def _finished(move: Move) -> bool:
+        return move.giving in (None, Giving.CLOSED, Giving.HELD) and move.taking in (
+            None, Taking.ACTIVE, Taking.DROPPED)
+
+    @staticmethod
+    def _again(move: Move, now: int) -> None:
+        move.next_at = now + min(AGAIN << min(move.asked, 10), AGAIN_MOST)
+        move.asked += 1
+
+    @staticmethod
+    def _asks(asks: Iterable[Ask]) -> list[Act]:
+        return [Act(Do.ASK, ask.move, ask.to, ask) for ask in asks]
+
+    def _proposer(self, move: Move) -> Proposer:
+        if move.proposer is None:
+            # Danger: a second proposer of one boot, after the first was lost with its book, must not share a ballot.
+            self.proposers += 1
+            move.proposer = Proposer(move.name, f"{self.mark}.{self.proposers}", self.voters, self.wait)
+        return move.proposer
+
+    def _settle(self, move: Move, now: int) -> list[Act]:
+        return self._asks(self._proposer(move).settle(now)) if move.proposer is None else []
+
+    def _decided(self, move: Move, value: Value, now: int) -> list[Act]:
+        """The decree is known; each side does its part, once."""
+        if move.value is not None:
+            return []
+        move.value, move.settled_at, move.next_at, move.asked = value, now, now + AGAIN, 0
+        acts = []
+        if move.giving in (Giving.FREEZING, Giving.OFFERED):
+            if value == "taker":
+                move.giving = Giving.FORWARDING
+                acts.append(Act(Do.FORWARD, move.name, parts(move.name)[2]))
+                if move.taking is not Taking.ACTIVE:
+                    acts.append(Act(Do.TELL, move.name, parts(move.name)[2], value="taker"))
+            else:
+                move.giving = Giving.HELD
+                acts.append(Act(Do.RELEASE, move.name))
+        if move.taking is Taking.STAGED:
+            move.taking = Taking.GRANTED if value == "taker" else Taking.DROPPED
+            acts.append(Act(Do.ACTIVATE if value == "taker" else Do.DROP, move.name))
+        return acts
+
+    def _confirmed(self, move: Move, now: int) -> list[Act]:
+        """The taker's side is live: what the giver still keeps, inert, is over."""
+        if move.giving is not Giving.FORWARDING or move.confirmed:
+            return []
+        move.confirmed = True
+        return [Act(Do.OVER, move.name)]
+
+    def _close(self, move: Move, now: int) -> list[Act]:
+        over = self._confirmed(move, now)  # decided long ago: the taker's book has them, whoever holds it
+        move.giving = Giving.CLOSED
+        move.settled_at = now
+        return [*over, Act(Do.CLOSE, move.name)]
+
+
+# ---- which sessions move, to whom, and when ----
+
+STAYS = 10_000_000  # a session that has just moved stays for so long, but for staff and a sender that leaves
+AFTER_OFF = 1_000_000  # a session whose move was called off is not offered again for so long
+FULL = 0.8  # of what a sender bears: so much it takes
+
+
+class Why(Enum):
+    """Why a session is to move; the most urgent first."""
+
+    STAFF = "staff say so"
+    LEAVING = "this sender leaves"
+    FAILING = "this hall is drained or failing"
+    CLIENT = "its client has come to another sender"
+
+
+class Wish(NamedTuple):
+    key: int
+    why: Why
+    to: str = ""  # this one only; empty: to whoever is preferred
+
+
+class Neighbour(NamedTuple):
+    """Another sender as this one sees it now."""
+
+    name: str
+    hall: str
+    held: int  # sessions
+    most: int  # sessions that it bears
+    well: bool = True  # not suspected, cut or slow
+    takes: bool = True  # alive, its hall not drained, not leaving
+
+
+def preferred(key: int, hall: str, neighbours: Iterable[Neighbour], more: Mapping[str, int]) -> list[Neighbour]:
+    """Who may take a session, the best first: the same hall, the lower load in tenths, well before not, and last
+    rendezvous hashing (Thaler and Ravishankar 1998), so that every sender finds the same order.
+
+    `more`: sessions by name that are on their way there and not among `held`.
+    """
+    def order(each: Neighbour) -> tuple[bool, int, bool, int]:
+        load = (each.held + more.get(each.name, 0)) * 10 // max(each.most, 1)
+        return each.hall != hall, load, not each.well, -weight(key, each.name)
+
+    return sorted((each for each in neighbours
+                   if each.takes and each.held + more.get(each.name, 0) < FULL * each.most), key=order)
+
+
+class Planner:
+    """Chooses the moves of the sessions that this sender holds."""
+
+    def __init__(self, hall: str) -> None:
+        self.hall = hall
+        self.out: dict[int, str] = {}  # on the move, by key: to whom
+        self.stays: dict[int, int] = {}  # until then
+        self.off: dict[int, int] = {}  # not offered until then
+
+    def arrived(self, key: int, now: int) -> None:
+        """A session has become active here."""
+        self.stays[key] = now + STAYS
+
+    def ended(self, key: int, moved: bool, now: int) -> None:
+        """A move from here is over; not `moved`: it was called off."""
+        self.out.pop(key, None)
+        if not moved:
+            self.off[key] = now + AFTER_OFF
+
+    def plan(self, wishes: Sequence[Wish], neighbours: Sequence[Neighbour], now: int) -> list[tuple[int, str]]:
+        """The moves to begin now, as key and taker; the others are asked for again later. At most `MOST_OUT` are on
+        the move from here at once, and `MOST_IN` to each taker."""
+        self.stays = {key: until for key, until in self.stays.items() if until > now}
+        self.off = {key: until for key, until in self.off.items() if until > now}
+        more: dict[str, int] = {}
+        for to in self.out.values():
+            more[to] = more.get(to, 0) + 1
+        chosen = []
+        for wish in sorted(wishes, key=lambda each: list(Why).index(each.why)):
+            stays = wish.key in self.stays and wish.why not in (Why.STAFF, Why.LEAVING)
+            # Danger: with a client at each of two senders, a session would go to and fro, frozen most of the time.
+            if len(self.out) >= MOST_OUT or wish.key in self.out or wish.key in self.off or stays or not wish.key:
+                continue
+            for each in preferred(wish.key, self.hall, neighbours, more):
+                if wish.to in ("", each.name) and more.get(each.name, 0) < MOST_IN:
+                    self.out[wish.key] = each.name
+                    more[each.name] = more.get(each.name, 0) + 1
+                    chosen.append((wish.key, each.name))
+                    break
+        return chosen
--- /dev/null
+++ b/cedarwick/fleet/sessions.py
@@ -0,0 +1,307 @@
+"""Sessions: who holds which, and which ids were taken of late; no I/O, no clock.
+
+A session has a key (64 bits; 0: none), one holder and a sequence that grows by one with each change of its holder. Who
+holds it alone takes its submissions, and it alone remembers their ids. Everybody else keeps an `Entry`, perhaps old:
+
+- A wrong guess costs one hop: a submission that was passed on is not passed on again. Who gets it and does not hold the
+  session takes nothing, but names the entry it knows, or disowns the session where it should be the holder and is not;
+  who passed it may pass it once to a holder so named, or claim what was disowned; else the client gets -BUSY.
+- Who knows of no holder claims the session: it asks all members, and opens it once a majority, itself counted, has
+  granted that. A grant is an entry, so a second claimer is told of the first: no id can be taken twice while a majority
+  remembers, that is for `FORGOTTEN` after the session's last use. A member that has just started neither grants,
+  claims nor disowns until ids of the time before can't come any more (`REMEMBERED`).
+
+The caller takes nothing for a session while it has no lease on its own book: one that is cut off might not hear that
+its sessions were claimed or adopted. Held sessions must be told in turn (`news`) within `REMEMBERED`.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+import xxhash
+
+REMEMBERED = 15_000_000  # an id is not taken once more for so long after it was handed in
+FORGOTTEN = 120_000_000  # an entry that nobody has used for so long is forgotten
+LAPSES = 60_000_000  # a held session without use is held no more; well before anybody else forgets its holder
+MOST = 100_000  # entries; beyond, the one unused for longest is forgotten
+CLAIM = 100_000  # a claim that has no majority by then has failed
+
+
+def contents(*parts: object) -> int:
+    """A hash of what came with an id, the same in every process (that of Python isn't)."""
+    whole = xxhash.xxh3_64()
+    for part in parts:
+        told = part if isinstance(part, bytes) else str(part).encode()
+        whole.update(len(told).to_bytes(8, "big") + told)
+    return whole.intdigest()
+
+
+class Entry(NamedTuple):
+    """Who holds a session, as far as is known."""
+
+    key: int
+    holder: str
+    sequence: int
+    age: int  # since its last use, when this was told
+
+
+@dataclass(slots=True)
+class Known:
+    holder: str
+    sequence: int
+    used: int
+
+
+@dataclass(slots=True)
+class Session:
+    """One that is held here."""
+
+    sequence: int
+    used: int
+    ids: dict[str, tuple[int, int]] = field(default_factory=dict)  # of late: when, and the hash of what came with it
+
+
+class Ruling(Enum):
+    """What to do with a submission."""
+
+    TAKE = "take"  # and call `took` before anything else is ruled on
+    SAME = "same"  # taken before with the same contents
+    REPEATED = "repeated"  # taken before with others
+    PASS = "pass"  # to the holder
+    CLAIM = "claim"  # nobody is known to hold it; call `claim`
+    ELSEWHERE = "elsewhere"  # it was passed on already, and isn't held here: answer with `elsewhere`
+    BUSY = "busy"  # a claim is under way, or nobody can tell
+
+
+class Claim(NamedTuple):
+    """The answer to a claim, or to a submission that was passed to the wrong member."""
+
+    granted: bool  # the claim, or: disowned, so that it may be claimed
+    entry: Entry | None  # who stands in the way, or is thought to be the holder
+
+
+class Asking(NamedTuple):
+    """A claim as it is put to all other members."""
+
+    key: int
+    sequence: int
+    over: tuple[int, str]  # sequence and holder of the entry that is void; (0, "") for none
+    at: int  # when, by the claimer's clock: tells its claims apart
+
+
+@dataclass(slots=True)
+class Claiming:
+    asking: Asking
+    until: int
+    granted: set[str]
+
+
+class Directory:
+    """What this member knows of all sessions, and those that it holds.
+
+    Args:
+        name: this member.
+        members: how many there are, itself counted.
+        alone: there is no other one, or the fleet starts for the first time: nothing can have been taken before.
+    """
+
+    def __init__(self, name: str, members: int, now: int, alone: bool = False) -> None:
+        self.name = name
+        self.members = members
+        self.grants_at = now if alone else now + REMEMBERED
+        self.entries: dict[int, Known] = {}  # the newest heard of or used last
+        self.sessions: dict[int, Session] = {}
+        self.claims: dict[int, Claiming] = {}
+        self.fresh: dict[int, None] = {}  # changed here and not told yet
+        self.round: list[int] = []  # of the held ones, those that are to be told again
+
+    def where(self, key: int) -> str | None:
+        """The holder of a session as far as is known."""
+        known = self.entries.get(key)
+        return known.holder if known is not None else None
+
+    def entry(self, key: int, now: int) -> Entry | None:
+        """What is known of a session, to be told to another member."""
+        known = self.entries.get(key)
+        return Entry(key, known.holder, known.sequence, max(0, now - known.used)) if known is not None else None
+
+    # ---- submissions ----
+
+    def rule(self, key: int, envelope: str, hashed: int, passed: bool, now: int) -> Ruling:
+        """What to do with a submission of a session (key not 0); `passed`: by another member, not by a client."""
+        session = self.sessions.get(key)
+        # Danger: who has not used a session for long may be the last to believe that it holds it.
+        if session is not None and session.used >= now - LAPSES:
+            known = session.ids.get(envelope)
+            if known is None or known[0] < now - REMEMBERED:
+                return Ruling.TAKE
+            return Ruling.SAME if known[1] == hashed else Ruling.REPEATED
+        # Danger: two members that take one another for the holder would pass it to and fro; and one that took it,
+        # because it is thought to be the holder, would take an id that the real one has taken.
+        if passed:
+            return Ruling.ELSEWHERE
+        if key in self.claims and self.claims[key].until > now:
+            return Ruling.BUSY
+        if key not in self.entries or self.where(key) == self.name:
+            return Ruling.CLAIM
+        return Ruling.PASS
+
+    def took(self, key: int, envelope: str, hashed: int, now: int) -> None:
+        """A submission of a session that is held here was taken."""
+        session = self.sessions[key]
+        while session.ids and next(iter(session.ids.values()))[0] < now - REMEMBERED:
+            del session.ids[next(iter(session.ids))]
+        session.ids.pop(envelope, None)
+        session.ids[envelope] = now, hashed
+        session.used = now
+        self._know(key, self.name, session.sequence, now)
+
+    # ---- opening ----
+
+    def elsewhere(self, key: int, now: int) -> Claim:
+        """The answer to a submission that was passed to this member, which does not hold the session."""
+        # Danger: one that has lost its memory would disown what it took a moment ago, and another take it again.
+        disowned = self.grants_at <= now and self.where(key) in (None, self.name) and key not in self.claims
+        return Claim(disowned, self.entry(key, now))
+
+    def refused(self, key: int, by: str, answer: Claim, now: int) -> Ruling:
+        """A submission that was passed to `by` came back with `elsewhere`: PASS (once, to another one), CLAIM, BUSY."""
+        if answer.entry is not None:
+            self.heard([answer.entry], now)
+        if answer.granted and self.where(key) == by:
+            return Ruling.CLAIM
+        return Ruling.PASS if self.where(key) not in (None, by, self.name) else Ruling.BUSY
+
+    def claim(self, key: int, now: int) -> Asking | None:
+        """Begin to claim a session after `Ruling.CLAIM`; what to ask all other members, or None where it can't be now.
+        Where this member is alone in its fleet it holds the session at once."""
+        self.claims = {each: claim for each, claim in self.claims.items() if claim.until > now}
+        if key in self.claims or self.grants_at > now:
+            return None
+        known = self.entries.get(key)
+        over = (known.sequence, known.holder) if known is not None else (0, "")
+        asking = Asking(key, over[0] + 1, over, now)
+        self.claims[key] = Claiming(asking, now + CLAIM, {self.name})
+        self._enough(key, now)
+        return asking
+
+    def claimed(self, asking: Asking, by: str, now: int) -> Claim:
+        """Another member claims a session."""
+        key = asking.key
+        known = self.entries.get(key)
+        theirs = asking.sequence, by
+        if key in self.sessions and self.sessions[key].used >= now - LAPSES:
+            return Claim(False, self.entry(key, now))
+        if known is not None and now - known.used <= FORGOTTEN:
+            if tuple(asking.over) < (known.sequence, known.holder) != theirs:
+                return Claim(False, self.entry(key, now))
+        own = self.claims.get(key)
+        if own is not None and own.until > now and (own.asking.sequence, self.name) > theirs:
+            return Claim(False, Entry(key, self.name, own.asking.sequence, 0))
+        if self.grants_at > now:
+            return Claim(False, None)
+        self.claims.pop(key, None)  # it gives way
+        self._know(key, by, asking.sequence, now)
+        return Claim(True, None)
+
+    def answered(self, asking: Asking, by: str, answer: Claim, now: int) -> bool:
+        """An answer to the own claim; True: the session is held here from now on."""
+        if answer.entry is not None:
+            self.heard([answer.entry], now)
+        claim = self.claims.get(asking.key)
+        # Danger: the answer to an earlier claim says nothing of who has claimed since.
+        if claim is None or claim.asking != asking or claim.until <= now or not answer.granted:
+            return False
+        claim.granted.add(by)
+        return self._enough(asking.key, now)
+
+    def _enough(self, key: int, now: int) -> bool:
+        claim = self.claims[key]
+        if len(claim.granted) * 2 <= self.members:
+            return False
+        del self.claims[key]
+        self.hold(key, claim.asking.sequence, {}, now)
+        return True
+
+    # ---- sessions that come and go ----
+
+    def hold(self, key: int, sequence: int, ids: dict[str, tuple[int, int]], now: int) -> None:
+        """A session is held here from now on: claimed, active after a move, or adopted.
+
+        Args:
+            sequence: larger than all that its earlier holders had.
+            ids: id -> (age in microseconds, hash of contents), as `ids` gave it at the earlier holder.
+        """
+        self.claims.pop(key, None)
+        taken = {each: (now - age, hashed) for each, (age, hashed) in sorted(ids.items(), key=lambda one: -one[1][0])}
+        self.sessions[key] = Session(sequence, now, taken)
+        self._know(key, self.name, sequence, now)
+        self.fresh[key] = None
+
+    def ids(self, key: int, now: int) -> dict[str, tuple[int, int]]:
+        """The ids of late of a session that is held here, for its next holder: id -> (age, hash of contents)."""
+        session = self.sessions.get(key)
+        return {} if session is None else {
+            each: (now - at, hashed) for each, (at, hashed) in session.ids.items() if at >= now - REMEMBERED}
+
+    def gone(self, key: int, holder: str, sequence: int, now: int) -> None:
+        """A session that was held here has another holder, whose sequence is known."""
+        self.sessions.pop(key, None)
+        if self._know(key, holder, sequence, now):
+            self.fresh[key] = None
+
+    def without(self, holder: str, now: int) -> None:
+        """A member is dead and its book adopted: what the adopter has not claimed may be claimed by anybody once ids
+        of that time can't come any more."""
+        for known in self.entries.values():
+            if known.holder == holder:
+                known.used = min(known.used, now - FORGOTTEN + REMEMBERED)
+
+    # ---- gossip ----
+
+    def news(self, limit: int, now: int) -> list[Entry]:
+        """What to tell all others next: what has changed here, then the held sessions in turn."""
+        keys = list(self.fresh)[:limit]
+        for key in keys:
+            del self.fresh[key]
+        if not self.round:
+            self.round = list(self.sessions)
+        while self.round and len(keys) < limit:
+            key = self.round.pop()
+            if key in self.sessions and key not in keys:
+                keys.append(key)
+        told = (self.entry(key, now) for key in keys)
+        return [each for each in told if each is not None]
+
+    def heard(self, entries: Iterable[Entry], now: int) -> None:
+        """Join what another member has told; any order, any number of times."""
+        for entry in entries:
+            if 0 < entry.key < 1 << 64 and entry.sequence > 0 and 0 <= entry.age <= FORGOTTEN and entry.holder:
+                self._know(entry.key, entry.holder, entry.sequence, now - entry.age)
+
+    def forget(self, now: int) -> None:
+        """Drop what is old; to be called about once a second."""
+        for key in [each for each, session in self.sessions.items() if session.used < now - LAPSES]:
+            del self.sessions[key]
+        for key in [each for each, known in self.entries.items() if known.used < now - FORGOTTEN]:
+            del self.entries[key]
+
+    def _know(self, key: int, holder: str, sequence: int, used: int) -> bool:
+        """Join an entry by (sequence, holder), then the later use; whether it is another one now."""
+        known = self.entries.get(key)
+        if known is not None and (sequence, holder) < (known.sequence, known.holder):
+            return False
+        news = known is None or (sequence, holder) > (known.sequence, known.holder)
+        if known is not None and not news and used <= known.used:
+            return False
+        if news and holder != self.name and key in self.sessions:
+            # Danger: it moved on, or was adopted, while this member slept; it must not take ids any more.
+            del self.sessions[key]
+        self.entries.pop(key, None)
+        self.entries[key] = Known(holder, sequence, used)
+        if len(self.entries) > MOST:
+            oldest = next((each for each in self.entries if each not in self.sessions), key)
+            del self.entries[oldest]
+        return news
--- /dev/null
+++ b/tests/test_fleet_decrees.py
@@ -0,0 +1,109 @@
+"""Decrees: decided once, whatever is lost, doubled or forgotten."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cedarwick.fleet.decrees import ABSTAINS, KEPT, OLD, ROUND, Acceptor, Answer, Proposer, Table, name_move, parts
+
+MOVE = name_move(10, "A", "B")
+TAKERS = (1, "B")
+
+
+class Decrees(unittest.TestCase):
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.lists(st.tuples(st.integers(0, 2), st.sampled_from(["voter", "voter", "voter", "next", "lose"]),
+                              st.integers(0, 2), st.integers(0, 9)), max_size=60))
+    def test_one_value_with_three_proposers_and_a_voter_that_forgets(
+            self, course: list[tuple[int, str, int, int]]) -> None:
+        voters = {name: Acceptor(0) for name in "ABC"}
+        proposers = [Proposer(MOVE, f"{name}#1", ("A", "B", "C"), lambda failed: 1) for name in "ABC"]
+        sent = [proposers[1].as_taker(0), proposers[0].settle(0), proposers[2].settle(0)]
+        lost = False
+        for who, what, voter, which in course:
+            name, proposer = "ABC"[voter], proposers[who]
+            if what == "next":
+                sent[who] += proposer.settle(0) if proposer.resting else proposer.due(ROUND)
+            elif what == "lose" and not lost:
+                lost, voters[name] = True, Acceptor(0, lost=True)
+                voters[name].learned("A", 11)
+            elif sent[who]:  # any question ever asked may come now, or once more
+                ask = sent[who][which % len(sent[who])]
+                acceptor = voters[ask.to]
+                answer = (acceptor.prepare(ask.move, ask.ballot, 0) if ask.value is None
+                          else acceptor.accept(ask.move, ask.ballot, ask.value, 0))
+                sent[who] += proposer.answered(ask.to, ask.ballot, ask.value, answer, 0)
+        self.assertLessEqual(len({each.decided for each in proposers} - {None}), 1)
+
+    def test_round_one_is_the_takers_alone(self) -> None:
+        voter = Acceptor(0)
+        self.assertFalse(voter.accept(MOVE, (1, "C"), "taker", 0).granted)
+        self.assertFalse(voter.accept(MOVE, TAKERS, "off", 0).granted)
+        self.assertFalse(voter.prepare(MOVE, (1, "Z"), 0).granted)
+        self.assertEqual(voter.table().rows, [])
+        self.assertTrue(voter.accept(MOVE, TAKERS, "taker", 0).granted)
+
+    def test_the_row_is_given_for_writing_before_the_answer_and_once(self) -> None:
+        voter = Acceptor(0)
+        first = voter.prepare(MOVE, (2, "A#1"), 0)
+        self.assertEqual(first.write and first.write.promised, (2, "A#1"))
+        self.assertEqual(voter.prepare(MOVE, (2, "A#1"), 0), first._replace(write=None))
+        again = Acceptor(5, table=voter.table())
+        self.assertFalse(again.accept(MOVE, TAKERS, "taker", 5).granted)
+
+    def test_who_has_lost_its_table_abstains_from_what_began_before(self) -> None:
+        voter = Acceptor(0, lost=True)
+        self.assertIs(voter.accept(MOVE, TAKERS, "taker", 0), ABSTAINS)
+        voter.learned("A", 11)
+        voter = Acceptor(0, table=voter.table())
+        self.assertIs(voter.prepare(MOVE, (2, "C#1"), 0), ABSTAINS)
+        self.assertIs(voter.prepare(name_move(99, "C", "B"), (2, "C#1"), 0), ABSTAINS)
+        self.assertTrue(voter.prepare(name_move(11, "A", "B"), (2, "C#1"), 0).granted)
+
+    def test_a_pruned_decree_is_not_decided_once_more(self) -> None:
+        voter = Acceptor(0)
+        voter.accept(MOVE, TAKERS, "taker", 0)
+        self.assertEqual((voter.stale(OLD), voter.prune(KEPT)), ([MOVE], False))
+        settled = voter.settled(MOVE, "taker", 0)
+        self.assertTrue(settled is not None and settled.decided)
+        self.assertTrue(voter.prepare(MOVE, (9, "A#1"), 0).decided)
+        self.assertTrue(voter.prune(KEPT))
+        voter = Acceptor(0, table=voter.table())
+        self.assertEqual((voter.table(), voter.stale(OLD)), (Table([], {"A": 11}), []))
+        self.assertIs(voter.accept(MOVE, TAKERS, "taker", KEPT), ABSTAINS)
+
+    def test_silent_voters_are_asked_again_then_a_higher_round_follows(self) -> None:
+        proposer = Proposer(MOVE, "A#1", ("A", "B", "C"), lambda failed: 7)
+        asks = proposer.settle(0)
+        proposer.answered("A", asks[0].ballot, None, Acceptor(0).prepare(MOVE, asks[0].ballot, 0), 0)
+        proposer.answered("B", asks[0].ballot, None, ABSTAINS, 0)
+        self.assertEqual([ask.to for ask in proposer.due(proposer.next_at)], ["B", "C"])
+        self.assertEqual(proposer.due(ROUND), [])
+        self.assertEqual([ask.ballot for ask in proposer.due(ROUND + 7)], [(3, "A#1")] * 3)
+
+    def test_the_value_of_the_highest_ballot_is_taken_over_and_old_answers_do_not_count(self) -> None:
+        proposer = Proposer(MOVE, "A#1", ("A", "B", "C"), lambda failed: 7)
+        old = proposer.settle(0)[0].ballot
+        granted = Answer(True, (9, "Z"), (0, ""), None, False)
+        new = proposer.settle(0)[0].ballot
+        for voter in "ABC":
+            self.assertEqual(proposer.answered(voter, old, None, granted, 0), [])
+            self.assertEqual(proposer.answered(voter, new, "off", granted, 0), [])
+        proposer.answered("A", new, None, granted._replace(accepted=TAKERS, value="off"), 0)
+        asks = proposer.answered("B", new, None, granted._replace(accepted=(2, "C#1"), value="taker"), 0)
+        self.assertEqual({ask.value for ask in asks}, {"taker"})
+
+    def test_a_promise_is_never_lowered(self) -> None:
+        voter = Acceptor(0)
+        voter.prepare(MOVE, (3, "A#1"), 0)
+        self.assertFalse(voter.prepare(MOVE, (2, "C#1"), 0).granted)
+        self.assertFalse(voter.accept(MOVE, (2, "C#1"), "off", 0).granted)
+
+    def test_names(self) -> None:
+        self.assertEqual(parts(MOVE), (10, "A", "B"))
+        for bad in ("", "10/A", "x/A/B", "10//B", "1/A/B/C"):
+            with self.assertRaises(ValueError):
+                parts(bad)
+        with self.assertRaises(ValueError):
+            name_move(1, "a/b", "c")
--- /dev/null
+++ b/tests/test_fleet_moves.py
@@ -0,0 +1,648 @@
+"""A session's move: all that can happen to one, up to a bound, and the cores beside it."""
+
+import pickle
+import random
+import unittest
+import unittest.mock
+from collections import Counter
+from collections.abc import Iterator
+from typing import Literal
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cedarwick.fleet import moves as moves_module
+from cedarwick.fleet.decrees import Acceptor, Answer, Ask, Ballot, Proposer, Value, name_move
+from cedarwick.fleet.moves import (
+    AFTER_OFF,
+    CALL_OFF,
+    FORWARDS,
+    FREEZE,
+    FULL,
+    MOST_IN,
+    MOST_OUT,
+    STAYS,
+    Act,
+    Do,
+    Giving,
+    Move,
+    Moves,
+    Neighbour,
+    Planner,
+    Taking,
+    Why,
+    Wish,
+)
+from cedarwick.fleet.sessions import (
+    CLAIM,
+    FORGOTTEN,
+    LAPSES,
+    MOST,
+    REMEMBERED,
+    Asking,
+    Claim,
+    Directory,
+    Entry,
+    Ruling,
+    contents,
+)
+
+KEY, MS = 7, 1000
+MOVE = name_move(10, "A", "B")
+FROZEN = (Giving.FREEZING, Giving.OFFERED, Giving.FORWARDING)
+
+# What can happen to a member, and what leaves it: to whom, or of whom where it is for the judge alone.
+Event = (tuple[Literal["begin", "idle", "marked", "staged", "call_off", "written", "round", "learn", "restart", "due"]]
+         | tuple[Literal["stage", "bereft"], bool] | tuple[Literal["adopt"], bool, str | None]
+         | tuple[Literal["ask"], str, Ask] | tuple[Literal["answer"], Ask, Answer]
+         | tuple[Literal["tell", "said"], str, Value, bool])
+Answering = tuple[Literal["answer"], str, Ask, Answer]
+Message = (tuple[Literal["stage", "staged", "refused", "again", "fired"], str] | tuple[Literal["ask"], str, str, Ask]
+           | Answering | tuple[Literal["tell", "said"], str, str, Value, bool]
+           | tuple[Literal["vote"], str, Ballot, Value])
+State = tuple[tuple[int, ...], int, int, int]  # members, messages sent, restarts and adoptions left
+View = tuple[list[Event], bool, bool, str | None, str | None, bool, bool, bool, bool, Move | None]
+Way = tuple[tuple[int, Event], ...]
+
+STAGED: Way = (
+    (0, ("begin",)), (0, ("idle",)), (0, ("marked",)), (1, ("stage", True)), (1, ("written",)))  # the straight way
+
+
+def jitter(failed: int) -> int:
+    return 30 * MS * failed
+
+
+class Member:
+    """One sender: what lies in its folder, and its moves, which a restart loses."""
+
+    def __init__(self, name: str, made: type[Moves], acceptor: type[Acceptor]) -> None:
+        self.name, self.made, self.boots = name, made, 0
+        self.acceptor = acceptor(0)
+        self.moves = made(name, f"{name}#0", ("A", "B", "C"), self.acceptor, jitter)
+        self.gives: str | None = "live" if name == "A" else None  # the giver's facts: live, marked, over
+        self.takes: str | None = None  # the taker's: staged, live, dropped
+        self.marked_at_heirs = self.staged_at_heirs = False
+        self.gives_held, self.takes_held = name == "A", name == "B"  # the lease on the book they lie in
+
+    def key(self) -> str:
+        return repr((self.name, self.boots, self.acceptor.rows, self.moves.moves, self.gives, self.takes,
+                     self.marked_at_heirs, self.staged_at_heirs, self.gives_held, self.takes_held))
+
+    def move(self) -> Move | None:
+        return self.moves.moves.get(MOVE)
+
+    def fires_as_giver(self) -> bool:
+        move = self.move()
+        return self.gives_held and self.gives == "live" and (move is None or move.giving not in FROZEN)
+
+    def fires_as_taker(self) -> bool:
+        return self.takes_held and self.takes == "live"
+
+    # What can happen; each returns the messages that leave.
+
+    def events(self) -> list[Event]:
+        """What the member may do of its own accord."""
+        move = self.move()
+        found: list[Event] = []
+        if self.name == "A" and self.gives == "live" and move is None and not self.boots:
+            found.append(("begin",))
+        if move is not None:
+            if move.giving is Giving.FREEZING:
+                found.append(("marked",) if move.marking else ("idle",))
+            if move.giving in (Giving.FREEZING, Giving.OFFERED) and move.proposer is None:
+                found.append(("call_off",))
+            if move.taking is Taking.STAGED and not move.written and self.takes_held:
+                found.append(("written",))
+            if move.value is None and move.proposer is not None and move.proposer.highest < 3:
+                found.append(("round",))
+            if (move.giving and not self.gives_held) or (move.taking and not self.takes_held):
+                found.append(("learn",))
+        return found
+
+    def do(self, event: Event, now: int = 0) -> list[Message]:
+        sent: list[Message] = []
+        acts: list[Act] = []
+        move = self.move()
+        if event[0] == "begin":
+            acts = self.moves.begin(MOVE, KEY, now)
+        elif event[0] == "marked":
+            self.gives = "marked"
+            if not self.gives_held:
+                return sent
+            self.marked_at_heirs = True
+            acts = self.moves.marked(MOVE, now)
+        elif event[0] == "written":
+            self.staged_at_heirs = True
+            acts = self.moves.written(MOVE, now)
+        elif event[0] == "round":
+            assert move is not None and move.proposer is not None
+            acts = self.moves._asks(move.proposer.settle(now))
+        elif event[0] == "learn":
+            for gives in [each for each, held in ((True, self.gives_held), (False, self.takes_held)) if not held]:
+                self.moves.lost(MOVE, gives)
+                self.gives, self.takes = (None, self.takes) if gives else (self.gives, None)
+        elif event[0] == "restart":
+            self.boots += 1
+            self.moves = self.made(self.name, f"{self.name}#{self.boots}", ("A", "B", "C"), self.acceptor, jitter)
+            table = self.acceptor.table()
+            self.acceptor.load(table, now)
+            if self.gives_held and self.gives == "marked":
+                acts += self.moves.found(MOVE, KEY, True, now)
+            if self.takes_held and self.takes == "staged":
+                self.staged_at_heirs = True
+                acts += self.moves.found(MOVE, KEY, False, now)
+        elif event[0] == "adopt":
+            _, gives, found = event
+            if gives:
+                self.gives, self.gives_held = found, True
+            else:
+                self.takes, self.takes_held, self.staged_at_heirs = found, True, True
+            acts = self.moves.found(MOVE, KEY, gives, now) if found in ("marked", "staged") else []
+        elif event[0] == "bereft":
+            self.gives_held, self.takes_held = (False, self.takes_held) if event[1] else (self.gives_held, False)
+            return sent
+        elif event[0] == "stage":
+            acts = self.moves.stage(MOVE, KEY, event[1], now)
+        elif event[0] == "ask":
+            votes, answer = self.asked(event[1], event[2])
+            return [*votes, answer]
+        elif event[0] == "tell" or event[0] == "said":
+            acts = self.moves.settled(MOVE, event[2], event[3], now)
+            value, active = self.moves.said(MOVE)
+            if value is not None and event[0] == "tell":
+                sent.append(("said", event[1], self.name, value, active))
+        elif event[0] == "answer":
+            acts = self.moves.answered(event[1], event[2], now)
+        elif event[0] == "due":
+            acts = self.moves.due(now)
+        else:
+            acts = getattr(self.moves, event[0])(MOVE, now)
+        for act in acts:
+            sent += self.act(act, now)
+        return sent
+
+    def act(self, act: Act, now: int) -> list[Message]:
+        if act.do is Do.ASK:
+            assert act.ask is not None
+            if act.to == self.name:
+                votes, answer = self.asked(self.name, act.ask, now)
+                return votes + self.do(("answer", answer[2], answer[3]), now)
+            return [("ask", act.to, self.name, act.ask)]
+        if act.do is Do.TELL:
+            assert act.value is not None
+            return [("tell", to, self.name, act.value, act.active) for to in ([act.to] if act.to else "ABC")
+                    if to != self.name]
+        if act.do is Do.STAGE:
+            return [("stage", "B")]
+        if act.do is Do.STAGED:
+            return [("staged", "A")]
+        if act.do is Do.REFUSE:
+            return [("refused", "A")]
+        if act.do is Do.WRITE:
+            again: list[Message] = [("again", self.name)] if self.takes in ("live", "dropped") else []
+            self.takes = "staged"
+            return again
+        elif act.do is Do.ACTIVATE:
+            self.takes = "live"
+            sent: list[Message] = [("fired", self.name)] if self.takes_held else []
+            for each in self.moves.activated(MOVE, now):
+                sent += self.act(each, now)
+            return sent
+        elif act.do is Do.DROP:
+            self.takes = "dropped"
+        elif act.do is Do.RELEASE:
+            self.gives = "live"
+        elif act.do is Do.OVER:
+            self.gives = "over"
+        return []
+
+    def asked(self, by: str, ask: Ask, now: int = 0) -> tuple[list[Message], Answering]:
+        acceptor = self.acceptor
+        if ask.value is None:
+            answer = acceptor.prepare(ask.move, ask.ballot, now)
+        else:
+            answer = acceptor.accept(ask.move, ask.ballot, ask.value, now)
+        votes: list[Message] = [("vote", self.name, ask.ballot, ask.value)] if answer.granted and ask.value else []
+        return votes, ("answer", by, ask, answer._replace(write=None))
+
+
+class Unsafe(Exception):
+    pass
+
+
+def ones(mask: int) -> Iterator[int]:
+    while mask:
+        lowest = mask & -mask
+        yield lowest.bit_length() - 1
+        mask ^= lowest
+
+
+class Explorer:
+    """Breadth first over (members, messages sent, restarts left). Messages are a set that only grows: each may be
+    delivered at any time, in any order, any number of times or never; so loss and a crash before a send are in it."""
+
+    def __init__(self, made: type[Moves] = Moves, acceptor: type[Acceptor] = Acceptor) -> None:
+        self.ids: dict[str, int] = {}
+        self.blobs: list[bytes] = []
+        self.views: list[View] = []
+        self.messages: list[Message] = []
+        self.bits: dict[Message, int] = {}
+        self.handled: list[tuple[int, list[Event]]] = []
+        self.steps: dict[tuple[int, Event], tuple[int, int]] = {}
+        self.start = tuple(self.known(Member(name, made, acceptor)) for name in "ABC")
+
+    def known(self, member: Member) -> int:
+        key = member.key()
+        if key not in self.ids:
+            self.ids[key] = len(self.blobs)
+            self.blobs.append(pickle.dumps(member))
+            move = member.move()
+            self.views.append((member.events(), member.fires_as_giver(), member.fires_as_taker(), member.gives,
+                               member.takes, member.gives_held, member.takes_held, member.marked_at_heirs,
+                               member.staged_at_heirs, move))
+        return self.ids[key]
+
+    def bit(self, message: Message) -> int:
+        if message not in self.bits:
+            self.bits[message] = len(self.messages)
+            self.messages.append(message)
+            self.handled.append(("ABC".index(message[1]), self.event(message)))
+        return 1 << self.bits[message]
+
+    def step(self, number: int, event: Event) -> tuple[int, int]:
+        done = self.steps.get((number, event))
+        if done is None:
+            member: Member = pickle.loads(self.blobs[number])
+            sent = 0
+            for message in member.do(event):
+                sent |= self.bit(message)
+            done = self.steps[number, event] = self.known(member), sent
+        return done
+
+    def event(self, message: Message) -> list[Event]:
+        if message[0] == "stage":
+            return [("stage", True), ("stage", False)]
+        if message[0] == "staged":
+            return [("staged",)]
+        if message[0] == "refused":
+            return [("call_off",)]
+        if message[0] == "ask":
+            return [("ask", message[2], message[3])]
+        if message[0] == "answer":
+            return [("answer", message[2], message[3])]
+        if message[0] == "tell" or message[0] == "said":
+            return [(message[0], message[2], message[3], message[4])]
+        return []
+
+    def following(self, state: State) -> Iterator[State]:
+        members, sent, restarts, adoptions = state
+        for place, number in enumerate(members):
+            view = self.views[number]
+            events = list(view[0])
+            if restarts:
+                events.append(("restart",))
+            for event in events:
+                yield self.after(state, place, event, restarts - (event[0] == "restart"))
+        for index in ones(sent):
+            place, events = self.handled[index]
+            for event in events:
+                number, new = self.step(members[place], event)
+                if number != members[place] or new & ~sent:
+                    yield (*members[:place], number, *members[place + 1:]), sent | new, restarts, adoptions
+        if adoptions:
+            for gives, owner in ((True, 0), (False, 1)):
+                view = self.views[members[owner]]
+                if view[5 if gives else 6]:
+                    for found in self.copies(view, gives):
+                        bereft = self.after(state, owner, ("bereft", gives), restarts)
+                        yield self.after((*bereft[:3], adoptions - 1), 2, ("adopt", gives, found), restarts)
+
+    @staticmethod
+    def copies(view: View, gives: bool) -> list[str | None]:
+        """What an heir may have of a side when it adopts the book: it knows of marks for sure once `marked` ran."""
+        mine, sure = (view[3], view[7]) if gives else (view[4], view[8])
+        if gives:
+            return ["marked"] if sure else ["live"] if mine == "live" else ["live", "marked"]
+        return ["staged"] if sure else [None] if mine is None else [None, "staged"]
+
+    def after(self, state: State, place: int, event: Event, restarts: int) -> State:
+        members, sent, _, adoptions = state
+        number, new = self.step(members[place], event)
+        return (*members[:place], number, *members[place + 1:]), sent | new, restarts, adoptions
+
+    def judge(self, state: State) -> None:
+        """Raises Unsafe where a claim is broken."""
+        members, sent, _, _ = state
+        views = [self.views[number] for number in members]
+        votes: dict[tuple[Ballot, Value], set[str]] = {}
+        fired = False
+        for message in (self.messages[index] for index in ones(sent)):
+            if message[0] == "vote":
+                votes.setdefault(message[2:], set()).add(message[1])
+            fired = fired or message[0] == "fired"
+            if message[0] == "again":
+                raise Unsafe("taken again")
+        decided = {value for (_, value), voters in votes.items() if len(voters) > 1}
+        if len(decided) > 1:
+            raise Unsafe("decided twice")
+        gives = any(view[1] for view in views)
+        if gives and (fired or any(view[2] for view in views)):
+            raise Unsafe("both may fire")
+        if sum(view[1] for view in views) > 1 or sum(view[2] for view in views) > 1:
+            raise Unsafe("two holders fire")
+        givers = {view[3] for view in views if view[5]}
+        takers = {view[4] for view in views if view[6]}
+        if not givers & {"live", "marked"} and not takers & {"staged", "live"}:
+            raise Unsafe("lost")
+        if decided == {"off"} and not givers & {"live", "marked"}:
+            raise Unsafe("called off, and the giver's gone")
+        if decided == {"taker"} and not takers & {"staged", "live"} or fired and decided != {"taker"}:
+            raise Unsafe("the taker's without the decree, or the decree without the taker's")
+
+    def explore(self, depth: int, restarts: int, adoptions: int, every: int = 0, after: Way = ()) -> int:
+        """States seen; each is judged, and one in `every` is run to its fair end. `after`: begin with these events."""
+        first: State = (self.start, 0, restarts, adoptions)
+        for place, event in after:
+            first = self.after(first, place, event, restarts)
+        seen, layer = {first}, [first]
+        for _ in range(depth):
+            new = []
+            for state in layer:
+                for following in self.following(state):
+                    if following not in seen:
+                        seen.add(following)
+                        self.judge(following)
+                        if every and len(seen) % every == 0:
+                            self.fair_end(following)
+                        new.append(following)
+            layer = new
+        return len(seen)
+
+    def fair_end(self, state: State) -> None:
+        """Every message arrives from here on, once and in order, and the clocks go on: one side must own it."""
+        members: list[Member] = [pickle.loads(self.blobs[number]) for number in state[0]]
+        queue: list[Message] = []
+        for member in members:
+            if ("learn",) in member.events():
+                member.do(("learn",))
+        for now in range(0, 20_000 * MS, 50 * MS):
+            for member in members:
+                for event in member.events():
+                    if event[0] in ("idle", "marked", "written"):
+                        queue += member.do(event, now)
+                queue += member.do(("due",), now)
+            while queue:
+                message = queue.pop(0)
+                for event in self.event(message)[:1]:
+                    queue += members["ABC".index(message[1])].do(event, now)
+        gives = [member.gives for member in members if member.gives_held]
+        takes = [member.takes for member in members if member.takes_held]
+        fires = sum(member.fires_as_giver() + member.fires_as_taker() for member in members)
+        if fires != 1 or "staged" in takes or (gives != ["live"] and takes != ["live"]):
+            raise Unsafe(f"no end: {gives} {takes} {fires}")
+
+
+class Hasty(Moves):
+    def staged(self, name: str, now: int) -> list[Act]:
+        move = self.moves.get(name)
+        if move is None or move.giving is not Giving.OFFERED:
+            return []
+        move.giving = Giving.FORWARDING
+        return [Act(Do.OVER, name)]
+
+
+class Eager(Moves):
+    def written(self, name: str, now: int) -> list[Act]:
+        acts = super().written(name, now)
+        self.moves[name].taking = Taking.GRANTED
+        return [Act(Do.ACTIVATE, name), *acts]
+
+
+class Trusting(Moves):
+    def stage(self, name: str, key: int, room: bool, now: int) -> list[Act]:
+        if name not in self.moves:
+            self.acceptor.may_open = lambda move: True  # type: ignore[method-assign]
+            try:
+                return super().stage(name, key, room, now)
+            finally:
+                del self.acceptor.may_open
+        return super().stage(name, key, room, now)
+
+
+class Giddy(Moves):
+    def call_off(self, name: str, now: int) -> list[Act]:
+        move = self.moves.get(name)
+        return self._decided(move, "off", now) if move and move.giving is Giving.OFFERED else []
+
+
+class Forgetful(Acceptor):
+    def accept(self, move: str, ballot: Ballot, value: Value, now: int) -> Answer:
+        if move in self.rows:
+            self.rows[move].promised = (0, "")
+        return super().accept(move, ballot, value, now)
+
+
+class Deaf(Proposer):
+    def answered(self, voter: str, ballot: Ballot, value: Value | None, answer: Answer, now: int) -> list[Ask]:
+        if value is None:
+            answer = answer._replace(accepted=(0, ""), value=None)
+        return super().answered(voter, ballot, value, answer, now)
+
+
+def asks(acts: list[Act]) -> list[Ask]:
+    """What the acts ask; each of them must ask."""
+    found = [act.ask for act in acts if act.ask is not None]
+    assert len(found) == len(acts)
+    return found
+
+
+class Courses(unittest.TestCase):
+    def test_every_course_of_a_move_is_safe_and_has_an_end(self) -> None:
+        for after, depth, restarts, adoptions, states in (
+                ((), 12, 0, 0, 34283), ((), 9, 1, 2, 19948), (STAGED, 6, 1, 1, 93072)):
+            with self.subTest(depth=depth, restarts=restarts, adoptions=adoptions):
+                self.assertEqual(Explorer().explore(depth, restarts, adoptions, 499, after), states)
+
+    def test_a_broken_part_is_caught(self) -> None:
+        for made, acceptor, after, depth in ((Hasty, Acceptor, STAGED, 6), (Eager, Acceptor, (), 8),
+                                             (Trusting, Acceptor, STAGED, 6), (Giddy, Acceptor, STAGED, 5),
+                                             (Moves, Forgetful, STAGED, 8)):
+            with self.subTest(made=made, acceptor=acceptor), self.assertRaises(Unsafe):
+                Explorer(made, acceptor).explore(depth, 1, 0, 0, after)
+        with unittest.mock.patch.object(moves_module, "Proposer", Deaf), self.assertRaises(Unsafe):
+            Explorer().explore(8, 0, 0, 0, STAGED)
+
+    def test_the_clock(self) -> None:
+        member = Member("A", Moves, Acceptor)
+        member.do(("begin",))
+        moves = member.moves
+        self.assertEqual((moves.next_at(), moves.standing(KEY)), (FREEZE, ("wait", "")))
+        self.assertEqual([act.do for act in moves.due(FREEZE)], [Do.MARK])
+        self.assertEqual([act.do for act in moves.marked(MOVE, FREEZE)], [Do.STAGE])
+        self.assertEqual(moves.near_limit(MOVE), "failed")
+        self.assertEqual([act.do for act in moves.due(FREEZE + moves_module.AGAIN)], [Do.STAGE])
+        self.assertEqual([ask.value for ask in asks(moves.due(CALL_OFF))], [None] * 3)
+        moves.settled(MOVE, "taker", False, CALL_OFF)
+        self.assertEqual([act.do for act in moves.due(CALL_OFF + moves_module.AGAIN)], [Do.TELL])
+        self.assertEqual((moves.standing(KEY), moves.near_limit(MOVE)), (("pass", "B"), "over"))
+        self.assertEqual([act.do for act in moves.due(CALL_OFF + FORWARDS)], [Do.OVER, Do.CLOSE])
+        moves.due(CALL_OFF + FORWARDS + moves_module.KEPT)
+        self.assertEqual((moves.moves, moves.by_key, moves.standing(KEY)), ({}, {}, ("here", "")))
+
+    def test_a_book_that_comes_back_is_settled_under_ballots_of_its_own(self) -> None:
+        moves = Member("C", Moves, Acceptor).moves
+        first = {ask.ballot for ask in asks(moves.found(MOVE, KEY, True, 0))}
+        moves.lost(MOVE, True)
+        self.assertFalse(first & {ask.ballot for ask in asks(moves.found(MOVE, KEY, True, 0))})
+
+
+class Plans(unittest.TestCase):
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(st.integers(0, 300), st.integers(0, 300), st.integers(1, 1 << 40))
+    def test_a_hall_s_sessions_go_to_both_neighbours_by_load_within_limits(
+            self, first: int, second: int, seed: int) -> None:
+        planner, held, left = Planner("north"), {"E": first, "W": second}, set(range(seed, seed + 200))
+        for now in range(0, 100 * MS * 60, 100 * MS):
+            seen = [Neighbour(name, "south", count, 500) for name, count in held.items()]
+            chosen = planner.plan([Wish(key, Why.LEAVING) for key in sorted(left)], seen, now)
+            self.assertLessEqual(len(planner.out), MOST_OUT)
+            self.assertLessEqual(max(Counter(planner.out.values()).values(), default=0), MOST_IN)
+            for key, to in chosen:
+                planner.ended(key, True, now)
+                held[to] += 1
+                left.remove(key)
+        self.assertFalse(left)
+        self.assertLessEqual(max(held.values()), FULL * 500)
+        self.assertLessEqual(abs(held["E"] - held["W"]), max(50 + MOST_OUT, abs(first - second)))
+
+    def test_a_session_that_has_just_moved_or_was_called_off_stays(self) -> None:
+        planner, there = Planner("north"), [Neighbour("E", "south", 0, 9)]
+        planner.arrived(KEY, 0)
+        client, staff = Wish(KEY, Why.CLIENT, "E"), Wish(KEY, Why.STAFF, "E")
+        self.assertEqual(planner.plan([client], there, STAYS - 1), [])
+        self.assertEqual(planner.plan([staff], there, STAYS - 1), [(KEY, "E")])
+        planner.ended(KEY, False, STAYS)
+        self.assertEqual(planner.plan([client], there, STAYS + AFTER_OFF - 1), [])
+        self.assertEqual(planner.plan([client], there, STAYS + AFTER_OFF), [(KEY, "E")])
+        self.assertEqual(planner.plan([Wish(8, Why.CLIENT, "W")], there, STAYS + AFTER_OFF), [])
+
+
+def claim(one: Directory) -> Asking:
+    asking = one.claim(KEY, 0)
+    assert asking is not None
+    return asking
+
+
+class Directories(unittest.TestCase):
+    entries = st.lists(st.builds(Entry, st.integers(0, 2), st.sampled_from(["A", "B", "me"]), st.integers(0, 3),
+                                 st.sampled_from([0, 5, FORGOTTEN, FORGOTTEN + 1])), max_size=12)
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(entries, st.randoms(use_true_random=False))
+    def test_news_may_come_in_any_order_and_twice(self, entries: list[Entry], order: random.Random) -> None:
+        one, two = Directory("me", 3, 0), Directory("me", 3, 0)
+        one.heard(entries, FORGOTTEN)
+        shuffled = entries + entries[:3]
+        order.shuffle(shuffled)
+        two.heard(shuffled, FORGOTTEN)
+        self.assertEqual(one.entries, two.entries)
+        self.assertNotIn(0, one.entries)
+
+    def test_what_is_kept_is_bounded_and_forgotten(self) -> None:
+        one = Directory("me", 1, 0, alone=True)
+        one.claim(KEY, 0)
+        one.heard([Entry(key, "A", 1, MOST + 9 - key) for key in range(8, MOST + 9)], MOST)
+        one.heard([Entry(5, "A", 1, FORGOTTEN + 1)], MOST)
+        self.assertIsNone(one.where(5))
+        self.assertEqual((len(one.entries), one.where(8), one.where(KEY)), (MOST, None, "me"))
+        self.assertEqual(one.news(9, 0)[0].key, KEY)
+        one.forget(FORGOTTEN + MOST + 1)
+        self.assertEqual((one.entries, one.sessions), ({}, {}))
+
+    def test_an_id_is_taken_once_wherever_its_client_goes(self) -> None:
+        for seed in range(400):
+            with self.subTest(seed=seed):
+                self.course(random.Random(seed))
+
+    def course(self, drawn: random.Random) -> None:
+        names, now, taken = "ABC", 0, -FORGOTTEN
+        letters: list[tuple[int, int, Asking, Claim | None]] = []
+        every = [Directory(name, 3, now, alone=True) for name in names]
+        for _ in range(150):
+            what = drawn.choice(["submit"] * 5 + ["deliver"] * 9 + ["restart"] + ["move"] * 2)
+            at, other, which = drawn.randrange(3), drawn.randrange(3), drawn.randrange(10)
+            later = drawn.choice([0] * 25 + [1_000_000, REMEMBERED + 1, LAPSES + 1, FORGOTTEN + 1])
+            now += later
+            for each in every:
+                each.forget(now)
+            one, two, session = every[at], every[other], every[at].sessions.get(KEY)
+            if what == "restart":
+                every[at] = Directory(names[at], 3, now)
+            elif what == "deliver" and letters:  # any claim or answer that was ever sent
+                to, by, asking, answer = letters[-1 - which % len(letters)]
+                if answer is None:
+                    letters.append((by, to, asking, every[to].claimed(asking, names[by], now)))
+                else:
+                    every[to].answered(asking, names[by], answer, now)
+            elif what == "move" and session is not None and at != other:
+                two.hold(KEY, session.sequence + 1, one.ids(KEY, now), now)
+                one.gone(KEY, names[other], session.sequence + 1, now)
+            elif what == "submit" and at != other:  # a client at `at`, which has a link to `other` alone
+                ruling, holder = one.rule(KEY, "id", 1, False, now), at
+                if ruling is Ruling.PASS and one.where(KEY) == names[other]:
+                    ruling, holder = two.rule(KEY, "id", 1, True, now), other
+                    if ruling is Ruling.ELSEWHERE:
+                        ruling = one.refused(KEY, names[other], two.elsewhere(KEY, now), now)
+                begun = one.claim(KEY, now) if ruling is Ruling.CLAIM else None
+                if begun is not None:
+                    letters += [(to, at, begun, None) for to in range(3) if to != at]
+                if ruling is Ruling.TAKE:
+                    self.assertGreater(now - taken, REMEMBERED)
+                    taken = now
+                    every[holder].took(KEY, "id", 1, now)
+                    told = every[holder].news(9, now)  # its lease was renewed by a majority, which hears this too
+                    every[at + other - holder].heard(told, now)
+
+    def test_who_does_not_hold_a_session_neither_takes_nor_opens_it(self) -> None:
+        one, two = Directory("A", 3, 0, alone=True), Directory("B", 3, 0, alone=True)
+        self.assertIs(one.rule(KEY, "id", 1, True, 0), Ruling.ELSEWHERE)
+        asking = claim(one)
+        self.assertEqual((one.rule(KEY, "id", 1, False, 0), one.elsewhere(KEY, 0).granted), (Ruling.BUSY, False))
+        self.assertIs(one.rule(KEY, "id", 1, False, CLAIM), Ruling.CLAIM)
+        self.assertTrue(one.answered(asking, "B", two.claimed(asking, "A", 0), 0))
+        self.assertFalse(one.claimed(Asking(KEY, 9, (8, "A"), 0), "C", 0).granted)
+        one.took(KEY, "id", 1, 0)
+        two.hold(KEY, 2, one.ids(KEY, 5), 5)
+        one.gone(KEY, "B", 2, 5)
+        self.assertEqual([two.rule(KEY, "id", hashed, True, REMEMBERED) for hashed in (1, 2)],
+                         [Ruling.SAME, Ruling.REPEATED])
+        self.assertIs(two.rule(KEY, "id", 2, True, REMEMBERED + 1), Ruling.TAKE)
+        self.assertIs(one.rule(KEY, "id", 1, False, 6), Ruling.PASS)
+        two.without("A", 6)
+        one.without("B", 6)
+        one.forget(7 + REMEMBERED)
+        self.assertEqual((one.where(KEY), two.where(KEY)), (None, "B"))
+
+    def test_who_has_just_started_or_slept_trusts_nothing_of_its_own(self) -> None:
+        new, old = Directory("A", 3, 0), Directory("B", 3, 0, alone=True)
+        self.assertFalse(new.elsewhere(KEY, REMEMBERED - 1).granted or new.claim(KEY, REMEMBERED - 1))
+        self.assertFalse(new.claimed(claim(old), "B", REMEMBERED - 1).granted)
+        self.assertTrue(new.elsewhere(KEY, REMEMBERED).granted)
+        old.hold(KEY, 4, {}, 0)
+        self.assertIs(old.rule(KEY, "id", 1, False, LAPSES), Ruling.TAKE)
+        self.assertIs(old.rule(KEY, "id", 1, False, LAPSES + 1), Ruling.CLAIM)
+        old.heard([Entry(KEY, "A", 5, 0)], 1)
+        self.assertIs(old.rule(KEY, "id", 1, False, 1), Ruling.PASS)
+
+    def test_of_two_claims_at_once_one_gives_way(self) -> None:
+        one, two, third = (Directory(name, 3, 0, alone=True) for name in "ABC")
+        first, second = claim(one), claim(two)
+        self.assertFalse(two.claimed(first, "A", 0).granted)
+        for asking, now in ((second._replace(at=-1), 0), (second, CLAIM)):
+            self.assertFalse(two.answered(asking, "C", Claim(True, None), now))
+        self.assertTrue(two.answered(second, "A", one.claimed(second, "B", 0), 0))
+        self.assertTrue(third.claimed(first, "A", 0).granted)
+        self.assertFalse(one.answered(first, "C", third.claimed(first, "A", 0), 0))
+
+    def test_contents_tell_parts_apart(self) -> None:
+        self.assertNotEqual(contents("ab", b"c"), contents("a", b"bc"))
