--- a/cedarwick/config/operator.py
+++ b/cedarwick/config/operator.py
@@ -153,6 +153,13 @@
         float,
         Meta(ge=1, description="Room in the folder for what is kept for other members.", extra={"unit": "MB"}),
     ] = 64.0
+    sessions: Annotated[
+        bool,
+        Meta(
+            description="Whether each key of `SUBMIT` has one sender of the fleet that takes it, and may move to "
+            "another; the same in every member's file."
+        ),
+    ] = False
     follow_s: Annotated[
         float,
         Meta(
--- /dev/null
+++ b/cedarwick/events/exchange.py
@@ -0,0 +1,409 @@
+"""A member's part in what subscribers are told: the registry among the members, `FOLLOW`, and the events here.
+
+Made with the fleet, and costs next to nothing until somebody follows: then `serving.py` is loaded, and with it lark.
+The registry is told as in `spreading.py`; what its entries mean is settled in `registry.py`.
+"""
+
+import importlib
+import time
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import TYPE_CHECKING, cast
+
+import gevent
+import gevent.socket
+from loguru import logger
+
+from cedarwick.errors import Trouble
+from cedarwick.events.kinds import BadEvent, Value
+from cedarwick.events.registry import FORGET, NotFollowed, Registry, Verdict
+from cedarwick.events.sources import Sources
+from cedarwick.events.spreading import Spread
+from cedarwick.events.witness import Witness
+from cedarwick.fleet.gate import Gate
+from cedarwick.fleet.members import Change, Standing
+from cedarwick.fleet.messages import Body, Cursors, Matches, Noted, Subscribe
+from cedarwick.net.counters import Counters
+from cedarwick.net.desk import Desk
+from cedarwick.net.directory import Directory
+from cedarwick.net.shots import Call as Shot
+from cedarwick.net.shots import Ending
+from cedarwick.ops.calls import Call
+from cedarwick.ops.staff import Staff, Talk
+from cedarwick.store.records import Kept
+
+if TYPE_CHECKING:
+    from cedarwick.events.serving import Serving
+
+TURN = 250_000  # microseconds between two looks at registry and receivers
+AGAIN = 5_000_000  # between two comparisons with a member with which nothing is new
+RETRY = 1_000_000  # until one that failed, or left something over, is made again
+TICK = 1_000_000
+EXPIRY = 30_000_000  # between two looks for subscriptions that nobody follows any more
+ANSWER_IN = 0.4  # seconds
+MOST_READERS = 128  # subscribers that are connected here
+
+
+class BadFollow(Trouble):
+    """A call of `FOLLOW` or `UNFOLLOW` that cannot be read."""
+
+    code = "CW831"
+    remedy = "write FOLLOW NAME WHERE FILTER, FOLLOW NAME SOURCE:NUMBER ... WHERE FILTER, or UNFOLLOW NAME"
+
+
+class MovedAway(Trouble):
+    """The subscriber has followed at another member since."""
+
+    code = "CW833"
+    remedy = "read there; two subscribers need two names"
+
+
+class Unfollowed(Trouble):
+    """The subscription has ended: somebody has said so, or nobody has followed it for long."""
+
+    code = "CW834"
+    remedy = "follow with the filter to begin a new one"
+
+
+class Forgotten(Trouble):
+    """This member was cut off for so long that it could not know what had ended meanwhile, and begins anew."""
+
+    code = "CW835"
+    remedy = "follow again with cursors and filter, here or at any other member"
+
+
+class TooManyReaders(Trouble):
+    """As many subscribers are connected to this member as may be."""
+
+    code = "CW830"
+    remedy = "follow at another member, or end connections that nobody needs"
+
+
+class NotJoined(Trouble):
+    """The registry of another member is not taken over."""
+
+    code = "CW838"
+    remedy = "compare the clocks of the two machines; one that was cut off for long begins anew by itself"
+
+
+def wall() -> int:
+    """Danger: the sender's own clock stands while the machine sleeps, and what is said after that would be older."""
+    return time.time_ns() // 1000
+
+
+class Exchange:
+    """Nothing is told or taken before `attach`."""
+
+    def __init__(self, name: str, gate: Gate, counters: Counters,
+                 call: Callable[[str, Body, float], Body | None]) -> None:
+        self.name = name
+        self.gate = gate
+        self.counters = counters
+        self.call = call
+        self.sources = Sources(gate)
+        self.spread = Spread(Registry(name, wall()))
+        self.serving: Serving | None = None
+        self.loading = False
+        self.first = 1  # the number of the next event, while nothing is served
+        self.alive: list[str] = [name]
+        self.dirty = False  # subscriptions have changed, or some are not evaluated yet
+        self.began = gate.incarnation  # of the newest connection here
+        self.turn_at = self.tick_at = self.expiry_at = 0
+        self.lacks: dict[str, set[str]] = {}  # by member: subscriptions that it is to be told
+        self.agreed: dict[str, int] = {}  # by member: the digest at the last letter
+        self.next_at: dict[str, int] = {}  # by member: when the two compare, where nothing is new
+        self.failed_until: dict[str, int] = {}  # by member that has not answered
+        self.talking: set[str] = set()
+        self.witness: Witness | None = None
+
+    @property
+    def registry(self) -> Registry:
+        """All subscriptions, as this member knows them."""
+        return self.spread.registry
+
+    def attach(self, staff: Staff, directory: Directory, desk: Desk, hall: str) -> None:
+        """Once the shots are made, after everybody else who listens to them."""
+        self.witness = Witness(self.name, hall, desk, directory)
+        staff.follows = self.answer
+        desk.shots.clear = partial(self._cleared, desk.shots.clear)
+        desk.shots.tell = partial(self._told, desk.shots.tell)
+
+    # ---- events here ----
+
+    @property
+    def watching(self) -> bool:
+        """Whether anybody follows: else events are numbered, and not made."""
+        return self.serving is not None and bool(self.serving.source.outboxes)
+
+    def seen(self, kind: str, kept: Kept, figure: int) -> None:
+        """As `Shared.seen`: something has happened to an envelope."""
+        witness = self.witness
+        if witness is None or not self.watching:
+            self._unseen()
+            return
+        try:
+            self._happened(kind, witness.envelope(kind, kept, figure))
+        except Exception:  # Danger: a delivery must not fail because somebody watches it
+            self.counters.failed("an event was not told")
+
+    def adopted(self, kept: Iterable[Kept], member: str) -> None:
+        """Envelopes of another member are this one's from now on."""
+        for each in kept:
+            if self.watching and self.witness is not None:
+                self._happened("adopted", self.witness.envelope("adopted", each, 0) | self.witness.member(member))
+            else:
+                self._unseen()
+
+    def moved(self, key: str, tenant: str, member: str, age: int) -> None:
+        """A session has moved to a member; `age` microseconds after the move began."""
+        self._of_member("moved", member, {"id": key, "age": age, **({"tenant": tenant} if tenant else {})})
+
+    def member(self, change: Change, silent: int) -> None:
+        """A member stands otherwise; it was silent for so many microseconds."""
+        if change.now is Standing.ALIVE:
+            self._of_member("member-came", change.name, {})
+        elif change.now in (Standing.DEAD, Standing.LEFT):
+            self._of_member("member-went", change.name, {"age": silent})
+
+    def _of_member(self, kind: str, member: str, more: dict[str, Value]) -> None:
+        if self.watching and self.witness is not None:
+            self._happened(kind, self.witness.member(member) | more)
+        else:
+            self._unseen()
+
+    def _unseen(self) -> None:
+        if self.serving is not None:
+            self.serving.source.next += 1
+        else:
+            self.first += 1
+
+    def _happened(self, kind: str, fields: dict[str, Value]) -> None:
+        assert self.serving is not None
+        try:
+            self.serving.happened(wall(), kind, fields)
+        except BadEvent as error:
+            self.counters.trouble("an event that cannot be told", error)
+
+    def _cleared(self, clear: Callable[[Shot], bool], call: Shot) -> bool:
+        if self.watching and self.witness is not None:
+            self.witness.cleared(call)
+        return clear(call)
+
+    def _told(self, tell: Callable[[Shot, Ending], None], call: Shot, ending: Ending) -> None:
+        if self.watching and self.witness is not None:
+            self.witness.told(call, ending)
+        tell(call, ending)
+
+    # ---- called by the node ----
+
+    def look(self, now: int, alive: Iterable[str], majority: int) -> None:
+        """`now` counts on while the machine sleeps; `majority` is of all members."""
+        self.alive = list(alive)
+        if now >= self.tick_at:
+            self.tick_at = now + TICK
+            self._tick(now, len(self.alive) >= majority)
+        if self.dirty:
+            self._evaluate()
+        if self.serving is not None:
+            self.serving.look(now, self.alive)
+        if now < self.turn_at:
+            return
+        self.turn_at = now + TURN
+        if self.watching and self.witness is not None:
+            for kind, fields in self.witness.looked():
+                self._happened(kind, fields)
+        elif self.witness is not None and self.witness.begun:
+            self.witness.blind()
+        digest = self.spread.digest()
+        for name in self.alive:
+            new = bool(self.lacks.get(name)) or self.agreed.get(name) != digest
+            due = new and now >= self.failed_until.get(name, 0) or now >= self.next_at.get(name, 0)
+            if name != self.name and due and name not in self.talking:
+                self.talking.add(name)
+                gevent.spawn(self._talk, now, name)
+
+    def heard(self, sender: str, now: int, body: Subscribe | Matches | Cursors) -> Body:
+        """The answer to another member's letter."""
+        if isinstance(body, Subscribe):
+            self._take(sender, body)
+            return self.spread.answer(body)
+        if self.serving is None:
+            return Cursors(body.source, ()) if isinstance(body, Matches) else Noted()
+        if isinstance(body, Matches):
+            return self.serving.matched(sender, body)
+        self.serving.places(now, sender, body)
+        return Noted()
+
+    def stop(self) -> None:
+        """The sender ends."""
+        if self.serving is not None:
+            self.serving.summary()
+
+    def _tick(self, now: int, with_majority: bool) -> None:
+        count, at = len(self.registry.entries), wall()
+        lost = self.registry.tick(at, with_majority)
+        for name in lost:
+            self._end(name, Forgotten(f"{name}: this member was cut off for too long"))
+        if count != len(self.registry.entries):
+            self._changed()
+        if self.serving is not None:
+            for name in list(self.serving.connections):
+                entry = self.registry.entries.get(name)
+                if entry is not None and entry.lives(at) and at - entry.followed_at > FORGET // 4:
+                    self.registry.followed(at, name)
+                    self._changed(name)
+        if now >= self.expiry_at:
+            self.expiry_at = now + EXPIRY
+            self.dirty = bool(self.registry.entries) or self.dirty
+
+    def _evaluate(self) -> None:
+        living = self.registry.living(wall())
+        if self.serving is None and not living:
+            self.dirty = False
+        elif self.serving is not None:
+            self.dirty = not self.serving.evaluate(living)
+        elif not self.loading:
+            self.loading = True
+            gevent.spawn(self._load)
+
+    def _load(self) -> "Serving":
+        """The part that evaluates; reading its grammar takes too long for the loop."""
+        try:
+            module = gevent.get_hub().threadpool.apply(importlib.import_module, ("cedarwick.events.serving",))
+        finally:
+            self.loading = False
+        if self.serving is None:
+            self.serving = module.Serving(self.name, self.sources, self.first, lambda name: self.registry.entries.get(
+                name), self.call, self.counters)
+        return cast("Serving", self.serving)
+
+    # ---- the registry ----
+
+    def _changed(self, *names: str, but: str = "") -> None:
+        """Entries have changed: told to the others at the next look, and acted on here."""
+        self.spread.changed()
+        self.dirty = True
+        self.turn_at = 0
+        for member in (self.gate.others - {but}) if names else ():
+            self.lacks.setdefault(member, set()).update(names)
+        if self.serving is None:
+            return
+        at = wall()
+        for name in list(self.serving.connections):
+            entry = self.registry.entries.get(name)
+            if entry is None or not entry.lives(at):
+                self._end(name, Unfollowed(f"{name} has ended"))
+            elif entry.member != self.name:
+                self._end(name, MovedAway(f"{name} is followed at {entry.member}"))
+
+    def _end(self, name: str, why: Trouble) -> None:
+        if self.serving is not None and name in self.serving.connections:
+            self.serving.connections[name].end(why)
+
+    def _take(self, sender: str, told: Subscribe) -> None:
+        """Join another member's entries, and act on what is new."""
+        before = dict(self.registry.entries) if told.entries else {}
+        verdict = self.spread.join(wall(), told)
+        if verdict is not Verdict.JOINED:
+            self.counters.trouble("subscriptions of another member", NotJoined(f"{sender}: {verdict.value}"))
+            return
+        entries = self.registry.entries
+        changed = [name for name in told.entries if name in entries and before.get(name) is not entries[name]]
+        if changed:
+            self._changed(*changed, but=sender)
+
+    def _talk(self, now: int, name: str) -> None:
+        try:
+            self.next_at[name] = now + (AGAIN if self._say(now, name) else RETRY)
+        finally:
+            self.talking.discard(name)
+
+    def _say(self, now: int, name: str) -> bool:
+        """Tell another member what it lacks, and compare; whether the two are at one."""
+        names = self.lacks.pop(name, set())
+        answer = self._ask(name, self.spread.letter(names))
+        if answer is None:
+            self.lacks.setdefault(name, set()).update(names)
+            self.failed_until[name] = now + RETRY
+            return False
+        if answer.buckets and (wish := self.spread.differing(answer)) is not None:
+            answer = self._ask(name, wish) or answer
+        self.agreed[name] = self.spread.digest()
+        return answer.digest == self.agreed[name]
+
+    def _ask(self, name: str, letter: Subscribe) -> Subscribe | None:
+        answer = self.call(name, letter, ANSWER_IN)
+        if not isinstance(answer, Subscribe):
+            return None
+        self._take(name, answer)
+        return answer
+
+    # ---- staff and subscribers ----
+
+    def answer(self, call: Call) -> str | Talk:
+        """`FOLLOW` and `UNFOLLOW`; a `Trouble` says why not."""
+        if call.name == "UNFOLLOW":
+            return self._unfollow(call.argument)
+        if self.serving is None:
+            # Danger: on a busy machine the first load takes longer than a caller is given for its line.
+            return partial(self._load_and_follow, call.argument)
+        return self._follow(self.serving, call.argument)
+
+    def _load_and_follow(self, told: str, sock: gevent.socket.socket) -> None:
+        try:
+            talk = self._follow(self._load(), told)
+        except Trouble as error:
+            self.counters.add(f"management calls refused: {error.code}")
+            sock.sendall(f"NO {error.line}\n".encode("ascii", "replace"))
+        else:
+            talk(sock)
+
+    def _follow(self, serving: "Serving", told: str) -> Talk:
+        from cedarwick.events.language import check_levels, read
+        from cedarwick.events.reading import Reader
+        from cedarwick.events.streams import decoded
+
+        # A cursor has a colon: the first word without one, after the name, begins the filter.
+        words = told.split(" ")
+        place = next((at for at, word in enumerate(words[1:], 1) if word.upper() == "WHERE"), len(words))
+        name, cursors = decoded(" ".join(word for word in words[:place] if word))
+        text = " ".join(words[place + 1:])
+        if place < len(words) and not text.strip():
+            raise BadFollow("no filter after WHERE")
+        if len(serving.connections) >= MOST_READERS and name not in serving.connections:
+            raise TooManyReaders(f"{MOST_READERS} subscribers are connected here")
+        at = wall()
+        if place < len(words):
+            found = read(text)
+            check_levels(found, {member: self.gate.levels[member] for member in (self.name, *self.gate.others)
+                                 if member in self.gate.levels})
+            text = found.text
+        else:
+            held = self.registry.entries.get(name)
+            if held is None or not held.lives(at):
+                raise NotFollowed(f"no subscription is called '{name}' here")
+            text = held.filter
+        self.registry.follow(at, name, text)
+        self.began = max(self.began + 1, at)
+        connection = serving.connect(Reader(name, self.began, cursors), self.alive)
+        self._changed(name)
+        return partial(serving.talk, connection, alive=lambda: self.alive)
+
+    def _unfollow(self, told: str) -> str:
+        name = told.strip()
+        if not name or " " in name:
+            raise BadFollow("UNFOLLOW takes one name")
+        self.registry.end(wall(), name)
+        self._changed(name)
+        letter = self.spread.letter([name])
+        others = sorted(self.gate.others)
+        calls = [gevent.spawn(self._ask, member, letter) for member in others if member in self.alive]
+        gevent.joinall(calls, timeout=ANSWER_IN)
+        told_to = {member for member, call in zip([each for each in others if each in self.alive], calls, strict=True)
+                   if call.value is not None}
+        untold = [member for member in others if member not in told_to]
+        logger.info("{} ended; not yet told: {}", name, ", ".join(untold) or "nobody")
+        return f"YES {name} ended" + (f", not yet told: {', '.join(untold)}" if untold else "") + "\n"
+
+
+__all__ = ["Exchange"]
--- /dev/null
+++ b/cedarwick/events/sources.py
@@ -0,0 +1,36 @@
+"""What sources are called, and which have ended: one for each boot of each member."""
+
+from cedarwick.events.registry import NAME
+from cedarwick.fleet.gate import Gate
+from cedarwick.fleet.messages import slot_of
+
+LONGEST_STEM = 47  # characters: the name of a source is one that a subscriber's cursors can hold
+
+
+class Sources:
+    """The members' boots, as the gate has seen them."""
+
+    def __init__(self, gate: Gate) -> None:
+        self.gate = gate
+
+    def of(self, member: str) -> str:
+        """The source of a member's newest boot; empty where none was heard of."""
+        boot = self._boot(member)
+        return f"{stem(member)}-{boot}" if boot else ""
+
+    def over(self, source: str) -> bool:
+        """Whether a source has ended for good: its member has begun anew, or is no member any more."""
+        told, _, boot = source.rpartition("-")
+        for member in (self.gate.me, *self.gate.others):
+            if stem(member) == told:
+                newest = self._boot(member)
+                return newest > 0 and (not boot.isdecimal() or int(boot) < newest)
+        return True
+
+    def _boot(self, member: str) -> int:
+        return self.gate.incarnation if member == self.gate.me else self.gate.newest.get(member, 0)
+
+
+def stem(member: str) -> str:
+    """A member's name, or its slot where the name does not fit."""
+    return member if len(member) <= LONGEST_STEM and NAME.fullmatch(member) else f"m{slot_of(member)}"
--- /dev/null
+++ b/cedarwick/events/spreading.py
@@ -0,0 +1,100 @@
+"""The registry as members tell it to one another: digests first, then whole buckets that differ; no I/O.
+
+Names fall into buckets by their hash. Two members compare one digest of all; where it differs the one answers with the
+digests of its buckets, the other asks for some of those that differ and brings its own (one level of a hash tree).
+Entries are joined, so any of it may come twice, late or never.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from cedarwick.events.registry import Entry, Registry, Verdict
+from cedarwick.fleet.messages import MOST_ENTRIES, Subscribe
+
+BUCKETS = 256
+BYTES = 1 << 18  # of entries in one letter, about; one bucket at least
+MOST_BYTES = 3 * BYTES  # a bucket with more of the longest filters than chance would give it is cut here
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class Spread:
+    """One member's registry and its digests. `changed` is called after each change of the registry."""
+
+    def __init__(self, registry: Registry) -> None:
+        self.registry = registry
+        self.stale = True
+        self.hashes: dict[str, tuple[Entry, int]] = {}
+        self.buckets = [0] * BUCKETS
+
+    def changed(self) -> None:
+        self.stale = True
+
+    def digests(self) -> tuple[int, ...]:
+        """Of each bucket."""
+        if self.stale:
+            self.stale = False
+            held, buckets = self.hashes, [0] * BUCKETS
+            self.hashes = {}
+            for name, entry in self.registry.entries.items():
+                known = held.get(name)
+                if known is None or known[0] is not entry:
+                    known = entry, xxhash.xxh3_64_intdigest(_encode((name, entry)))
+                self.hashes[name] = known
+                buckets[bucket(name)] ^= known[1]
+            self.buckets = buckets
+        return tuple(self.buckets)
+
+    def digest(self) -> int:
+        """Of everything."""
+        return xxhash.xxh3_64_intdigest(_encode(self.digests()))
+
+    def letter(self, names: Iterable[str] = (), asked: Iterable[int] = ()) -> Subscribe:
+        """Some entries for another member, beside the digest, as far as a letter has room; and what is asked of it."""
+        found: dict[str, Entry] = {}
+        size = 0
+        for name in names:
+            entry = self.registry.entries.get(name)
+            if entry is not None and size <= MOST_BYTES and len(found) < MOST_ENTRIES:
+                found[name] = entry
+                size += len(entry.filter) + 128
+        return Subscribe(self.registry.epoch, self.digest(), found, tuple(asked))
+
+    def answer(self, told: Subscribe) -> Subscribe:
+        """What another member is answered, once its entries were taken in."""
+        asked = {each for each in told.asked if each < BUCKETS}
+        if asked:
+            return self.letter(self._within(asked))
+        answer = self.letter()
+        return answer if answer.digest == told.digest else msgspec.structs.replace(answer, buckets=self.digests())
+
+    def join(self, now: int, told: Subscribe) -> Verdict:
+        """Take in what another member has told."""
+        verdict = self.registry.merge(now, told.epoch, told.entries.items())
+        if verdict is Verdict.JOINED and told.entries:
+            self.changed()
+        return verdict
+
+    def differing(self, answer: Subscribe) -> Subscribe | None:
+        """What to say to one whose buckets differ: those that a letter has room for, and the wish for its own."""
+        differ = [place for place, (mine, its) in enumerate(zip(self.digests(), answer.buckets, strict=False))
+                  if mine != its]
+        sizes = [0] * BUCKETS
+        for name, entry in self.registry.entries.items():
+            sizes[bucket(name)] += len(entry.filter) + 128
+        asked: list[int] = []
+        for place in differ:
+            if asked and sum(sizes[each] for each in asked) + sizes[place] > BYTES:
+                break
+            asked.append(place)
+        return self.letter(self._within(set(asked)), asked) if asked else None
+
+    def _within(self, buckets: set[int]) -> list[str]:
+        return [name for name in sorted(self.registry.entries, key=lambda name: (bucket(name), name))
+                if bucket(name) in buckets]
+
+
+def bucket(name: str) -> int:
+    """Which bucket a name falls into."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % BUCKETS
--- /dev/null
+++ b/cedarwick/events/witness.py
@@ -0,0 +1,131 @@
+"""What a sender's parts do, as the fields of events. Asked only while somebody follows; looks, and changes nothing."""
+
+from dataclasses import dataclass
+
+from cedarwick.events.kinds import LONGEST_TEXT, Value
+from cedarwick.interface import Outcome
+from cedarwick.net.desk import Desk
+from cedarwick.net.directory import Directory
+from cedarwick.net.shots import Call, Ending
+from cedarwick.store.records import Kept
+
+Happened = tuple[str, dict[str, Value]]
+ENDS = ("completed", "nacked", "written-off")
+SPARE = 1000  # envelopes that are remembered beyond those that are kept
+
+
+@dataclass(slots=True)
+class Life:
+    """Of an envelope, what its record in the folder does not hold."""
+
+    taken_at: int = 0  # 0: before anybody followed
+    receiver: int = -1  # of its last shot; -1: unknown
+    wait: int = 0  # that this shot was told
+
+
+class Witness:
+    """One sender's eyes. Times are microseconds of the sender's clock."""
+
+    def __init__(self, name: str, hall: str, desk: Desk, directory: Directory) -> None:
+        self.here: dict[str, Value] = {"sender": name, "hall": hall}
+        self.desk = desk
+        self.directory = directory
+        self.lives: dict[int, Life] = {}
+        self.uids: dict[int, str] = {}
+        self.out: dict[str, tuple[int, int]] = {}  # by uid: destination, and since when
+        self.held_out: set[str] = set()
+        self.begun = False
+
+    # ---- envelopes ----
+
+    def cleared(self, call: Call) -> None:
+        """A shot wants to go out to its receiver."""
+        life = self._life(call.kept.number)
+        life.receiver, life.wait = call.receiver, 0
+
+    def told(self, call: Call, ending: Ending) -> None:
+        """A shot has ended; its outcome is seen in a moment."""
+        if call.kept.number in self.lives:
+            self.lives[call.kept.number].wait = ending.told_wait
+
+    def envelope(self, kind: str, kept: Kept, figure: int) -> dict[str, Value]:
+        """The fields of an event of an envelope; `figure` as `Shared.seen` has it."""
+        now, life = self.desk.clock.now(), self._life(kept.number)
+        band = self.desk.sender.bands[self.desk.bands[kept.band]] if kept.band in self.desk.bands else None
+        fields: dict[str, Value] = {**self.here, "id": kept.id[:LONGEST_TEXT], "band": kept.band[:LONGEST_TEXT],
+                                    "destination": kept.destination}
+        if kept.tenant:
+            fields["tenant"] = kept.tenant[:LONGEST_TEXT]
+        if band is not None:
+            fields |= {"worth": float(band.importance), "at_most_once": band.at_most_once}
+        if kind == "taken":
+            life.taken_at = now
+            return fields
+        fields["shots"] = kept.shots
+        if life.taken_at:
+            fields["age"] = max(0, now - life.taken_at)
+        if kind in ("shot", "outcome") and (uid := self._uid(life.receiver)):
+            fields["receiver"] = uid
+        if kind == "outcome":
+            fields["outcome"] = list(Outcome)[figure].value
+            if life.wait:
+                fields["wait"] = life.wait
+        if kind == "nacked" and figure:
+            fields["wait"] = figure * 1000
+        if kind in ENDS:
+            del self.lives[kept.number]
+        return fields
+
+    def _life(self, number: int) -> Life:
+        life = self.lives.get(number)
+        if life is None:
+            life = self.lives[number] = Life()
+            # Danger: envelopes that end elsewhere tell no end here, and would be remembered for ever.
+            if len(self.lives) > 2 * len(self.desk.store.kept) + SPARE:
+                self.lives = {each: life for each, life in self.lives.items() if each in self.desk.store.kept}
+                self.lives[number] = life
+        return life
+
+    # ---- receivers ----
+
+    def looked(self) -> list[Happened]:
+        """Receivers that went out or came back since the last look, and those taken out by hand or restored."""
+        now = self.desk.clock.now()
+        self.uids = {number: uid for uid, number in self.directory.numbers.items()}
+        out = {self._uid(each.id): (each.destination, each.out_since)
+               for each in self.desk.sender.receivers.values() if each.out_since}
+        held_out = set(self.directory.held_out)
+        found: list[Happened] = []
+        if self.begun:
+            waits = {self._uid(receiver): until for receiver, until in self.desk.sender.told_waits(now)}
+            for uid in sorted((out.keys() - self.out.keys()) - {""}):
+                fields = self._receiver(uid, out[uid][0])
+                found.append(("receiver-out", fields | ({"wait": waits[uid] - now} if waits.get(uid, 0) > now else {})))
+            for uid in sorted((self.out.keys() - out.keys()) - {""}):
+                destination, since = self.out[uid]
+                found.append(("receiver-back", self._receiver(uid, destination) | {"age": max(0, now - since)}))
+            found += [("suspended", self._receiver(uid)) for uid in sorted(held_out - self.held_out)]
+            found += [("restored", self._receiver(uid)) for uid in sorted(self.held_out - held_out)]
+        self.out, self.held_out, self.begun = out, held_out, True
+        return found
+
+    def blind(self) -> None:
+        """Nobody follows any more; what changes until somebody does is no event."""
+        self.begun = False
+        self.lives.clear()
+
+    def member(self, name: str) -> dict[str, Value]:
+        """The fields of an event of another member."""
+        return {**self.here, "member": name[:LONGEST_TEXT]}
+
+    def _receiver(self, uid: str, destination: int | None = None) -> dict[str, Value]:
+        if destination is None:
+            receiver = self.desk.sender.receivers.get(self.directory.numbers.get(uid, -1))
+            destination = receiver.destination if receiver is not None else None
+        known: dict[str, Value] = {} if destination is None else {"destination": destination}
+        return {**self.here, "receiver": uid[:LONGEST_TEXT], **known}
+
+    def _uid(self, receiver: int) -> str:
+        if receiver not in self.uids and receiver in self.desk.sender.receivers:
+            self.uids = {number: uid for uid, number in self.directory.numbers.items()}
+        return self.uids.get(receiver, "")[:LONGEST_TEXT]
--- /dev/null
+++ b/cedarwick/fleet/book.py
@@ -0,0 +1,413 @@
+"""The folder of a sender that belongs to a fleet: what is written there is told to the copies as well.
+
+`Shared` is the folder as the desk knows it. Besides, it keeps for each book that this sender holds the ledger of facts
+and the log that ships them (`Holding`), and answers for the right to fire. The node decides which books are held.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any
+
+import gevent.event
+
+from cedarwick.errors import Trouble
+from cedarwick.fleet.adoption import Adoption
+from cedarwick.fleet.facts import (
+    Fact,
+    Known,
+    Ledger,
+    Rank,
+    base_of,
+    decode_facts,
+    in_doubt,
+    join,
+    join_facts,
+    kept_of,
+    over,
+    together,
+)
+from cedarwick.fleet.shipping import Log
+from cedarwick.interface import Outcome
+from cedarwick.store.journal import Lost, NoRoom, Store
+from cedarwick.store.records import Kept
+
+STARVED = 500_000  # microseconds that a copy may lag before its book is not fired for, and nothing waits for it
+BLOCK = 1 << 16  # numbers that are reserved at once: so many are skipped at a restart
+PER_BOOK = 1 << 32
+
+
+class NotCopied(Trouble, OSError):
+    """No copy has taken a record in time."""
+
+    code = "CW741"
+    remedy = "look at the members that have the copies, and at the network to them; `fleet.alone` says what follows"
+
+
+def with_end(fact: Fact, rank: Rank) -> Fact:
+    """A fact that ends so, if it has no end that beats it."""
+    return Fact(fact.number, fact.base, join(fact.known, Known(end=(rank, 0))))
+
+
+def boot_time() -> int:
+    """Whole microseconds of the clock that goes on while the machine sleeps."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+
+
+class Holding:
+    """A book that this sender holds, or has held and not given up: its ledger, its log, and how it stands."""
+
+    def __init__(self, book: int, adoption: Adoption) -> None:
+        self.book = book
+        self.adoption = adoption
+        self.ledger = Ledger(0)
+        self.log = Log(book, 0, lambda _: None)
+        self.begun_at = 0  # when its log began: its copies have some time until it goes on without them
+        self.imported = False  # its envelopes are in the folder, the ledger knows them
+        self.serving = False  # the desk fires for it
+        self.starved_at = 0  # since when its copies do not follow, by the boot clock; 0: they do
+        self.alone_since = 0  # it goes on without copies
+        self.reserved = 0  # numbers below this one are written down as given
+        self.from_term = 0  # the term of the copy that it was adopted from in this process; 0: it was not
+        self.offered = False  # the newer holder has taken all that was known here
+        self.unheld_since = 0  # since when the right has run out and no majority says more; 0: it is held, or lost
+        self.heard_out = False  # of an adopted book: its last holder has offered all that it knew
+        self.sent = 0  # facts below this index were sent to some copy
+        self.finished: set[int] = set()  # of an adopted book: ended here, so that old news does not bring them back
+
+    def starving(self, now: int) -> bool:
+        """Whether its copies have been behind for too long, by the boot clock."""
+        return self.starved_at > 0 and now - self.starved_at > STARVED
+
+    def read(self, store: "Shared", number: int) -> Fact | None:
+        """All that is known of an owed envelope, for the log."""
+        kept, known = store.kept.get(number), self.ledger.known.get(number)
+        if kept is None or known is None:
+            return None
+        try:
+            return Fact(number, base_of(kept, store.body(number) if kept.end is None else b""), known)
+        except Lost:
+            return Fact(number, None, known)
+
+
+class Shared(Store):
+    """Owns the folder, as `Store` does, and tells the books what happens to their envelopes."""
+
+    def __init__(self, *told: Any, by_copy: bool = False, within_us: int = 150_000, **more: Any) -> None:
+        """As `Store`; `by_copy`: what is answered waits for the heirs, `within_us` microseconds at most."""
+        super().__init__(*told, **more)
+        self.awaited = self.awaited or by_copy
+        self.by_copy = by_copy
+        self.within_us = within_us
+        self.holdings: dict[int, Holding] = {}
+        self.current: Holding | None = None  # new envelopes are taken in this one
+        self.reserve: Callable[[Holding], None] = lambda _: None  # write down that a block of numbers is given
+        self.news = gevent.event.Event()  # a fact was appended, or an answer of a copy came
+        self.starved: Callable[[Holding], None] = lambda _: None
+        self.seen: Callable[[str, Kept, int], None] = lambda *_: None  # events: kind, envelope, a figure
+        self.marking: Callable[[dict[int, tuple[int, str]]], None] = lambda _: None  # on the disk before they count
+
+    # ---- the right ----
+
+    def may_fire(self, number: int) -> bool:
+        """Whether this sender has the right to fire for an envelope at this moment."""
+        holding = self.holdings.get(number >> 32)
+        return (holding is not None and holding.serving and number not in self.inert
+                and holding.adoption.holder.may_fire(boot_time()))
+
+    def deciding(self) -> bool:
+        """Whether the right over every book that the desk serves is held at this moment."""
+        now = boot_time()
+        return all(each.adoption.holder.may_fire(now) for each in self.holdings.values() if each.serving)
+
+    def taking(self) -> bool:
+        """Whether new envelopes can be taken: the right over the book that is open is held."""
+        current = self.current
+        return current is not None and current.serving and current.adoption.holder.may_fire(boot_time())
+
+    def has_room(self, kept: Kept) -> bool:
+        if not self.taking() or not super().has_room(kept):
+            return False
+        assert self.current is not None
+        if self.next_number >= self.current.reserved:
+            self.reserve(self.current)
+        return self.next_number < self.current.reserved
+
+    def open(self, holding: Holding, first: int) -> None:
+        """New envelopes are taken in this book from now on, from a number that was never given."""
+        self.current = holding
+        holding.reserved = self.next_number = first
+        self.reserve(holding)
+
+    # ---- what the desk tells ----
+
+    def keep(self, kept: Kept) -> None:
+        super().keep(kept)
+        holding = self.holdings[kept.number >> 32]
+        self._tell(holding, holding.ledger.kept(kept, kept.body or b""))
+        self.seen("taken", kept, 0)
+
+    def shot(self, number: int, sent_at: int, zone: int) -> None:
+        super().shot(number, sent_at, zone)
+        holding = self._knows(number)
+        if holding is not None:
+            self._tell(holding, holding.ledger.shot(number, sent_at, zone))
+        self.seen("shot", self.kept[number], zone)
+
+    def outcome(self, number: int, outcome: Outcome) -> None:
+        kept, holding = self.kept.get(number), self._knows(number)
+        if kept is not None and kept.out_at and holding is not None:
+            # Danger: told after the folder's own record, a completed one would already be over, as any other end.
+            self._tell(holding, holding.ledger.outcome(number, outcome.never_ran, outcome is Outcome.COMPLETED))
+        super().outcome(number, outcome)
+        if kept is not None:
+            self.seen("completed" if outcome is Outcome.COMPLETED else "outcome", kept, list(Outcome).index(outcome))
+
+    def ended(self, number: int, nacked: bool, wait_ms: int) -> None:
+        holding = self._knows(number)
+        if holding is not None:
+            self._tell(holding, holding.ledger.ended(number, nacked, wait_ms))
+        kept = self.kept.get(number)
+        super().ended(number, nacked, wait_ms)
+        if kept is not None:
+            self.seen("nacked" if nacked else "written-off", kept, wait_ms)
+
+    def over(self, number: int) -> None:
+        holding = self._knows(number)
+        if holding is not None:
+            self._tell(holding, holding.ledger.over(number))
+        super().over(number)
+
+    def flush(self, call: Callable[..., object] | None = None) -> None:
+        """With `by_copy`, besides: wait until every heir has all that was told; `NotCopied` where one has not."""
+        if self.durable or not self.by_copy:
+            super().flush(call)
+        if not self.by_copy:
+            return
+        until = time.monotonic() + self.within_us / 1e6
+        for holding in [each for each in self.holdings.values() if each.serving]:
+            index = holding.log.next
+            while holding.log.acked(self.heirs_of(holding)) < index:
+                if holding.starving(boot_time()) or not self._wait(until):
+                    self.starved(holding)
+                    raise NotCopied(f"book {holding.book}: {index - holding.log.acked(self.heirs_of(holding))} records "
+                                    f"are not at {', '.join(sorted(self.heirs_of(holding)))}")
+            # Danger: the lease may have run out meanwhile, and an heir that has adopted would not know of this.
+            if not holding.adoption.holder.may_fire(boot_time()):
+                raise NotCopied(f"book {holding.book}: the right over it has run out")
+
+    def heirs_of(self, holding: Holding) -> frozenset[str]:
+        """The copies that must have a record before it counts as told."""
+        return holding.adoption.holder.bound - {holding.adoption.me}
+
+    def _wait(self, until: float) -> bool:
+        left = until - time.monotonic()
+        if left <= 0:
+            return False
+        self.news.clear()
+        self.news.wait(left)
+        return True
+
+    # ---- sessions that move ----
+
+    def stage(self, kept: Kept, sequence: int, text: str) -> None:
+        """Keep an envelope that is on its way to this sender: inert from its first record on, here and at every heir.
+
+        `NoRoom` where there is none for it. The mark is on the disk already (`marking`).
+        """
+        holding = self.holdings[kept.number >> 32]
+        self.inert[kept.number] = sequence, text
+        super().keep(kept)
+        fact = holding.ledger.kept(kept, kept.body or b"")
+        # Danger: an heir that is told of the envelope before its mark might fire for it.
+        self._tell(holding, Fact(kept.number, fact.base, holding.ledger.moved(kept.number, sequence, text).known))
+
+    def mark(self, number: int, sequence: int, text: str) -> None:
+        """An envelope is inert from now on, or with an empty text is not any more."""
+        if text:
+            self.inert[number] = sequence, text
+        else:
+            self.inert.pop(number, None)
+        holding = self._knows(number)
+        if holding is not None:
+            self._tell(holding, holding.ledger.moved(number, sequence, text))
+
+    def copied(self, books: Iterable[int]) -> Callable[[], bool]:
+        """Whether every heir of some books has by then what is told of them now."""
+        upto = {book: self.holdings[book].log.next for book in books}
+
+        def now() -> bool:
+            held = {book: self.holdings.get(book) for book in upto}
+            return all(each is not None and each.serving and each.log.acked(self.heirs_of(each)) >= upto[book]
+                       for book, each in held.items())
+
+        return now
+
+    # ---- books that come and go ----
+
+    def numbers(self, book: int) -> list[int]:
+        """Envelopes of a book in the folder, in the order in which they were taken."""
+        return sorted(number for number in self.kept if number >> 32 == book)
+
+    def take_in(self, holding: Holding, facts: Iterable[Fact], term: int, doubt_at: int,
+                mine: Iterable[int] = (), perhaps: Iterable[int] = (), late: int = 0) -> None:
+        """What a copy knew of a book goes into this folder, under a new term. `NoRoom` leaves what fits.
+
+        `doubt_at`: wall microseconds from which on news may be missing; 0: none is. `mine`, `perhaps`: see
+        `only_here`, where this member has held the book before and could not offer what it knew. `late`: what ends
+        before this wall time ends now.
+        """
+        marked = [in_doubt(fact, doubt_at) if doubt_at else fact for fact in facts]
+        # Danger: a holder that was cut off has said 'failed' of what ended meanwhile; 'returned' would be another end.
+        marked = [with_end(fact, Rank.FAILED) if fact.base is not None and fact.base.outer_limit <= late
+                  and fact.known.end[0] is Rank.NONE else fact for fact in marked]
+        told = {fact.number for fact in marked}
+        for number in self.numbers(holding.book):  # this member has held it before: what the copy lacks is over
+            if number in told or number in mine:
+                holding.ledger.kept(self.kept[number], b"")
+            elif number in perhaps:
+                # Danger: whoever has held it between may have ended it, and nobody can be asked.
+                if self.kept[number].end is None:
+                    super().ended(number, False, 0)
+                holding.ledger.kept(self.kept[number], b"")
+            else:
+                super().over(number)
+        news = holding.ledger.adopt(marked, term)
+        self._take_marks(news)
+        for fact in news:
+            self._take_news(fact, fact.number not in self.kept)
+
+    def resume_own(self, holding: Holding, term: int) -> None:
+        """The folder of this process has the book's envelopes already: the ledger learns them, under a new term."""
+        if holding.ledger.term:
+            holding.ledger.renew(term)
+            return
+        holding.ledger = Ledger(term)
+        for number in self.numbers(holding.book):
+            holding.ledger.kept(self.kept[number], b"")
+            if number in self.inert:
+                holding.ledger.moved(number, *self.inert[number])
+
+    def begin_log(self, holding: Holding, term: int) -> None:
+        """Ship the book under a term from now on."""
+        holding.log = Log(holding.book, term, lambda number: holding.read(self, number), sorted(holding.ledger.known))
+        holding.begun_at = boot_time()
+        holding.sent = 0
+
+    def offered(self, holding: Holding, facts: list[Fact], term: int) -> tuple[list[int], list[int]]:
+        """What an earlier holder knew: joined. Numbers that are over by it, and those that are new here or changed.
+
+        `term`: the newest in which it has held the book.
+        """
+        straight = holding.from_term == term > 0
+        before = dict(holding.ledger.known)
+        told = {fact.number: fact for fact in facts if fact.number >> 32 == holding.book
+                # Danger: what has ended here would come back as owed.
+                and fact.number not in holding.finished
+                and (fact.number in before or fact.base is not None and not over(fact.known))}
+        news = []
+        all_news = holding.ledger.adopt(told.values(), holding.ledger.term)
+        self._take_marks(all_news)
+        for joined in all_news:
+            if joined.known != before.get(joined.number):
+                if joined.number not in before and not straight:
+                    # Danger: between the two somebody else has held the book, and may have ended it: whoever took it
+                    # over from that one knows nothing of it. Only 'failed' is honest then.
+                    joined = with_end(joined, Rank.FAILED)
+                    holding.ledger.known[joined.number] = joined.known
+                self._take_news(joined, joined.number not in before)
+                self._tell(holding, joined)
+                news.append(joined.number)
+        ended = [number for number in told if number not in holding.ledger.known]
+        for number in ended:
+            self._tell(holding, Fact(number, None, told[number].known))
+            super().over(number)
+        return ended, news
+
+    def _take_marks(self, facts: Iterable[Fact]) -> None:
+        """What others knew of moves under way, before the envelopes themselves are kept."""
+        moves = {fact.number: fact.known.move for fact in facts if fact.known.move is not None}
+        if moves:
+            marks = {number: each for number, each in self.inert.items() if number not in moves}
+            marks.update({number: each for number, each in moves.items() if each is not None and each[1]})
+            if marks != self.inert:
+                self.marking(marks)
+                self.inert = marks
+
+    def _take_news(self, fact: Fact, new: bool) -> None:
+        """Bring the folder's own record of an adopted envelope up to what is known now."""
+        if new:
+            super().keep(kept_of(fact))
+            return
+        kept = self.kept[fact.number]
+        if fact.known.ran is not None and (not kept.ran_at or fact.known.ran[0] < kept.ran_at):
+            self.may_have_run(fact.number, *fact.known.ran)
+        if fact.known.end[0] is not Rank.NONE and kept.end is None:
+            super().ended(fact.number, fact.known.end[0] is Rank.RETURNED, fact.known.end[1])
+
+    def known_here(self, holding: Holding) -> list[Fact]:
+        """All that this member knows of a book that it has lost: what is owed, and what ended of late."""
+        facts: dict[int, Fact] = {}
+        for data, _ in holding.log.window:
+            for fact in decode_facts(together([data])):
+                facts[fact.number] = join_facts(facts[fact.number], fact) if fact.number in facts else fact
+        for number in list(holding.ledger.known):
+            owed = holding.read(self, number)
+            if owed is not None:
+                facts[number] = join_facts(facts[number], owed) if number in facts else owed
+        return [facts[number] for number in sorted(facts)]
+
+    def only_here(self, holding: Holding) -> tuple[list[int], list[int]]:
+        """Owed envelopes of a lost book that no copy was sent, and those that may or may not have reached one."""
+        if not holding.log.term:  # of an earlier process: nobody knows what that has sent
+            return [], [] if self.by_copy else self.numbers(holding.book)
+        acked = max((follower.acked for follower in holding.log.followers.values()), default=holding.sent)
+        mine: list[int] = []
+        perhaps: list[int] = []
+        for place, (data, _) in enumerate(holding.log.window):
+            for fact in decode_facts(together([data])):
+                if fact.base is not None and fact.number in holding.ledger.known and fact.number in self.kept:
+                    index = holding.log.oldest + place
+                    if index >= min(holding.sent, acked):
+                        (mine if index >= holding.sent else perhaps).append(fact.number)
+        return mine, perhaps
+
+    def rekey(self, numbers: Iterable[int], failed: bool = False) -> list[int]:
+        """Envelopes that nobody else has become ones of the open book; their new numbers. `NoRoom` stops on the way.
+
+        `failed`: they end so, since somebody else may have had them.
+        """
+        made = []
+        for number in numbers:
+            old = self.kept[number]
+            new = replace(old, number=self.next_number, home=0, at=0, weight=0, noted=[], body=self.body(number)
+                          if old.end is None else b"", end=(False, 0) if failed and old.end is None else old.end)
+            if not self.has_room(new):
+                raise NoRoom("an envelope cannot be taken over into the open book")
+            self.next_number += 1
+            if number in self.inert:
+                self.marking(self.inert | {new.number: self.inert[number]})
+                self.stage(new, *self.inert.pop(number))
+            else:
+                self.keep(new)
+            super().over(number)
+            made.append(new.number)
+        return made
+
+    def forget(self, book: int) -> None:
+        """Give up what the folder has of a book that somebody else answers for; nothing is told."""
+        for number in self.numbers(book):
+            super().over(number)
+        self.holdings.pop(book, None)
+        if self.current is not None and self.current.book == book:
+            self.current = None
+
+    def _knows(self, number: int) -> Holding | None:
+        holding = self.holdings.get(number >> 32)
+        return holding if holding is not None and number in holding.ledger.known else None
+
+    def _tell(self, holding: Holding, fact: Fact) -> None:
+        holding.log.append(fact, boot_time())
+        if over(fact.known) and holding.from_term:
+            holding.finished.add(fact.number)
+        self.news.set()
--- a/cedarwick/fleet/gate.py
+++ b/cedarwick/fleet/gate.py
@@ -49,6 +49,7 @@
         self.me = me
         self.incarnation = incarnation
         self.newest: dict[str, int] = {}
+        self.levels: dict[str, int] = {me: LEVEL}  # of what each member heard from can do
         self.replace(members)
 
     def replace(self, members: Iterable[str]) -> None:
@@ -79,4 +80,4 @@
         newest = self.newest.get(head.sender, 0)
         if head.incarnation < newest:
             raise OldIncarnation(f"boot {head.incarnation} of {head.sender!r}, where {self.me!r} has seen {newest}")
-        self.newest[head.sender] = head.incarnation
+        self.newest[head.sender], self.levels[head.sender] = head.incarnation, head.level
--- a/cedarwick/fleet/link.py
+++ b/cedarwick/fleet/link.py
@@ -16,7 +16,19 @@
 
 from cedarwick.errors import Trouble
 from cedarwick.fleet.gate import Gate
-from cedarwick.fleet.messages import LARGEST, Body, Head, Letter, Refused, Unreadable, decode, encode, head_of
+from cedarwick.fleet.messages import (
+    LARGEST,
+    Ask,
+    Beat,
+    Body,
+    Head,
+    Letter,
+    Refused,
+    Unreadable,
+    decode,
+    encode,
+    head_of,
+)
 from cedarwick.net import http
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.counters import Counters
@@ -291,12 +303,14 @@
 class Peer:
     """What is known and open to one other member."""
 
-    def __init__(self, name: str, address: Address) -> None:
+    def __init__(self, name: str, address: Address, at_once: int) -> None:
         self.name = name
         self.address = address
         self.idle: list[Kept] = []  # the one used last is the next
         self.open: set[Kept] = set()
-        self.room = BoundedSemaphore(IN_FLIGHT)
+        self.room = BoundedSemaphore(at_once)
+        # Danger: behind records that wait for a slow network, asks would come too late, and rights would run out.
+        self.urgent = BoundedSemaphore(at_once)
         self.calls = 0
         self.gone = False
 
@@ -329,8 +343,9 @@
 class Peers:
     """Calls to the other members: a few at once to each, the rest wait in a bounded queue."""
 
-    def __init__(self, gate: Gate, members: Mapping[str, Address]) -> None:
+    def __init__(self, gate: Gate, members: Mapping[str, Address], at_once: int = IN_FLIGHT) -> None:
         self.gate = gate
+        self.at_once = at_once
         self.peers: dict[str, Peer] = {}
         self.replace(members)
 
@@ -340,7 +355,7 @@
             self.peers.pop(name).leave()
         for name, address in members.items():
             if name != self.gate.me and name not in self.peers:
-                self.peers[name] = Peer(name, address)
+                self.peers[name] = Peer(name, address, self.at_once)
         self.gate.replace(members)
 
     def names(self) -> Iterable[str]:
@@ -373,7 +388,7 @@
         limit = gevent.Timeout(within_s)
         peer.calls += 1
         try:
-            with limit, peer.room:
+            with limit, peer.urgent if isinstance(body, Ask | Beat) else peer.room:
                 status, told = exchange(peer, letter, within_s)
             answer = decode(told)
         except gevent.Timeout as late:
--- /dev/null
+++ b/cedarwick/fleet/marks.py
@@ -0,0 +1,157 @@
+"""The receivers taken out by hand as all members have them: no sockets, no files, no clock, no greenlets.
+
+A map in which the last writer wins (Shapiro et al. 2011), row by row. A version is (counter, member): the counter is
+the wall time of the call at least, and larger than the one it replaces (hybrid logical clocks, Kulkarni et al. 2014),
+so that a later call wins over an earlier one of a member that was cut off or has lost its folder. Who was restored
+stays as a row without calls, a tombstone, for `KEEP`. Times are whole microseconds of wall time.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+import xxhash
+
+from cedarwick.fleet.messages import Mark
+
+KEEP = 30 * 86_400_000_000  # so long a restored receiver is remembered
+ASLEEP = KEEP - 86_400_000_000  # who has met nobody for so long may have missed what nobody remembers
+MOST = 4096  # rows that are told to others, and taken from them
+LONGEST = 128  # characters of a uid that can be told
+MOST_CALLS = 1000  # counted for one receiver
+LAST = (1 << 62) - 1
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class Saved(msgspec.Struct, array_like=True, frozen=True):
+    """What is kept over restarts."""
+
+    rows: tuple[Mark, ...]
+    met_at: int
+    fresh: tuple[str, ...]
+
+
+def newer(one: Mark, other: Mark) -> bool:
+    """Whether a row stands against another of its receiver; of two under one version the one that is out."""
+    return (one.counter, one.member, one.calls) > (other.counter, other.member, other.calls)
+
+
+def join(one: Mapping[str, Mark], other: Mapping[str, Mark]) -> dict[str, Mark]:
+    """Both maps as one: commutative, associative, idempotent."""
+    joined = dict(one)
+    for uid, row in other.items():
+        if uid not in joined or newer(row, joined[uid]):
+            joined[uid] = row
+    return joined
+
+
+class Marks:
+    """One member's map, and since when it may lack what others have forgotten."""
+
+    def __init__(self, me: str, saved: Saved | None = None) -> None:
+        self.me = me
+        self.rows = {row.uid: row for row in saved.rows} if saved is not None else {}
+        self.met_at = saved.met_at if saved is not None else 0  # when a member that knows told it all here
+        self.fresh = set(saved.fresh) if saved is not None else set()  # told or done here since: beyond doubt
+        self.asleep = True  # as of the last `turn`
+        self._offered: tuple[Mark, ...] | None = None
+
+    def saved(self) -> Saved:
+        return Saved(tuple(self.rows.values()), self.met_at, tuple(sorted(self.fresh)))
+
+    def calls(self) -> dict[str, int]:
+        """The calls out by uid."""
+        return {uid: row.calls for uid, row in self.rows.items() if row.calls}
+
+    def turn(self, now: int) -> None:
+        """Before anything is told or taken: forget old tombstones, and see whether this member was away too long."""
+        self.asleep = self.met_at + ASLEEP < now
+        old = [uid for uid, row in self.rows.items() if self._over(now, row)]
+        for uid in old:
+            del self.rows[uid]
+        self.fresh &= self.rows.keys()
+        self._offered = None if old or self.asleep else self._offered
+
+    @staticmethod
+    def _over(now: int, row: Mark) -> bool:
+        return not row.calls and row.counter + KEEP < now
+
+    def set(self, now: int, uid: str, calls: int) -> None:
+        """Staff have said so here."""
+        before = self.rows[uid].counter if uid in self.rows else 0
+        self._put(Mark(uid, min(max(now, before + 1), LAST), self.me, min(calls, MOST_CALLS)), fresh=True)
+
+    def _put(self, row: Mark, fresh: bool) -> None:
+        self.rows[row.uid] = row
+        self.fresh = self.fresh | {row.uid} if fresh else self.fresh - {row.uid}
+        self._offered = None
+
+    def noticed(self, now: int, told: Mapping[str, int]) -> list[str]:
+        """What the member's own file says, which another process of it may have changed; the uids that differ."""
+        mine = self.calls()
+        changed = sorted(uid for uid in mine.keys() | told.keys() if mine.get(uid, 0) != told.get(uid, 0))
+        for uid in changed:
+            self.set(now, uid, told.get(uid, 0))
+        return changed
+
+    def doubt(self, told: Mapping[str, int]) -> None:
+        """The versions are lost and these receivers are out: they stay so until a member that knows says otherwise."""
+        self.rows = {uid: Mark(uid, 0, "", calls) for uid, calls in told.items()}
+        self.met_at, self.fresh, self._offered = 0, set(), None
+
+    def told(self, now: int, rows: Iterable[Mark]) -> list[str]:
+        """Rows of another member; the uids of those that were news here."""
+        changed = []
+        for row in rows:
+            known = self.rows.get(row.uid)
+            # Danger: a tombstone that is forgotten here would come back from each member that still has it.
+            if self._over(now, row) or (known is not None and not newer(row, known)):
+                continue
+            if known is None and len(self.rows) >= MOST:
+                continue  # Danger: the map would grow with whatever the others say
+            self._put(row, fresh=self.asleep)
+            changed.append(row.uid)
+        return changed
+
+    def met(self, now: int, rows: Iterable[Mark]) -> list[str]:
+        """All that a member has which is not asleep; the uids that changed here."""
+        theirs = {row.uid: row for row in rows}
+        dropped = []
+        if self.asleep:
+            # Danger: a member that slept would bring back what was restored and forgotten meanwhile.
+            dropped = sorted(self.calls().keys() - self.fresh - theirs.keys())
+            for uid in dropped:
+                del self.rows[uid]
+        changed = self.told(now, theirs.values())
+        self.fresh = {uid for uid in self.fresh if theirs.get(uid) != self.rows.get(uid)}
+        self.awake(now)
+        return dropped + changed
+
+    def awake(self, now: int) -> None:
+        """Nobody knows more than this member."""
+        self.met_at, self.asleep, self._offered = now, False, None
+
+    def offered(self) -> tuple[Mark, ...]:
+        """The rows for others, by uid: all but those in doubt, and no more than `MOST`, those that are out first."""
+        if self._offered is None:
+            told = [row for row in self.rows.values() if self._tells(row)]
+            told.sort(key=lambda row: (not row.calls, -row.counter, row.uid))
+            self._offered = tuple(sorted(told[:MOST], key=lambda row: row.uid))
+        return self._offered
+
+    def _tells(self, row: Mark) -> bool:
+        if len(row.uid) > LONGEST or not row.uid.isascii():
+            return False
+        return not self.asleep or not row.calls or row.uid in self.fresh
+
+    def untold(self) -> int:
+        """How many receivers are out here that no other member can be told of."""
+        return len(self.calls().keys() - {row.uid for row in self.offered()}) if not self.asleep else 0
+
+    def whole(self) -> bool:
+        """Whether what is not offered here is not out anywhere."""
+        return not self.asleep and len(self.offered()) == len(self.rows)
+
+    def digest(self) -> int:
+        """64 bits of what is offered."""
+        return xxhash.xxh3_64_intdigest(_encode(self.offered()))
--- a/cedarwick/fleet/messages.py
+++ b/cedarwick/fleet/messages.py
@@ -13,17 +13,21 @@
 from msgspec import Meta
 
 from cedarwick.errors import Trouble
+from cedarwick.events.registry import Entry
 
 VERSION = 1  # of the wire; another one is refused
-LEVEL = 1  # of what a member can do; told, and looked at where a feature needs it
+LEVEL = 2  # of what a member can do; told, and looked at where a feature needs it
 LARGEST = 1 << 20  # bytes of a letter
 SLOT_BITS = 18
 MEMBERS = 64  # at most in a group
 
 Name = Annotated[str, Meta(max_length=64)]  # of a member, a group, a subscription; empty: nobody
 Text = Annotated[str, Meta(max_length=512)]  # for a person
-Word = Annotated[str, Meta(max_length=128)]  # an id, a right, the name of a move
+Word = Annotated[str, Meta(max_length=128)]  # an id, a right
+Move = Annotated[str, Meta(max_length=200)]  # the name of a move: a stamp and two members
+Id = Annotated[str, Meta(max_length=200)]  # of an envelope, as a client may give it
 Count = Annotated[int, Meta(ge=0)]  # numbers, terms, microseconds
+Place = Annotated[int, Meta(ge=-1)]  # the number of an event that was reached; -1: none
 Bulk = Annotated[bytes, Meta(max_length=LARGEST - (1 << 14))]  # leaves room for the rest of the letter
 Request = Annotated[bytes, Meta(max_length=1 << 18)]  # one request of a client, or its answer
 Names = Annotated[tuple[Name, ...], Meta(max_length=MEMBERS)]
@@ -60,6 +64,7 @@
     key: Count
     holder: Name
     sequence: Count
+    age: Count  # microseconds since its last use
 
 
 class Beat(Message, frozen=True):
@@ -68,7 +73,6 @@
     leaving: bool
     heard: Annotated[dict[Name, Count], Meta(max_length=MEMBERS)]  # microseconds ago, by member
     rights: Annotated[tuple[Held, ...], Meta(max_length=4096)] = ()
-    news: Annotated[tuple[Lodging, ...], Meta(max_length=4096)] = ()
 
 
 class Ask(Message, frozen=True):
@@ -191,133 +195,178 @@
 # ---- sessions that move ----
 
 
+class Lodgings(Message, frozen=True):
+    """Sessions that are held, and how the sender stands to taking more. Answered by its like, without news."""
+
+    news: Annotated[tuple[Lodging, ...], Meta(max_length=4096)] = ()
+    held: Count = 0  # sessions
+    takes: bool = False  # more of them
+    stamp: Count = 0  # of the next move that the sender begins
+    first: bool = False  # as far as the sender knows, neither it nor the other has run before
+
+
 class Recent(Part, frozen=True):
     """An id that was taken a short while ago: not to be taken again."""
 
-    id: Word
-    number: Count
-    at: Count  # wall microseconds
+    id: Id
+    age: Count  # microseconds
+    hashed: Count  # what came with it
 
 
 class Stage(Message, frozen=True):
     """Keep this session's envelopes, inert, until the move is decided. Answered by `Staged`."""
 
-    move: Word
+    move: Move
     key: Count
-    sequence: Count
+    sequence: Count  # since the move began
     facts: Bulk
     digest: Count
     ids: Annotated[tuple[Recent, ...], Meta(max_length=1 << 14)] = ()
+    rest: Count = 0  # microseconds in which a shot of the session may still run
 
 
 class Staged(Message, frozen=True):
     """Whether the session is in the taker's folder; `why` not."""
 
-    move: Word
+    move: Move
     kept: bool
     why: Text = ""
 
 
-class Prepare(Message, frozen=True):
-    """First phase of a decree. Answered by `Promised`."""
+class Vote(Part, frozen=True):
+    """A ballot: its round, and the text of one proposer of one boot."""
 
-    move: Word
-    ballot: Count
+    round: Count
+    mark: Word
 
 
-class Promised(Message, frozen=True):
-    """No lower ballot is accepted any more; what was accepted before, if anything."""
+class Prepare(Message, frozen=True):
+    """First phase of a decree. Answered by `Voted`."""
 
-    move: Word
-    granted: bool
-    ballot: Count  # the highest that was promised
-    accepted: Count = 0  # the ballot of the value; 0: none
-    value: Name = ""
+    move: Move
+    ballot: Vote
 
 
 class Accept(Message, frozen=True):
-    """Second phase: accept the value. Answered by `Accepted`."""
+    """Second phase: accept the value. Answered by `Voted`."""
 
-    move: Word
-    ballot: Count
+    move: Move
+    ballot: Vote
     value: Name
 
 
-class Accepted(Message, frozen=True):
-    """Whether the value was accepted; else the ballot that stands against it."""
+class Voted(Message, frozen=True):
+    """An acceptor's answer to both phases."""
 
-    move: Word
+    move: Move
     granted: bool
-    ballot: Count
+    promised: Vote  # the highest
+    accepted: Vote
+    value: Name = ""  # accepted, or decided; empty: none
+    decided: bool = False
 
 
 class Settled(Message, frozen=True):
-    """The decree's one value. Answered by `Noted`."""
+    """The decree's one value, and whether the taker's side is live. Answered by what the other knows of it."""
+
+    move: Move
+    value: Name  # empty, in an answer: not known
+    active: bool = False
+
+
+class Claims(Message, frozen=True):
+    """May I open the session of a key? Answered by `Claimed`."""
+
+    key: Count
+    sequence: Count
+    over: Count  # sequence and holder of the entry that is void
+    over_holder: Name
+    at: Count
 
-    move: Word
-    value: Name
+
+class Claimed(Message, frozen=True):
+    """Whether it may; else who stands in the way, where that is known."""
+
+    granted: bool
+    entry: Lodging | None = None
 
 
 class Pass(Message, frozen=True):
-    """A client's request for the session's holder; the hops it has made. Answered by `Passed`."""
+    """A client's submission for the session's holder; it makes no further hop. Answered by `Passed`."""
 
     key: Count
-    request: Request
-    hops: Count = 0
+    id: Id
+    mark: Id  # of a repeat
+    band: Id
+    tenant: Id
+    destination: Count
+    left: Annotated[int, Meta(ge=-(1 << 62), lt=1 << 62)]  # microseconds to its outer limit
+    within: Count  # microseconds in which the client's answer is wanted
+    body: Request
+    moved: bool = False  # passed on by the last holder, on the connection that stayed there
 
 
 class Passed(Message, frozen=True):
-    """The answer for the client; or the holder that is known here, where that is another."""
+    """The answer for the client; empty: the session isn't held here, but there, or is disowned."""
 
-    answer: Request
-    holder: Name = ""
+    answer: Name
+    wait_ms: Count = 0
+    disowned: bool = False
+    entry: Lodging | None = None
 
 
-# ---- events ----
+class Recall(Message, frozen=True):
+    """The client that handed in an envelope by `Pass` was gone before its answer. Answered by `Noted`."""
 
+    key: Count
+    id: Id
 
-class Entry(Part, frozen=True):
-    """A subscription in the registry; the larger sequence stands, also one that has ended."""
 
-    name: Name
-    sequence: Count
-    ended: bool
-    filter: Annotated[str, Meta(max_length=8192)] = ""
-    at: Name = ""  # the member where the subscriber is
-    followed: Count = 0  # wall microseconds of when it was followed last
+# ---- events ----
+
+MOST_ENTRIES = 1 << 12  # subscriptions in one letter
 
 
 class Subscribe(Message, frozen=True):
-    """Entries of the registry. Answered by the `Subscribe` of those that the other one has newer."""
+    """Entries of the registry beside the digest of all. Answered by `Subscribe`."""
 
-    entries: Annotated[tuple[Entry, ...], Meta(max_length=1 << 10)]
+    epoch: Count
+    digest: Count
+    entries: Annotated[dict[Name, Entry], Meta(max_length=MOST_ENTRIES)] = {}
+    asked: Annotated[tuple[Count, ...], Meta(max_length=256)] = ()  # buckets that the other is to tell
+    buckets: Annotated[tuple[Count, ...], Meta(max_length=256)] = ()  # in an answer: their digests, where all differ
 
 
-class Matches(Message, frozen=True):
-    """Matches of one source in its order, from its number `first` on. Answered by `Cursors`."""
+class Stream(Part, frozen=True):
+    """Items for one subscriber that follow the number `after` with nothing missing between."""
 
     name: Name
-    source: Name
-    incarnation: Count  # of the source
-    first: Count
-    upto: Count  # every event of the source up to here was looked at
-    events: Annotated[tuple[Annotated[bytes, Meta(max_length=4096)], ...], Meta(max_length=4096)]
-    gap: Count = 0  # matches before the first one that a full buffer has dropped
+    after: Place
+    items: Annotated[bytes, Meta(max_length=LARGEST >> 1)]  # none: the answer alone is wanted
+
+
+class Matches(Message, frozen=True):
+    """What subscriptions are owed by one source. Answered by the `Cursors` of those named."""
+
+    source: Word
+    streams: Annotated[tuple[Stream, ...], Meta(max_length=1 << 10)]
 
 
 class Cursor(Part, frozen=True):
-    """Up to which number of a source a subscription was delivered."""
+    """How far a subscriber is with a source, by the word of the member where it is."""
 
     name: Name
-    source: Name
-    incarnation: Count
-    number: Count
+    began: Count  # its connection; 0: none is there
+    held: Place  # the last number that has come
+    written: Place  # the last number that it was given
+    room: bool = True  # whether more may come now
 
 
 class Cursors(Message, frozen=True):
-    """Positions of subscriptions. Answered by `Noted` where it is not an answer itself."""
+    """Places of subscribers in one source. Answered by `Noted` where it is not an answer itself."""
 
-    cursors: Annotated[tuple[Cursor, ...], Meta(max_length=4096)]
+    source: Word
+    cursors: Annotated[tuple[Cursor, ...], Meta(max_length=1 << 12)]
 
 
 # ---- hints, suspensions, and what answers anything ----
@@ -367,7 +416,7 @@
 Body = (
     Beat | Ask | Told | Tables | Table
     | Facts | Piece | Have | Digests | Offer | Taken
-    | Stage | Staged | Prepare | Promised | Accept | Accepted | Settled | Pass | Passed
+    | Lodgings | Stage | Staged | Prepare | Accept | Voted | Settled | Claims | Claimed | Pass | Passed | Recall
     | Subscribe | Matches | Cursors | Hint | Marks | Noted | Refused
 )  # fmt: skip
 
--- /dev/null
+++ b/cedarwick/fleet/node.py
@@ -0,0 +1,808 @@
+"""One member of a fleet: ties members, leases, books and copies to the network, the folder and the desk.
+
+The greenlet `run` looks at everything every few milliseconds; letters of other members are answered in the greenlets of
+the link; calls to them are made in greenlets of their own. None of them waits between a look at a state and the change
+that rests on it. What is settled, and why, stands in `adoption.py`, `leases.py`, `members.py` and `shipping.py`.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Protocol
+
+import gevent
+import gevent.event
+from loguru import logger
+
+from cedarwick.config.operator import Fleet
+from cedarwick.errors import Trouble
+from cedarwick.events.exchange import Exchange
+from cedarwick.fleet import facts as known_facts
+from cedarwick.fleet import placement
+from cedarwick.fleet.adoption import Adoption, BooksUsedUp, Do, Ownership, Stage
+from cedarwick.fleet.book import BLOCK, STARVED, Holding, Shared, boot_time
+from cedarwick.fleet.copies import Copies, CopyFolder
+from cedarwick.fleet.gate import Gate
+from cedarwick.fleet.lasting import Held, Lasting
+from cedarwick.fleet.leases import SPAN, Grantor, Tenure, right_of
+from cedarwick.fleet.link import Peers, Refusal, Server, Unreachable
+from cedarwick.fleet.members import Members, Standing
+from cedarwick.fleet.messages import (
+    Ask,
+    Beat,
+    Body,
+    Cursors,
+    Digests,
+    Facts,
+    Have,
+    Hint,
+    Letter,
+    Marks,
+    Matches,
+    Offer,
+    Piece,
+    Subscribe,
+    Table,
+    Tables,
+    Taken,
+    Told,
+    digest_of,
+    slot_of,
+)
+from cedarwick.fleet.messages import (
+    Held as Right,
+)
+from cedarwick.fleet.sharing import Sharing
+from cedarwick.fleet.shipping import NO_ROOM, OTHER, TERM, Follower
+from cedarwick.net.assignment import address
+from cedarwick.net.clock import Clock
+from cedarwick.net.counters import Counters
+from cedarwick.store.journal import NoRoom
+
+if TYPE_CHECKING:
+    from cedarwick.fleet.traffic import Traffic
+
+TURN = 0.02  # seconds between two looks at everything
+BEAT = 0.25  # seconds between two beats
+ANSWER_IN = 0.4  # seconds for an answer to a beat or an ask: a third of a lease
+SHIP_IN = 0.5  # seconds for an answer of a copy
+LINGER = 0.005  # seconds between two messages to a copy that nobody waits for: each takes more facts along
+OFFER_IN = 1.0
+GATHER = 400_000  # microseconds in which the copies of a book that begins may come up before it goes on without them
+LATE = 300_000  # microseconds before its outer limit an envelope that nobody may fire for is answered
+LOOK_LATE = 0.1
+ALONE = 1_000_000  # microseconds without a majority until nobody can be asked who has the right
+BACK = 10_000_000  # a copy must have been whole for so long before a sender that went on alone counts on it again
+REBORN = 600_000  # in which a member that was started again asks for the book that it still has
+DOUBTED = 5_000_000  # so long the heirs of what a damaged folder has may adopt it, before it goes on with what is left
+EXPECTED = 60_000_000  # so long an adopted book is kept for what its last holder may still offer
+UNWANTED = 30_000_000  # a copy that its holder has not written to for so long, and names no heir, is dropped
+OFFER_PART = 1 << 17  # bytes of facts in one part of an offer
+LAG_FACTS = 2048  # an heir that lacks more, or for longer than `LAG`, is an heir no more under `ack = "own"`
+LAG = 2_000_000
+CLOSED = "closed"  # the problem of an offer for a book of which nothing is owed any more
+
+
+class Upkeep(Protocol):
+    """What the desk does for a book."""
+
+    def adopt(self, numbers: list[int]) -> None: ...
+
+    def park(self, numbers: list[int]) -> None: ...
+
+    def answer_late(self, numbers: list[int]) -> None: ...
+
+
+class UnknownLetter(Trouble):
+    """A letter whose kind this member does not answer."""
+
+    code = "CW742"
+    remedy = "bring all members to one version of the program"
+
+
+class Node:
+    """This sender as a member. Made before the desk is; `serve` begins once the folder is read."""
+
+    def __init__(self, name: str, told: Fleet, state: str, store: Shared, clock: Clock, counters: Counters) -> None:
+        """OSError where the folder or the address cannot be used; `NotAMember` where the file lacks this sender."""
+        self.name = name
+        self.told = told
+        self.store = store
+        self.clock = clock
+        self.counters = counters
+        self.halls = {member.name: member.hall for member in told.member}
+        if name not in self.halls:
+            raise NotAMember(f"fleet.member: no entry has the name of this sender, {name!r}")
+        self.where = {member.name: address(member.address) for member in told.member}
+        self.lasting = Lasting(state)
+        self.incarnation = self.lasting.boot(time.time_ns() // 1000)
+        self.gate = Gate(told.group, name, self.incarnation, self.where)
+        self.peers = Peers(self.gate, self.where)
+        now = boot_time()
+        self.members = Members(name, self.halls, self.incarnation, now)
+        table = self.lasting.table()
+        known = table.grants if table is not None and not table.learning else None
+        self.grantor = Grantor(name, self.halls, now, known)
+        self.copies = Copies(CopyFolder(self.lasting.copies), round(told.copies_mb * (1 << 20)), now=clock.now,
+                             durable=store.durable)
+        self.adoptions: dict[int, Adoption] = {}
+        self.held = {held.book: held for held in self.lasting.held()}
+        self.ownership: Ownership | None = None
+        self.desk: Upkeep
+        self.shipped_at: dict[int, int] = {}  # by book: when its holder last wrote to the copy here
+        self.begun_at = now
+        self.doubted: set[int] = set()  # books of a folder with damage: the heirs may have more of them
+        self.reborn: dict[str, int] = {}  # when a member was first heard under a newer incarnation than before
+        self.served: dict[int, tuple[str, int]] = {}  # by book: who has said that it fires for it, and when
+        self.full_at: dict[str, int] = {}  # when a member has refused to keep a copy
+        self.asking: set[str] = set()  # grantors whose tables were asked for and have not come
+        self.pumps: dict[tuple[int, str], gevent.Greenlet] = {}
+        self.offers: dict[int, gevent.Greenlet] = {}
+        self.alive: list[str] = []  # as of this look
+        self.looked_late = 0.0
+        self.few_since = 0  # since when too few members are alive to grant anything; 0: enough are
+        self.leaving = False
+        self.sharing = Sharing(name, self.lasting, clock, counters, self._call)
+        self.exchange = Exchange(name, self.gate, counters, self._call)
+        store.seen = self.exchange.seen
+        self.ends_told: Callable[[str, str], None] = lambda *_: None
+        store.reserve, store.starved = self._reserve, self._starved
+        self.traffic: Traffic | None = None
+        if told.sessions:
+            from cedarwick.fleet import traffic  # nothing of sessions is loaded where they are off
+
+            self.traffic = traffic.Traffic(self)
+        self.server = Server(self.where[name], self.gate, counters, self.answer)
+
+    # ---- life ----
+
+    def start(self, desk: Upkeep) -> list[gevent.Greenlet]:
+        """Once the folder is read: load the copies, take letters, and run. The greenlets never return."""
+        self.desk = desk
+        self.copies.load()
+        for book in self.copies.copies:
+            self._follow(book)
+        slot = slot_of(self.name)
+        kept = {held.book: held.term for held in self.held.values() if held.book >> 12 == slot}
+        mine = {number >> 32 for number in self.store.kept} - {0}
+        for book in sorted(mine - kept.keys()):
+            # A book that was adopted, or one whose line is lost: taken up again if nobody else has it by now.
+            self.adoptions[book] = Adoption(book, self.name, self.halls, self._term_of(book), resume=True)
+        self.ownership = Ownership(self.name, slot, self.halls, kept)
+        for book in sorted(kept)[:-1]:
+            if book not in self.adoptions and book in mine:
+                self.adoptions[book] = Adoption(book, self.name, self.halls, kept[book], resume=True)
+        for book in sorted(mine & set(self.adoptions)):  # a copy is none: it may not be whole
+            self._hold(book)
+        if self.store.damaged:
+            # Danger: a copy may have what this folder has lost, and would drop it to be like the folder.
+            self.doubted = mine | set(kept)
+        self.server.start()
+        parts = [gevent.spawn(self.run)]
+        parts += [gevent.spawn(self._beat, name) for name in self.peers.names()]
+        logger.info("member {} of {} in hall {}: {} others", self.name, self.told.group, self.halls[self.name],
+                    len(self.halls) - 1)
+        return parts
+
+    def run(self) -> None:
+        """Never returns: looks at everything, again and again."""
+        while True:
+            try:
+                self.look(boot_time())
+            except (OSError, NoRoom) as error:
+                self.counters.trouble("the fleet's folder cannot be used", error)
+            gevent.sleep(TURN)
+
+    def leave(self) -> None:
+        """This sender ends: the heirs may go on at once. What is said reaches whom it can within a moment."""
+        self.leaving = True
+        calls = [gevent.spawn(self._call, name, self._own_beat(), ANSWER_IN) for name in self.peers.names()]
+        for holding in self.store.holdings.values():
+            holding.serving = False  # Danger: once it is released, an heir may fire
+            if len(holding.adoption.holder.heirs) > 1 and (ask := holding.adoption.holder.release()) is not None:
+                self._answer_ask(ask)
+                calls += [gevent.spawn(self._call, name, ask, ANSWER_IN) for name in self.peers.names()]
+        gevent.joinall(calls, timeout=ANSWER_IN)
+
+    def hand_over(self) -> None:
+        """Another process of this sender goes on."""
+        if self.traffic is not None:
+            try:
+                self.traffic.hand_over()
+            except OSError as error:
+                self.counters.trouble("the sessions cannot be handed over", error)
+
+    def stop(self) -> None:
+        if self.traffic is not None:
+            self.traffic.stop()
+        self.exchange.stop()
+        self.server.stop()
+        self.peers.close()
+        self.copies.close()
+
+    def replace(self, told: Fleet) -> None:
+        """Take over another list of members, and what else of the table may change in service."""
+        if self.name not in {member.name for member in told.member}:
+            self.counters.trouble("the members stay as they were",
+                                  NotAMember(f"fleet.member: no entry has the name of this sender, {self.name!r}"))
+            return
+        before, now = set(self.halls), boot_time()
+        self.told = told
+        self.halls = {member.name: member.hall for member in told.member}
+        self.where = {member.name: address(member.address) for member in told.member}
+        self.peers.replace(self.where)
+        self.members.replace(now, self.halls)
+        self.grantor.replace(self.halls)
+        if self.traffic is not None:
+            self.traffic.replace()
+        for adoption in self.adoptions.values():
+            adoption.holder.replace(self.halls)
+        if self.ownership is not None:
+            self.ownership.names = self.halls  # of the books that it opens from now on
+        for name in sorted(set(self.halls) - before):
+            gevent.spawn(self._beat, name)
+        logger.info("members of {}: {}", told.group, ", ".join(sorted(self.halls)))
+
+    # ---- beats ----
+
+    def _beat(self, name: str) -> None:
+        """Returns once the other is no member any more: says that this one lives, and hears it in the answer."""
+        while name in self.halls:
+            began = boot_time()
+            answer = self._call(name, self._own_beat(), ANSWER_IN)
+            took = boot_time() - began
+            if isinstance(answer, Beat):
+                self._heard(name, self.gate.newest.get(name, 0), answer)
+            self.members.slow(boot_time(), name, took)
+            gevent.sleep(max(0.0, BEAT - took / 1e6))
+
+    def _heard(self, name: str, incarnation: int, beat: Beat) -> None:
+        before = self.members.incarnation_of(name)
+        now = boot_time()
+        if self.members.heard(now, name, incarnation, beat.heard, beat.leaving):
+            terms = {right.book: right.term for right in beat.rights}
+            for book, adoption in self.adoptions.items():
+                if book in terms:
+                    self.served[book] = name, now
+                    adoption.holder.newer = max(adoption.holder.newer, (terms[book], name))
+                elif book in self.served and self.served[book][0] == name:
+                    del self.served[book]
+        if 0 < before < incarnation:
+            self.reborn[name] = now
+            for holding in self.store.holdings.values():
+                if name in holding.log.followers:
+                    holding.log.followers[name].lost()  # its copy may have gone with the boot before
+
+    def _own_beat(self) -> Beat:
+        now = boot_time()
+        rights = tuple(Right(holding.book, holding.adoption.holder.term)
+                       for holding in self.store.holdings.values() if holding.serving and not self.leaving)
+        return Beat(self.leaving, self.members.beat_ages(now), rights)
+
+    def _call(self, name: str, body: Body, within_s: float) -> Body | None:
+        """The answer of another member; None where there is none."""
+        answer = self._letter(name, body, within_s)
+        return answer.body if answer is not None else None
+
+    def _letter(self, name: str, body: Body, within_s: float) -> Letter | None:
+        try:
+            return self.peers.letter(name, body, within_s)
+        except Unreachable:
+            self.counters.add(f"letters without an answer: {name}")
+        except Refusal as error:
+            self.counters.trouble(f"{name} refused a letter", error)
+        except Trouble as error:
+            self.counters.trouble("a letter that was not sent", error)
+        return None
+
+    # ---- letters of others ----
+
+    def answer(self, letter: Letter) -> Letter:
+        """What another member is told; in the greenlet of its connection."""
+        return self.gate.letter(letter.sender, self._answer(letter.sender, letter.incarnation, letter.body))
+
+    def _answer(self, sender: str, incarnation: int, body: Body) -> Body:
+        if isinstance(body, Beat):
+            self._heard(sender, incarnation, body)
+            return self._own_beat()
+        if isinstance(body, Ask):
+            return self._answer_ask(body)
+        if isinstance(body, Tables):
+            return self.grantor.table()
+        if isinstance(body, Facts | Piece | Digests):
+            return self._copy(body)
+        if isinstance(body, Offer):
+            return self._offered(sender, body)
+        if isinstance(body, Hint | Marks):
+            return self.sharing.heard(sender, body)
+        if isinstance(body, Subscribe | Matches | Cursors):
+            return self.exchange.heard(sender, boot_time(), body)
+        if self.traffic is not None and (said := self.traffic.heard(sender, incarnation, body)) is not None:
+            return said
+        raise UnknownLetter(f"a {type(body).__name__} from {sender!r}")
+
+    def _answer_ask(self, ask: Ask) -> Told:
+        told = self.grantor.ask(boot_time(), ask)
+        self._write_table()
+        return told
+
+    def _write_table(self) -> None:
+        # Danger: a grant that is answered and not on the disk would be given to somebody else after a restart.
+        if self.grantor.dirty:
+            self.lasting.write_table(self.grantor.table())
+            self.grantor.dirty = False
+
+    def _copy(self, body: Facts | Piece | Digests) -> Body:
+        holding = self.store.holdings.get(body.book)
+        if holding is not None and holding.adoption.stage in (Stage.HOLDING, Stage.CLOSING):
+            # Danger: an owner that slept would take our answer for its copy's, while we go on with the book.
+            if isinstance(body, Digests):
+                return Digests(body.book, holding.adoption.holder.term, ())
+            return Have(body.book, holding.adoption.holder.term, 0, TERM)
+        self.shipped_at[body.book] = boot_time()
+        if isinstance(body, Digests):
+            return self.copies.digests(body)
+        have = self.copies.facts(body) if isinstance(body, Facts) else self.copies.piece(body)
+        if self.copies.unsynced:
+            self.copies.flush(lambda sync, file: gevent.get_hub().threadpool.apply(sync, (file,)))
+        if body.book not in self.adoptions and self.copies.replica(body.book) is not None:
+            self._follow(body.book)
+        return have
+
+    def _follow(self, book: int) -> None:
+        """A copy lies here: look after it."""
+        if book not in self.adoptions:
+            self.adoptions[book] = Adoption(book, self.name, self.halls, self._term_of(book))
+
+    def _term_of(self, book: int) -> int:
+        return self.held[book].term if book in self.held else 0
+
+    # ---- everything, again and again ----
+
+    def look(self, now: int) -> None:
+        for change in self.members.changes(now):
+            logger.info("member {} is {} (was {})", change.name, change.now.value, change.before.value)
+            self.ends_told(change.name, change.now.value)
+            self.exchange.member(change, self.members.beat_ages(now).get(change.name, 0))
+        self.alive = [name for name in self.halls if self.members.state(now, name) is Standing.ALIVE]
+        # Counted from the look that saw it: a process that slept has heard nobody, and is answered in a moment.
+        self.few_since = 0 if len(self.alive) >= self.members.majority else self.few_since or now
+        self.sharing.look(now, self.alive, self.members.majority)
+        self.exchange.look(now, self.alive, self.members.majority)
+        self._learn(now)
+        self._own(now)
+        for book in list(self.adoptions):
+            self._look_at(now, self.adoptions[book])
+        if self.traffic is not None:
+            self.traffic.look(now)
+        self.copies.step()
+        if time.monotonic() - self.looked_late >= LOOK_LATE:
+            self.looked_late = time.monotonic()
+            self._answer_late(now, self.few_since > 0 and now - self.few_since >= ALONE)
+
+    def _learn(self, now: int) -> None:
+        for name in self.grantor.wants(now):
+            if name not in self.asking:
+                self.asking.add(name)
+                gevent.spawn(self._ask_table, name)
+
+    def _ask_table(self, name: str) -> None:
+        sent_at = boot_time()
+        answer = self._call(name, Tables(), ANSWER_IN)
+        if isinstance(answer, Table) and self.grantor.learned(sent_at, name, answer):
+            logger.info("the table of grants is whole")
+            self._write_table()
+        if not isinstance(answer, Table) or answer.learning:
+            gevent.sleep(BEAT)
+        self.asking.discard(name)
+
+    def _own(self, now: int) -> None:
+        """Have a book in which new envelopes can be taken."""
+        assert self.ownership is not None
+        if self.leaving:
+            return
+        try:
+            begun = self.ownership.step(self.grantor)
+        except BooksUsedUp as error:
+            self.counters.trouble("no book can be opened", error)
+            return
+        if begun is not None:
+            self.adoptions[begun.book] = begun
+            holding = self._hold(begun.book)
+            logger.info("book {} is to be held", begun.book)
+            self.store.open(holding, self._first_number(begun.book))
+
+    def _first_number(self, book: int) -> int:
+        upto = self.held[book].upto if book in self.held else book << 32
+        return max([upto, book << 32, *self.store.numbers(book)]) + 1
+
+    def _reserve(self, holding: Holding) -> None:
+        """Write down that a block of numbers is given, before the first of them is."""
+        upto = self.store.next_number + BLOCK
+        if (upto >> 32) != holding.book:
+            return  # the book is full: nothing more is taken in it
+        self._note(holding.book, holding.adoption.holder.term, upto)
+        holding.reserved = upto
+
+    def _note(self, book: int, term: int, upto: int) -> None:
+        before = self.held.get(book, Held(book, 0, 0))
+        self.held[book] = Held(book, max(term, before.term), max(upto, before.upto))
+        self.lasting.write_held(list(self.held.values()))
+
+    def _hold(self, book: int) -> Holding:
+        """The records of a book that this sender is about to hold."""
+        if book not in self.store.holdings:
+            self.store.holdings[book] = Holding(book, self.adoptions[book])
+        holding = self.store.holdings[book]
+        holding.adoption = self.adoptions[book]
+        return holding
+
+    def _look_at(self, now: int, adoption: Adoption) -> None:
+        """One book: what the rules say is done."""
+        book, holder = adoption.book, adoption.holder
+        replica, holding = self.copies.replica(book), self.store.holdings.get(book)
+        right = right_of(book)
+        doubted = book in self.doubted and now - self.begun_at < DOUBTED
+        whole = holding is not None and not doubted or (replica is not None and replica.whole)
+        # Danger: alone nobody is granted a term, and asks in vain would cost the holder its own once the cut is healed.
+        whole = whole and not self.few_since
+        owed = len(holding.ledger.known) if holding is not None and holding.imported else 1
+        if holding is not None and self._expects_offer(now, holding):
+            owed = owed or 1
+        # Danger: the own grantor knows nothing of a holder whose term it has given to somebody else, in vain.
+        served = self.served[book][1] + SPAN if book in self.served else 0
+        step = adoption.step(now, self.grantor.grant(right), max(self.grantor.promised(right), served),
+                             lambda name: self._standing(now, name, book), whole, owed)
+        if step.do is Do.ASK:
+            logger.info("book {}: asking for term {}", book, holder.term)
+        elif step.do is Do.IMPORT:
+            self._import(now, adoption)
+        elif step.do is Do.CLOSE:
+            logger.info("book {}: nothing is owed, it is closed", book)
+        elif step.do is Do.OFFER and book not in self.offers and not self.leaving:
+            self.offers[book] = gevent.spawn(self._offer, adoption, step.to)
+        elif step.do is Do.DROP:
+            self._drop(book)
+            return
+        ask = None if self.leaving else holder.asks(now)
+        if ask is not None:
+            # Danger: the own grantor first, so that a restart knows each term that was ever asked for.
+            holder.answered(now, now, self.name, self._answer_ask(ask))
+            for name in self.peers.names():
+                gevent.spawn(self._ask, adoption, name, ask, now)
+        if holding is not None:
+            self._serve(now, holding)
+        elif replica is not None and self._unwanted(now, book, adoption):
+            self._drop(book)
+
+    def _expects_offer(self, now: int, holding: Holding) -> bool:
+        """Under `ack = "own"`: whether who held an adopted book before may come back with what no copy was told."""
+        return (not self.store.by_copy and holding.from_term > 0 and not holding.heard_out
+                and now - holding.begun_at < EXPECTED)
+
+    def _standing(self, now: int, name: str, book: int) -> Standing:
+        """How a member stands as the holder of a book."""
+        reborn = self.reborn.get(name, 0)
+        if reborn and self.served.get(book, ("", 0))[1] < reborn and now - reborn >= REBORN:
+            return Standing.DEAD  # alive under another incarnation, and it would have asked for this book by now
+        return self.members.state(now, name)
+
+    def _ask(self, adoption: Adoption, name: str, ask: Ask, sent_at: int) -> None:
+        answer = self._call(name, ask, ANSWER_IN)
+        if isinstance(answer, Told):
+            adoption.holder.answered(boot_time(), sent_at, name, answer)
+
+    def _unwanted(self, now: int, book: int, adoption: Adoption) -> bool:
+        grant = self.grantor.grant(right_of(book))
+        # Danger: this member's row may lag; a copy that its holder still counts on is written to all the time.
+        return (grant.set > 0 and self.name not in grant.heirs and grant.holder != self.name
+                and now - self.shipped_at.setdefault(book, now) > UNWANTED)
+
+    # ---- a book that is held ----
+
+    def _import(self, now: int, adoption: Adoption) -> None:
+        """Granted: the book's envelopes into the own folder, then its copies up, then its heirs named."""
+        book, term = adoption.book, adoption.holder.term
+        holding = self._hold(book)
+        if holding.log.term != term:
+            holding.imported = False
+            replica = self.copies.replica(book)
+            try:
+                if replica is None:
+                    self.store.resume_own(holding, term)
+                else:
+                    holding.from_term = replica.place.term
+                    # Danger: a copy that follows behind may lack a shot; what it holds may have run, since the last
+                    # shot that it was told of: they are told in their order.
+                    heard = (head.at for fact in replica.held.values() for head in fact.known.heads.values())
+                    doubt_at = 0 if self.told.ack == "copy" else max(heard, default=1)
+                    mine, perhaps = self.store.only_here(holding) if not holding.offered else ([], [])
+                    facts = list(replica.held.values())
+                    late = self.clock.now() + LATE
+                    self.store.take_in(holding, facts, term, doubt_at, mine, perhaps, late)
+                    owner = next((name for name in self.halls if slot_of(name) == book >> 12), "")
+                    self.exchange.adopted([self.store.kept[number] for number in self.store.numbers(book)], owner)
+            except NoRoom as error:
+                self.counters.trouble("a book cannot be adopted", error)
+                ask = adoption.holder.release()
+                if ask is not None:
+                    self._answer_ask(ask)
+                    for name in self.peers.names():
+                        gevent.spawn(self._call, name, ask, ANSWER_IN)
+                adoption.holder.state = Tenure.LOST  # asked for again after a while, if nobody else has it by then
+                return
+            self._note(book, term, 0)
+            self.store.begin_log(holding, term)
+            self.copies.drop(book)
+            logger.info("book {}: held under term {}, {} envelopes owed", book, term, len(holding.ledger.known))
+        self._ship(now, holding)
+        wanted = self._wanted(holding)
+        whole = self._whole(now, holding, wanted)
+        if len(whole) == len(wanted) or now - holding.begun_at >= GATHER:
+            holding.imported = True
+            adoption.imported(now, whole)
+
+    def _wanted(self, holding: Holding) -> list[str]:
+        """The members that are to have copies of a book."""
+        now = boot_time()
+        able = [name for name in self.alive if now - self.full_at.get(name, -BACK) >= BACK]
+        able = able if len(able) > self.told.copies else self.alive
+        return placement.copies(holding.book, self.name, self.halls, able, self.told.copies)
+
+    def _ship(self, now: int, holding: Holding) -> None:
+        """Have a pump for each copy that is wanted or still an heir."""
+        heirs = self.store.heirs_of(holding)
+        wanted = set(self._wanted(holding))
+        for name in sorted(wanted | (heirs & set(self.halls))):
+            if (holding.book, name) not in self.pumps:
+                follower = holding.log.followers.get(name) or holding.log.follow(name, now)
+                self.pumps[holding.book, name] = gevent.spawn(self._pump, holding, holding.log.term, name, follower)
+        for name in set(holding.log.followers) - wanted - heirs:
+            # The old copy stays until a majority knows a set of heirs without it.
+            holding.log.unfollow(name)
+
+    def _whole(self, now: int, holding: Holding, names: Iterable[str]) -> list[str]:
+        """Those of some members whose copies have all but a short tail."""
+        found = []
+        for name in names:
+            follower = holding.log.followers.get(name)
+            if follower is not None and follower.whole:
+                missing, behind = follower.lag(now)
+                if self.store.by_copy or missing <= LAG_FACTS and behind <= LAG:
+                    found.append(name)
+        return found
+
+    def _serve(self, now: int, holding: Holding) -> None:
+        """Keep the heirs right, and let the desk fire while the right is held."""
+        holder = holding.adoption.holder
+        if holding.adoption.stage is Stage.HOLDING and holding.imported:
+            self._ship(now, holding)
+            self._name_heirs(now, holding)
+        may = (holding.adoption.stage is Stage.HOLDING and holding.imported and not self.leaving
+               and holder.may_fire(now) and self._copied(now, holding))
+        if may == holding.serving:
+            return
+        holding.serving = may
+        numbers = self.store.numbers(holding.book)
+        if may:
+            if holding is self.store.current and (before := self.store.numbers(0)):
+                self._rekey(before)
+            logger.info("book {}: fired for from now on, {} envelopes, heirs {}", holding.book, len(numbers),
+                        ", ".join(holder.heirs[1:]) or "none")
+            self.desk.adopt(numbers)
+        else:
+            logger.warning("book {}: not fired for, {} envelopes ({})", holding.book, len(numbers),
+                           holding.adoption.stage.value if holder.may_fire(now) is False else "no copy follows")
+            self.counters.add("books that were not fired for any more")
+            self.desk.park(numbers)
+
+    def _name_heirs(self, now: int, holding: Holding) -> None:
+        holder = holding.adoption.holder
+        wanted = self._wanted(holding)
+        whole = self._whole(now, holding, wanted)
+        old = [name for name in holder.heirs[1:] if name in holding.log.followers and name not in wanted]
+        if len(whole) < len(wanted):
+            whole += [name for name in self._whole(now, holding, old) if name not in whole]
+        if holding.starving(now) and self.told.alone == "own" and not self._back(now, holding, whole):
+            whole = []
+        elif self.store.by_copy and not whole and holder.heirs[1:] and self.told.alone == "busy":
+            return  # Danger: without an heir, what was promised to be on two folders would be on one
+        holder.name(now, placement.order(holding.book, self.name, self.halls, whole))
+
+    def _starved(self, holding: Holding) -> None:
+        """A copy has not taken a record in time."""
+        if not holding.starved_at:
+            holding.starved_at = boot_time()
+            self.counters.trouble("a copy does not follow", f"book {holding.book}")
+
+    def _back(self, now: int, holding: Holding, whole: list[str]) -> bool:
+        """Whether a sender that goes on alone may count on copies again: they have followed for long enough."""
+        if not whole:
+            holding.alone_since = now
+            return False
+        return now - holding.alone_since >= BACK
+
+    def _copied(self, now: int, holding: Holding) -> bool:
+        """Under `ack = "copy"`: whether the heirs have what was told, or the file says to go on without."""
+        if not self.store.by_copy:
+            return True
+        heirs = self.store.heirs_of(holding)
+        # Danger: one that no majority knows for an heir yet would not be granted what it has a copy of.
+        if not heirs or self.told.alone == "busy" and not holding.adoption.holder.heirs[1:]:
+            if self.told.alone == "own" and not holding.alone_since:
+                logger.warning("book {}: goes on without a copy", holding.book)
+                holding.alone_since = now
+                holding.starved_at = holding.starved_at or now - STARVED
+            return self.told.alone == "own"
+        if holding.starved_at and holding.log.acked(heirs) >= holding.log.next:
+            if holding.alone_since or holding.starving(now):
+                logger.info("book {}: copies follow again", holding.book)
+            holding.starved_at = holding.alone_since = 0
+        return not holding.starving(now)
+
+    def _pump(self, holding: Holding, term: int, name: str, follower: Follower) -> None:
+        """Returns once the copy is not followed any more: sends what it lacks."""
+        while holding.log.followers.get(name) is follower and name in self.halls:
+            message = follower.next(boot_time())
+            if message is None:
+                self.store.news.clear()
+                self.store.news.wait(0.05)
+                continue
+            holding.sent = max(holding.sent, follower.sent)
+            gevent.spawn(self._send, follower, name, message)
+            gevent.sleep(0 if self.store.by_copy else LINGER)
+        self.pumps.pop((holding.book, name), None)
+
+    def _send(self, follower: Follower, name: str, message: Facts | Piece | Digests) -> None:
+        answer = self._letter(name, message, SHIP_IN)
+        # Danger: by the newest boot heard of, an old one's answer that comes late would speak for the new one's files.
+        if answer is not None and isinstance(answer.body, Have):
+            if answer.body.problem in (NO_ROOM, OTHER):
+                self.full_at[name] = boot_time()
+            follower.have(boot_time(), answer.body, answer.incarnation)
+        elif answer is not None and isinstance(answer.body, Digests):
+            follower.digests(boot_time(), answer.body, answer.incarnation)
+        self.store.news.set()
+
+    # ---- a book that was lost, and one that is over ----
+
+    def _offer(self, adoption: Adoption, to: str) -> None:
+        """Tell the newer holder what only this member knows, until it has taken all."""
+        holding = self.store.holdings.get(adoption.book)
+        if holding is not None and not holding.ledger.term:
+            # Danger: what an earlier process of this sender has taken, or heard of, may be nowhere but in this folder.
+            self.store.resume_own(holding, self._term_of(adoption.book))
+        if holding is not None and not holding.ledger.term:
+            # Danger: what an earlier process of this sender has taken, or heard of, may be nowhere but in this folder.
+            self.store.resume_own(holding, self._term_of(adoption.book))
+        told = self.store.known_here(holding) if holding is not None else []
+        parts: list[bytes] = []
+        part: list[bytes] = []
+        for fact in told:
+            part.append(known_facts.encoded(fact))
+            if sum(map(len, part)) >= OFFER_PART:
+                parts.append(known_facts.together(part))
+                part = []
+        parts.append(known_facts.together(part))
+        logger.info("book {}: {} envelopes offered to {}", adoption.book, len(told), to)
+        try:
+            for index, data in enumerate(parts):
+                offer = Offer(adoption.book, index, index + 1 == len(parts), data, digest_of(data),
+                              adoption.holder.term if holding is None else holding.ledger.term)
+                answer = self._call(to, offer, OFFER_IN)
+                if not isinstance(answer, Taken) or answer.problem:
+                    if isinstance(answer, Taken) and answer.problem == CLOSED:
+                        self._closed_elsewhere(to)
+                    gevent.sleep(BEAT)
+                    return  # it is asked again at the next look, of whoever holds the book then
+            adoption.offered()
+            if holding is not None:
+                holding.offered = True
+        finally:
+            self.offers.pop(adoption.book, None)
+
+    def _closed_elsewhere(self, name: str) -> None:
+        """Learn which books were closed while this member was away."""
+        answer = self._call(name, Tables(), ANSWER_IN)
+        if isinstance(answer, Table):
+            self.grantor.closed_elsewhere(answer)
+            self._write_table()
+
+    def _offered(self, sender: str, body: Offer) -> Taken:
+        """The last holder of a book that is held here tells what it knows."""
+        holding = self.store.holdings.get(body.book)
+        if holding is None and self.grantor.grant(right_of(body.book)).closed:
+            return Taken(body.book, body.part, CLOSED)
+        if holding is None or not holding.imported or holding.adoption.stage is not Stage.HOLDING:
+            return Taken(body.book, body.part, "it is not held here")
+        if digest_of(body.facts) != body.digest:
+            return Taken(body.book, body.part, "spoilt")
+        try:
+            ended, news = self.store.offered(holding, known_facts.decode_facts(body.facts), body.term)
+        except (known_facts.Spoilt, NoRoom) as error:
+            return Taken(body.book, body.part, str(error)[:512])
+        logger.info("book {}: {} told of {} ends and {} news", body.book, sender, len(ended), len(news))
+        holding.heard_out = holding.heard_out or body.last
+        holding.heard_out = holding.heard_out or body.last
+        if holding.serving and (ended or news):
+            # What was decided on less is decided anew.
+            self.desk.park(ended + news)
+            self.desk.adopt(news)
+        return Taken(body.book, body.part)
+
+    def _drop(self, book: int) -> None:
+        """The book is over, or somebody else's for good."""
+        holding = self.store.holdings.get(book)
+        if holding is not None:
+            mine, perhaps = self.store.only_here(holding) if not holding.offered else ([], [])
+            if (mine or perhaps) and not self.leaving:
+                if not self.store.taking():
+                    return  # they are moved to the open book once there is one; till then they are answered when late
+                if any(self.store.kept[number].out_at for number in mine + perhaps):
+                    return  # Danger: under its new number a second shot would go out beside the one that is out
+                self._rekey(mine)
+                self._rekey(perhaps, failed=True)
+        adoption = self.adoptions.pop(book)
+        self.doubted.discard(book)
+        if holding is not None:
+            numbers = self.store.numbers(book)
+            self.desk.park(numbers)
+            for name in list(holding.log.followers):
+                holding.log.unfollow(name)
+            self.store.forget(book)
+            logger.info("book {}: given up ({}), {} envelopes are another sender's", book, adoption.stage.value,
+                        len(numbers))
+        if self.held.pop(book, None) is not None:
+            self.lasting.write_held(list(self.held.values()))
+        replica = self.copies.replica(book)
+        closed = adoption.holder.state is Tenure.CLOSED or self.grantor.grant(right_of(book)).closed
+        if holding is not None and replica is not None and replica.place.term > holding.log.term and not closed:
+            self._follow(book)  # Danger: the newer holder counts on this copy by now, it is none of ours
+            return
+        self.copies.drop(book)
+        self.shipped_at.pop(book, None)
+        self.served.pop(book, None)
+
+    def _rekey(self, numbers: list[int], failed: bool = False) -> None:
+        """Envelopes that only this member has go on in the open book."""
+        self.desk.park(numbers)
+        try:
+            made = self.store.rekey(numbers, failed)
+        except NoRoom as error:
+            self.counters.trouble("envelopes cannot be taken over into the open book", error)
+            return
+        if made:
+            logger.info("{} envelopes go on in book {}", len(made), made[0] >> 32)
+            self.desk.adopt(made)
+
+    def _answer_late(self, now: int, few: bool) -> None:
+        """Without a majority nobody can be asked who has the right: what ends is answered, as one that may have run.
+
+        So is what nobody else can answer: it is held here but no copy follows, or only this member has it.
+        Danger: otherwise the right is settled within a moment, and whoever has it gives the answer; one of ours
+        beside it would be a second, and perhaps another one.
+        """
+        soon = self.clock.now() + LATE
+        for holding in list(self.store.holdings.values()):
+            stage = holding.adoption.stage
+            if holding.serving or stage is Stage.OFFERING or self.leaving:
+                continue
+            held = stage is Stage.HOLDING and holding.imported
+            ours = held and holding.adoption.holder.may_fire(now)
+            holding.unheld_since = (holding.unheld_since or now) if held and not ours else 0
+            # No majority has answered for so long, though its members may be heard.
+            ours = ours or holding.unheld_since > 0 and now - holding.unheld_since >= ALONE
+            left = stage is Stage.GONE and not holding.offered
+            numbers = (self.store.numbers(holding.book) if ours or few
+                       else sum(self.store.only_here(holding), []) if left else [])
+            late = [number for number in numbers if self.store.kept[number].outer_limit <= soon
+                    and number not in self.store.inert]
+            if late:
+                self.desk.answer_late(late)
+
+
+class NotAMember(Trouble):
+    """The operator file has a fleet of which this sender is no member."""
+
+    code = "CW743"
+    remedy = "give the sender an entry in `[[fleet.member]]` under the name that the platform's configuration has"
+
--- /dev/null
+++ b/cedarwick/fleet/sharing.py
@@ -0,0 +1,260 @@
+"""What a member tells the others beside its books: receivers taken out by hand, and waits that it was told.
+
+Marks (`marks.py`) go at once to each member that lacks them, and digests every few seconds, so that members that were
+cut off, or are new, come to the same map. A waits' hint is sent once and may be lost: it makes a sender more careful
+than it would be, never less, and ends with the wait.
+"""
+
+import os
+import time
+from collections.abc import Callable, Iterable
+
+import gevent
+from loguru import logger
+
+from cedarwick.errors import Trouble
+from cedarwick.fleet.lasting import FleetFileSpoilt, Lasting
+from cedarwick.fleet.marks import LONGEST, MOST_CALLS, Marks, newer
+from cedarwick.fleet.messages import Body, Hint, Noted, Wait
+from cedarwick.fleet.messages import Marks as Told
+from cedarwick.net.clock import Clock
+from cedarwick.net.counters import Counters
+from cedarwick.net.desk import Desk
+from cedarwick.net.directory import Directory
+from cedarwick.net.shots import Call, Ending
+from cedarwick.ops import lasting as files
+from cedarwick.ops.staff import Staff
+
+TURN = 250_000  # microseconds between two letters of a kind to one member
+AGAIN = 5_000_000  # between two letters with nothing new
+ANSWER_IN = 0.4  # seconds
+RETRY = 10_000_000  # between two tries to write what could not be written
+SAVE = 3_600_000_000  # microseconds: how far behind the file may be on when a member was met last
+SHORTEST = 300_000  # a wait that is over sooner is not told
+SAME = 50_000  # an end so little later than the one that was told is not told again
+MOST_HINTS = 64  # the newest
+
+
+class NotShared(Trouble):
+    """Receivers are out by hand here, and the other members cannot be told of all of them."""
+
+    code = "CW745"
+    remedy = "restore some, or suspend at each member those with a uid over 128 characters or not in ASCII"
+
+
+class MarksNotKept(Trouble):
+    """The versions of what is out by hand cannot be written; the members go on with what they hold in memory."""
+
+    code = "CW746"
+    remedy = "free the disk that holds $RELAY_STATE before this sender is restarted"
+
+
+def wall() -> int:
+    """Danger: the sender's own clock stands while the machine sleeps, and a call made after that would be older."""
+    return time.time_ns() // 1000
+
+
+class Sharing:
+    """Nothing is told or taken before `attach`."""
+
+    def __init__(self, name: str, lasting: Lasting, clock: Clock, counters: Counters,
+                 call: Callable[[str, Body, float], Body | None]) -> None:
+        self.name = name
+        self.lasting = lasting
+        self.clock = clock
+        self.counters = counters
+        self.call = call
+        self.attached = False
+        self.marks = Marks(name)
+        self.unwritten = False  # suspended.json says less than this process knows
+        self.saved_at = 0
+        self.lacks: dict[str, set[str]] = {}  # by member: uids whose rows it is to be told
+        self.next_at: dict[str, int] = {}  # by member: when it is written to where nothing is new
+        self.agreed: dict[str, int] = {}  # by member: the digest at the last letter
+        self.talking: set[str] = set()
+        self.sleepers: set[str] = set()  # members that may have missed something, too
+        self.turn_at = 0
+        self.hint_at = 0
+        self.waits: dict[int, int] = {}  # by receiver: ends to be told, the newest last
+        self.hinted: dict[int, int] = {}  # by receiver: the end that was told
+        self.staff: Staff
+        self.directory: Directory
+        self.desk: Desk
+
+    def attach(self, staff: Staff, directory: Directory, desk: Desk) -> None:
+        """Once the folder is this process's, and its shots are made: take up what is kept, and listen to both."""
+        self.staff, self.directory, self.desk = staff, directory, desk
+        staff.changed = self._changed
+        desk.shots.heed, desk.shots.tell = self._heeded, self._ended
+        now, told = wall(), self._file()
+        try:
+            self.marks = Marks(self.name, self.lasting.marks())
+        except FleetFileSpoilt as error:
+            logger.error(error.line)
+            self.marks.doubt(told or {})
+        self.marks.turn(now)
+        if told is not None:
+            self.marks.noticed(now, told)
+        self.attached = True
+        self._keep()
+
+    # ---- called by the node ----
+
+    def look(self, now: int, alive: Iterable[str], majority: int) -> None:
+        """`now` counts on while the machine sleeps; `majority` is of all members."""
+        others = [name for name in alive if name != self.name]
+        if self.waits and now >= self.hint_at and (waits := self._hints()):
+            self.hint_at = now + TURN
+            for name in others:
+                gevent.spawn(self.call, name, Hint(waits), ANSWER_IN)
+        if not self.attached or now < self.turn_at:
+            return
+        self.turn_at = now + TURN
+        self.marks.turn(wall())
+        if self.marks.asleep and len(self.sleepers) + 1 >= majority:
+            self.marks.awake(wall())
+            self._write()
+        if self.unwritten and wall() - self.saved_at > RETRY:
+            self._keep()
+        digest = self.marks.digest()
+        for name in others:
+            due = self.agreed.get(name) != digest or self.lacks.get(name) or now >= self.next_at.get(name, 0)
+            if due and name not in self.talking:
+                self.talking.add(name)
+                gevent.spawn(self._talk, now, name)
+
+    def heard(self, sender: str, body: Told | Hint) -> Body:
+        """The answer to another member's letter."""
+        if not self.attached:
+            return Noted()
+        if isinstance(body, Hint):
+            now, numbers = self.clock.now(), self.directory.numbers
+            self.desk.heed([(numbers[each.uid], now + each.left) for each in body.waits if each.uid in numbers])
+            self.counters.add("hints heard")
+            return Noted()
+        self.marks.turn(wall())
+        self._take(sender, lambda now: self.marks.told(now, body.rows))
+        mine = self.marks.digest()
+        return Told(mine, () if body.digest == mine else self.marks.offered(), self.marks.whole())
+
+    # ---- receivers taken out by hand ----
+
+    def _changed(self, uid: str, calls: int) -> None:
+        """Staff have said so at this member's address."""
+        self.marks.turn(wall())
+        self.marks.set(wall(), uid, calls)
+        self._spread([uid])
+        self._keep()
+        self.turn_at = 0
+
+    def _talk(self, now: int, name: str) -> None:
+        try:
+            self._say(now, name)
+        finally:
+            self.talking.discard(name)
+
+    def _say(self, now: int, name: str) -> None:
+        sent = {row.uid: row for row in self.marks.offered() if row.uid in self.lacks.get(name, ())}
+        all_sent, digest = self.marks.offered(), self.marks.digest()
+        answer = self.call(name, Told(digest, tuple(sent.values())), ANSWER_IN)
+        if not isinstance(answer, Told):
+            self.next_at[name] = now + TURN
+            return
+        theirs = all_sent if answer.digest == digest else answer.rows
+        self.marks.turn(wall())
+        if answer.whole:
+            self.sleepers.discard(name)
+            self._take(name, lambda at: self.marks.met(at, theirs))
+        else:
+            self.sleepers.add(name)
+            self._take(name, lambda at: self.marks.told(at, theirs))
+        have = {row.uid: row for row in theirs}
+        missing = {row.uid for row in self.marks.offered() if row.uid not in have or newer(row, have[row.uid])}
+        # Danger: what the other does not take would be sent to it four times a second for ever.
+        refused = {uid for uid in missing if sent.get(uid) == self.marks.rows[uid]}
+        self.lacks[name] = missing - refused
+        self.agreed[name] = self.marks.digest()
+        self.next_at[name] = now + AGAIN
+
+    def _take(self, sender: str, joined: Callable[[int], list[str]]) -> None:
+        """Join what another member says, and act on it."""
+        now, met_at = wall(), self.marks.met_at
+        told = None if self.unwritten else self._file()
+        if told is not None:
+            # Danger: a process that replaces this one may have changed the file; ours would undo it.
+            self._spread(self.marks.noticed(now, told))
+        changed = joined(now)
+        self._spread(changed, but=sender)
+        for uid in changed:
+            logger.info("{} {}, told by {}", uid, "suspended" if uid in self.marks.calls() else "restored", sender)
+        if changed or (told is not None and told != self.marks.calls()):
+            self._keep()
+        elif met_at != self.marks.met_at and now - self.saved_at > SAVE:
+            self._write()
+
+    def _spread(self, uids: Iterable[str], but: str = "") -> None:
+        for name, lacks in self.lacks.items():
+            if name != but:
+                lacks.update(uids)
+
+    def _file(self) -> dict[str, int] | None:
+        """What suspended.json says; None where it says nothing that can be used."""
+        if not os.path.exists(os.path.join(self.staff.folder, files.SUSPENDED)):
+            return None
+        try:
+            return {uid: min(calls, MOST_CALLS) for uid, calls in files.read(self.staff.folder).items() if calls > 0}
+        except files.Unreadable as error:
+            self.counters.trouble("the receivers taken out by hand cannot be read", error)
+            return None
+
+    def _keep(self) -> None:
+        """Take out what the marks say, and write it."""
+        calls = self.marks.calls()
+        # Danger: the marks first, and what the file lacks after a crash would pass for restored by staff.
+        if calls != (self._file() or {}) or calls.keys() != self.directory.held_out:
+            self.unwritten = not self.staff.keep(calls)
+        self._write()
+        if count := self.marks.untold():
+            self.counters.trouble("receivers out by hand that the other members are not told of",
+                                  NotShared(f"{count} of {len(calls)}, at most {LONGEST} characters of ASCII each"))
+
+    def _write(self) -> None:
+        self.saved_at = wall()
+        try:
+            self.lasting.write_marks(self.marks.saved())
+        except OSError as error:
+            self.counters.trouble("the fleet's marks are not kept", MarksNotKept(str(error)))
+
+    # ---- told waits ----
+
+    def _heeded(self, waits: list[tuple[int, int]]) -> None:
+        """A wait that is told apart from its shot's ending."""
+        self.desk.heed(waits)
+        self._learned(waits)
+
+    def _ended(self, call: Call, ending: Ending) -> None:
+        self.desk.shot_ended(call, ending)
+        if ending.told_wait:
+            self._learned([(call.receiver, self.clock.now() + ending.told_wait)])
+
+    def _learned(self, waits: list[tuple[int, int]]) -> None:
+        """Receivers have told this sender to wait; what other members were told does not come here."""
+        for receiver, until in waits:
+            if until > max(self.waits.get(receiver, 0), self.hinted.get(receiver, 0) + SAME):
+                self.waits.pop(receiver, None)
+                self.waits[receiver] = until
+        while len(self.waits) > MOST_HINTS:
+            del self.waits[next(iter(self.waits))]
+
+    def _hints(self) -> tuple[Wait, ...]:
+        """Those that are to be told now."""
+        now = self.clock.now()
+        self.hinted = {receiver: until for receiver, until in self.hinted.items() if until > now}
+        waits, self.waits = self.waits, {}
+        if not waits:
+            return ()
+        uids = {number: uid for uid, number in self.directory.numbers.items() if number in waits}
+        found = [Wait(uids[receiver], until - now) for receiver, until in waits.items()
+                 if until - now > SHORTEST and receiver in uids and len(uids[receiver]) <= LONGEST]
+        self.hinted.update(waits)
+        return tuple(found)
--- /dev/null
+++ b/cedarwick/fleet/traffic.py
@@ -0,0 +1,478 @@
+"""Sessions in service: who takes a client's submission, and which sessions move when.
+
+What is settled, and why, stands in `sessions.py` and `moves.py`; how a move is done in `transfers.py`. Letters wait
+here for frozen sessions and for copies, so they go over connections of their own: beats and leases must not stand
+behind them.
+"""
+
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Literal
+
+import gevent
+import gevent.event
+from loguru import logger
+
+from cedarwick.errors import Trouble
+from cedarwick.fleet.book import boot_time
+from cedarwick.fleet.lasting import HeldSession, Sessions
+from cedarwick.fleet.link import Peers, Refusal, Unreachable
+from cedarwick.fleet.members import Standing
+from cedarwick.fleet.messages import (
+    Accept,
+    Body,
+    Claimed,
+    Claims,
+    Lodging,
+    Lodgings,
+    Noted,
+    Pass,
+    Passed,
+    Prepare,
+    Recall,
+    Settled,
+    Stage,
+)
+from cedarwick.fleet.moves import WAITS, Neighbour, Why, Wish
+from cedarwick.fleet.sessions import CLAIM, LAPSES, Asking, Claim, Directory, Entry, Ruling, contents
+from cedarwick.fleet.transfers import SECOND, SESSIONS, SETTLE_IN, Transfers
+from cedarwick.net.desk import Answered, Desk, Submission
+from cedarwick.net.intake import Handed, Intake
+from cedarwick.ops.calls import Call
+from cedarwick.ops.staff import Staff
+from cedarwick.store.records import Kept
+
+if TYPE_CHECKING:
+    from cedarwick.fleet.node import Node
+
+AT_ONCE = 16  # letters to one member that wait for their answers
+MOST_CLAIMS = 2  # for one submission: a claim that fails was refused, or met members that are slow
+PATIENCE = 330_000  # microseconds in which a client's request is answered, of the 400 ms that it waits
+TRY = 0.15  # seconds until a submission that was passed on without an answer is passed on again
+LEAST = 15_000  # microseconds without which nothing more is tried for a client
+GOSSIP = 250_000  # microseconds between two letters of news to each member
+TOLD = 256  # sessions in one letter at least: a 40th of all that are held, and so all in 10 s
+MOST_TOLD = 4096
+WISHES = 256  # looked at in one turn
+COMES_FOR = 1_000_000  # microseconds for which a client that came to another sender counts as being there
+HANDED_OVER = 5_000_000  # microseconds after the end of a process in which its successor goes on with its sessions
+MOVED_IN = 1.5  # seconds in which staff are told what became of a move
+UNSURE: Handed = (Answered.UNSURE, 0, None)
+BUSY: Handed = (Answered.BUSY, 0, None)
+
+
+class BadMove(Trouble):
+    """Staff name a session or a sender that cannot be."""
+
+    code = "CW751"
+    remedy = "send MOVE KEY SENDER: the key in 1 to 16 hexadecimal digits, not zero, and another member's name"
+
+
+class NotHeld(Trouble):
+    """Staff ask for the move of a session that this sender does not hold."""
+
+    code = "CW752"
+    remedy = "ask the sender that is named; a session without one is opened where its client comes next"
+
+
+class NotMoved(Trouble):
+    """A session stays where it was."""
+
+    code = "CW753"
+    remedy = "see that the taker lives, is not drained and has room, then move it again; a moved one waits 60 s"
+
+
+class Traffic:
+    """Nothing is told or taken before `attach`."""
+
+    def __init__(self, node: "Node") -> None:
+        self.node = node
+        self.name = node.name
+        self.store = node.store
+        self.lasting = node.lasting
+        self.counters = node.counters
+        self.clock = node.clock
+        self.lane = Peers(node.gate, node.where, AT_ONCE)
+        now = boot_time()
+        self.directory = Directory(self.name, len(node.halls), now)
+        self.transfers = Transfers(node, self.directory, self._call, self._takes, self._change)
+        self.moves = self.transfers.moves
+        self.desk: Desk
+        self.intake: Intake
+        self.leaving = False
+        self.changed = gevent.event.Event()  # something that a submission may wait for
+        self.pending: dict[str, Submission] = {}  # by id: at the desk
+        self.wishes: dict[int, tuple[Wish, int]] = {}  # and until when
+        self.ends: dict[int, gevent.event.AsyncResult] = {}  # by key: staff wait for the end of its move
+        self.neighbours: dict[str, Lodgings] = {}  # what each member told last
+        self.first_seen: dict[str, int] = {}  # by member: the first boot of it that was heard of
+        self.new: set[str] = set()  # members that have never run before, and know of no earlier boot of this one
+        self.void: set[str] = set()  # members whose sessions were given up
+        self.told_at = self.forgot_at = 0
+
+    def attach(self, staff: Staff, intake: Intake, desk: Desk) -> None:
+        """Before the first letter: from now on clients' submissions and the calls of staff come here."""
+        self.desk = self.transfers.desk = desk
+        self.take_up()
+        self.intake = intake
+        intake.hand_in = self.hand_in
+        staff.moves = self.moved_by_hand
+
+    def stop(self) -> None:
+        self.lane.close()
+
+    def replace(self) -> None:
+        """The node has another list of members."""
+        self.lane.replace(self.node.where)
+        self.moves.voters = tuple(sorted(self.node.halls))
+        self.directory.members = len(self.node.halls)
+
+    def take_up(self) -> None:
+        """Go on with the sessions of the process that this one replaces, if it ended a moment ago."""
+        left, now = self.lasting.take_sessions(), boot_time()
+        age = time.time_ns() // 1000 - left.at if left is not None else 0
+        # Danger: a file that is older, or of the future, may speak of sessions that others hold by now.
+        if left is not None and 0 <= age < HANDED_OVER:
+            for each in left.held:
+                ids = {id: (then + age, hashed) for id, (then, hashed) in each.ids.items()}
+                self.directory.hold(each.key, each.sequence, ids, now)
+            logger.info("{} sessions of the process before go on", len(left.held))
+
+    def hand_over(self) -> None:
+        """The process that replaces this one goes on with its sessions; OSError where that cannot be written."""
+        now = boot_time()
+        held = [HeldSession(key, session.sequence, self.directory.ids(key, now))
+                for key, session in self.directory.sessions.items()
+                if session.used >= now - LAPSES and self._standing(key)[0] == "here"]
+        self.lasting.write_sessions(Sessions(time.time_ns() // 1000, held))
+        self.directory.sessions.clear()
+
+    def leave(self) -> None:
+        """This sender ends: its sessions go to neighbours."""
+        self.leaving = True
+
+    def left(self) -> bool:
+        """Whether no session is held or on its way any more, or nobody takes them."""
+        held = self.directory.sessions and any(each.takes for each in self._neighbours())
+        return not held and not self.transfers.under_way_here()
+
+    # ---- submissions ----
+
+    def hand_in(self, kept: Kept) -> Handed:
+        """What becomes of a client's submission; in the greenlet of its connection."""
+        if not kept.turn:
+            return self.intake.to_desk(kept)
+        began = boot_time()
+        key, hashed, claims, hops = kept.turn, hash_of(kept), 0, 0
+        while (now := boot_time()) < began + PATIENCE:
+            there, holder = self._standing(key)
+            ruling = self.directory.rule(key, kept.id, hashed, False, now) if there == "here" else None
+            if there == "wait" or ruling is Ruling.BUSY:
+                if not self._wait(began + WAITS):
+                    return BUSY
+                continue
+            if ruling in (Ruling.TAKE, Ruling.SAME, Ruling.REPEATED):
+                handed = self._take(kept, hashed, ruling, now)
+                if handed is not None:
+                    return handed
+                continue
+            if ruling is Ruling.CLAIM or ruling is None and not holder:
+                claims += 1
+                if claims > MOST_CLAIMS or not self._claim(key):
+                    return BUSY
+                continue
+            known = self.directory.where(key)
+            to = holder if known in (None, self.name) else known or ""  # it may have moved on since
+            if hops == 2 or not self._lives(to):
+                return BUSY
+            hops += 1
+            answer = self._pass(kept, to, began + PATIENCE, moved=there == "pass")
+            if isinstance(answer, tuple):
+                return answer
+            if answer.answer:
+                taken = answer.answer == Answered.KEPT.value
+                return Answered(answer.answer), answer.wait_ms, self._recalling(kept, to) if taken else None
+            told = Claim(answer.disowned, entry_of(answer.entry))
+            after = self.directory.refused(key, to, told, boot_time())
+            if after is Ruling.CLAIM:
+                self.transfers.act(self.moves.client_gone(key, boot_time()))
+                if self._claim(key):
+                    continue
+            # It may have come here meanwhile.
+            if after is not Ruling.PASS and key not in self.directory.sessions and self._standing(key)[0] != "wait":
+                return BUSY
+        return BUSY
+
+    def _standing(self, key: int) -> tuple[Literal["here", "wait", "pass"], str]:
+        """As `Moves.standing`, but that a session which has come back is here."""
+        there, to = self.moves.standing(key)
+        return ("here", "") if there == "pass" and key in self.directory.sessions else (there, to)
+
+    def _lives(self, name: str) -> bool:
+        return name != self.name and self.node.members.state(boot_time(), name) is Standing.ALIVE
+
+    def _wait(self, until: int) -> bool:
+        """Whether something has changed before a time."""
+        return self.changed.wait(max(0, until - boot_time()) / SECOND) is True
+
+    def _change(self) -> None:
+        changed, self.changed = self.changed, gevent.event.Event()
+        changed.set()
+
+    def _take(self, kept: Kept, hashed: int, ruling: Ruling, now: int) -> Handed | None:
+        """Of a session that is held here; None where it was frozen meanwhile."""
+        pending = self.pending.get(kept.id)
+        if ruling is Ruling.REPEATED:
+            return Answered.REPEATED, 0, None
+        if ruling is Ruling.SAME:
+            # Danger: one that is passed on twice must not be told it was turned away when the first was taken.
+            answered, wait_ms = pending.answer.get() if pending is not None else (Answered.KEPT, 0)
+            return None if answered is Answered.FROZEN else (answered, wait_ms, None)
+        if not self.store.taking():
+            return BUSY  # Danger: who is cut off may not have heard that the session has another holder
+        self.directory.took(kept.turn, kept.id, hashed, now)
+        submission = self.pending[kept.id] = Submission(kept)
+        try:
+            self.desk.submit(submission)
+            answered, wait_ms = submission.answer.get()
+        finally:
+            del self.pending[kept.id]
+        if answered is not Answered.KEPT and (session := self.directory.sessions.get(kept.turn)) is not None:
+            session.ids.pop(kept.id, None)
+        if answered is Answered.FROZEN:
+            return None
+        taken = answered is Answered.KEPT and kept.number
+        return answered, wait_ms, (lambda: self.desk.withdraw(submission)) if taken else None
+
+    def _pass(self, kept: Kept, to: str, until: int, moved: bool) -> Passed | Handed:
+        """The holder's answer; `BUSY` where it surely has taken nothing, `UNSURE` where nobody can tell."""
+        sure = True
+        while (left := until - boot_time()) > LEAST:
+            body = Pass(kept.turn, kept.id, kept.key, kept.band, kept.tenant, kept.destination,
+                        kept.outer_limit - self.clock.now(), left - LEAST, kept.body or b"", moved)
+            try:
+                answer = self.lane.call(to, body, min(left / SECOND, TRY))
+            except Unreachable:
+                sure = False
+                self.counters.add(f"submissions passed on without an answer: {to}")
+                gevent.sleep(0.005)
+                continue
+            except Trouble as error:
+                self.counters.trouble(f"{to} refused a submission that was passed on", error)
+                break
+            if isinstance(answer, Passed):
+                self.counters.add("submissions passed on")
+                return answer
+            break
+        return BUSY if sure else UNSURE
+
+    def _recalling(self, kept: Kept, to: str) -> Callable[[], None]:
+        def recall() -> None:
+            gevent.spawn(self._call, to, Recall(kept.turn, kept.id), SETTLE_IN)
+
+        return recall
+
+    def _passed(self, sender: str, body: Pass) -> Passed:
+        """Another member passes a client's submission on."""
+        until = boot_time() + min(body.within, WAITS)
+        limit = self.clock.now() + body.left
+        kept = Kept(0, body.id, body.mark, body.key, body.band, body.tenant, body.destination, max(0, limit), body.body)
+        hashed = hash_of(kept)
+        while body.key:
+            now = boot_time()
+            there, _ = self._standing(body.key)
+            if there == "wait":
+                if not self._wait(until):
+                    break
+                continue
+            ruling = self.directory.rule(body.key, body.id, hashed, True, now) if there == "here" else Ruling.ELSEWHERE
+            if ruling is Ruling.ELSEWHERE:
+                told = self.directory.elsewhere(body.key, now)
+                return Passed("", 0, told.granted, lodging_of(told.entry))
+            if not body.moved and self.node.halls.get(sender) != self.node.halls[self.name]:
+                self.wishes[body.key] = Wish(body.key, Why.CLIENT, sender), now + COMES_FOR
+            handed = self._take(kept, hashed, ruling, now)
+            if handed is not None:
+                return Passed(handed[0].value, handed[1])
+        return Passed(Answered.BUSY.value)
+
+    def _recalled(self, body: Recall) -> Noted:
+        kept = self.store.kept.get(self.desk.numbers.get(body.id, 0))
+        if kept is not None and kept.turn == body.key and kept.number not in self.store.inert:
+            self.counters.add("clients gone before their answer")
+            self.desk.withdraw(Submission(kept))
+        return Noted()
+
+    # ---- opening ----
+
+    def _claim(self, key: int) -> bool:
+        """Whether the session may be ruled on once more: it was claimed, or its holder is known now."""
+        claimed = self.directory.claim(key, boot_time())
+        if claimed is None:
+            return False
+        asking: Asking = claimed
+        over = gevent.event.Event()
+        others = [name for name in self.node.halls if name != self.name]
+        answered: list[str] = []
+
+        body = Claims(asking.key, asking.sequence, *asking.over, asking.at)
+
+        def ask(name: str) -> None:
+            answer = self._call(name, body, CLAIM / SECOND)
+            if isinstance(answer, Claimed):
+                told = Claim(answer.granted, entry_of(answer.entry))
+                if self.directory.answered(asking, name, told, boot_time()):
+                    self._change()
+                    over.set()
+            answered.append(name)
+            if len(answered) == len(others):
+                over.set()
+
+        for name in others:
+            gevent.spawn(ask, name)
+        over.wait(CLAIM / SECOND)
+        self.counters.add("sessions claimed" if key in self.directory.sessions else "claims that failed")
+        return True
+
+    # ---- letters ----
+
+    def heard(self, sender: str, incarnation: int, body: Body) -> Body | None:
+        """The answer to another member's letter; None where it is not for this part."""
+        now = boot_time()
+        if isinstance(body, Pass):
+            return self._passed(sender, body)
+        if isinstance(body, Lodgings):
+            first = self.lasting.first and self.first_seen.setdefault(sender, incarnation) == incarnation
+            self._told(sender, body, now)
+            return self._lodgings((), first)
+        if isinstance(body, Claims):
+            asking = Asking(body.key, body.sequence, (body.over, body.over_holder), body.at)
+            told = self.directory.claimed(asking, sender, now)
+            return Claimed(told.granted, lodging_of(told.entry))
+        if isinstance(body, Recall):
+            return self._recalled(body)
+        if isinstance(body, Stage | Prepare | Accept | Settled):
+            return self.transfers.answer(body, now)
+        return None
+
+    def _call(self, name: str, body: Body, within_s: float) -> Body | None:
+        try:
+            return self.lane.call(name, body, within_s)
+        except Unreachable:
+            self.counters.add(f"letters about sessions without an answer: {name}")
+        except Refusal as error:
+            self.counters.trouble(f"{name} refused a letter about sessions", error)
+        except Trouble as error:
+            self.counters.trouble("a letter about sessions that was not sent", error)
+        return None
+
+    # ---- everything, again and again ----
+
+    def look(self, now: int) -> None:
+        """What the time asks for; never waits."""
+        for name in self.node.halls:
+            if name == self.name or self.node.members.state(now, name) not in (Standing.DEAD, Standing.LEFT):
+                self.void.discard(name)
+            elif name not in self.void:
+                self.void.add(name)
+                self.directory.without(name, now)
+        if now - self.told_at >= GOSSIP:
+            self.told_at = now
+            self._gossip(now)
+        if now - self.forgot_at >= SECOND:
+            self.forgot_at = now
+            self.directory.forget(now)
+            self.transfers.forget(now)
+        self.transfers.look(now)
+        self._plan(now)
+        self._see_ends()
+
+    def _gossip(self, now: int) -> None:
+        news = self.directory.news(min(MOST_TOLD, TOLD + len(self.directory.sessions) // 40), now)
+        told = tuple(lodging for entry in news if (lodging := lodging_of(entry)) is not None)
+        for name in self.node.halls:
+            if name != self.name:
+                gevent.spawn(self._tell_news, name, told)
+
+    def _tell_news(self, name: str, news: tuple[Lodging, ...]) -> None:
+        first = self.lasting.first and name not in self.first_seen
+        answer = self._call(name, self._lodgings(news, first), GOSSIP / SECOND)
+        if not isinstance(answer, Lodgings):
+            return
+        now = boot_time()
+        self._told(name, answer, now)
+        self.transfers.learned(name, answer.stamp)
+        # Danger: who forgot its sessions, or those of others, must wait until no id of that time can come any more.
+        if answer.first and self.lasting.first:
+            self.new.add(name)
+            if len(self.new) == len(self.node.halls) - 1 and self.directory.grants_at > now:
+                self.directory.grants_at = now
+                logger.info("sessions may be opened: no member has run before")
+
+    def _lodgings(self, news: tuple[Lodging, ...], first: bool) -> Lodgings:
+        return Lodgings(news, len(self.directory.sessions), self._takes(), self.transfers.stamp, first)
+
+    def _takes(self) -> bool:
+        return not (self.leaving or self.node.leaving or self.intake.paused) and self.store.taking()
+
+    def _told(self, name: str, body: Lodgings, now: int) -> None:
+        self.neighbours[name] = body
+        self.directory.heard([entry for lodging in body.news if (entry := entry_of(lodging)) is not None], now)
+
+    # ---- which sessions move ----
+
+    def _neighbours(self) -> list[Neighbour]:
+        now, halls, members = boot_time(), self.node.halls, self.node.members
+        return [Neighbour(name, halls[name], told.held, SESSIONS, not members.notes(now, name),
+                          told.takes and members.state(now, name) is Standing.ALIVE)
+                for name, told in self.neighbours.items() if name in halls]
+
+    def _plan(self, now: int) -> None:
+        self.wishes = {key: each for key, each in self.wishes.items() if each[1] > now}
+        wishes = [wish for wish, _ in self.wishes.values()]
+        if self.leaving or self.intake.paused:
+            why = Why.LEAVING if self.leaving else Why.FAILING
+            wishes += [Wish(key, why) for key in self.directory.sessions
+                       if key not in self.transfers.planner.out and key not in self.transfers.planner.off][:WISHES]
+        for key, to in self.transfers.planner.plan(wishes, self._neighbours(), now) if wishes else ():
+            self.transfers.begin(key, to, now)
+
+    def moved_by_hand(self, call: Call) -> str:
+        """Staff want a session elsewhere: `MOVE KEY SENDER`."""
+        text, _, to = call.argument.partition(" ")
+        try:
+            key = int(text, 16) if len(text) <= 16 and text.isalnum() else 0
+        except ValueError:
+            key = 0
+        if not key:
+            raise BadMove(f"{text[:40]!r} is no key of a session")
+        if to not in self.node.halls or to == self.name:
+            raise BadMove(f"{to[:64]!r} is no other member")
+        if key not in self.directory.sessions:
+            raise NotHeld(f"{key:016x} is held by {self.directory.where(key) or 'nobody'}")
+        self.wishes[key] = Wish(key, Why.STAFF, to), boot_time() + SECOND
+        end = self.ends.setdefault(key, gevent.event.AsyncResult())
+        if not end.wait(MOVED_IN):
+            self.ends.pop(key, None)
+            raise NotMoved(f"{key:016x} stays at {self.name}")
+        return f"YES {key:016x} moved to {end.get()}\n"
+
+    def _see_ends(self) -> None:
+        for key in [key for key in self.ends if self.directory.where(key) not in (None, self.name)]:
+            self.wishes.pop(key, None)
+            self.ends.pop(key).set(self.directory.where(key))
+
+# ---- from and to letters ----
+
+
+def hash_of(kept: Kept) -> int:
+    """What came with an id; the same wherever it comes."""
+    return contents(kept.key, kept.band, kept.tenant, kept.destination, kept.body or b"")
+
+
+def entry_of(told: Lodging | None) -> Entry | None:
+    return Entry(told.key, told.holder, told.sequence, told.age) if told is not None else None
+
+
+def lodging_of(entry: Entry | None) -> Lodging | None:
+    return Lodging(*entry) if entry is not None else None
--- /dev/null
+++ b/cedarwick/fleet/transfers.py
@@ -0,0 +1,547 @@
+"""The I/O of moves: what `moves.py` and `decrees.py` ask for, done with greenlets, letters, the folder and the desk.
+
+What touches the folder and the desk at once is done between two of the desk's rounds. An envelope on the move carries a
+mark in the ledger of its book, for the heirs, and in a file of this member, for its next boot: the sequence of its
+session, and `<` (it is given) or `>` (it is taken) before the name of the move.
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+import gevent
+import gevent.event
+from loguru import logger
+
+from cedarwick.errors import Trouble
+from cedarwick.fleet.book import boot_time
+from cedarwick.fleet.decrees import ABSTAINS, Acceptor, Answer, Ask, Ballot, Value, name_move, parts
+from cedarwick.fleet.facts import Fact, decode_facts, encode_facts, kept_of
+from cedarwick.fleet.messages import (
+    LARGEST,
+    Accept,
+    Body,
+    Prepare,
+    Recent,
+    Settled,
+    Stage,
+    Staged,
+    Vote,
+    Voted,
+    digest_of,
+    whole,
+)
+from cedarwick.fleet.moves import FREEZE, Act, Do, Giving, Moves, Planner, Taking
+from cedarwick.fleet.sessions import LAPSES, Directory
+from cedarwick.net.desk import Desk
+
+if TYPE_CHECKING:
+    from cedarwick.fleet.node import Node
+
+SETTLE_IN = 0.3  # seconds for the answer to a question about a move
+STAGE_IN = 0.45
+WHOLE = 500_000  # microseconds that the copies have to get a mark
+CUT = 0.1  # seconds until calls that were cut off have ended
+SESSIONS = 10_000  # that a sender bears
+LATE = 300_000  # microseconds before its outer limit an envelope on the move is answered
+LOOK_LATE = 100_000
+SECOND = 1_000_000
+LARGEST_STAGE = LARGEST - (1 << 17)  # bytes of a session's facts: the rest of the letter is for its ids
+MOST_IDS = 1 << 12
+GIVEN, TAKEN = "<", ">"
+
+
+class TooMuchQueued(Trouble):
+    """A session's envelopes do not fit one letter, so that it cannot be moved."""
+
+    code = "CW754"
+    remedy = "wait until some of the session's envelopes have ended; until then it stays where it is"
+
+
+class NotAMove(Trouble):
+    """A letter about a move whose name cannot be one."""
+
+    code = "CW755"
+    remedy = "bring all members to one version of the program"
+
+
+class DecreesNotKept(Trouble):
+    """This member's votes on moves cannot be written, and it gives none; moves are settled by the others."""
+
+    code = "CW756"
+    remedy = "free the disk that holds $RELAY_STATE"
+
+
+class Transfers:
+    """The moves that this member has a side of. Nothing is done before `desk` is set.
+
+    Args:
+        call: a letter to another member and its answer within so many seconds; None where there is none.
+        takes: whether this sender takes sessions now.
+        change: to be called when something has changed that a submission may wait for.
+    """
+
+    def __init__(self, node: "Node", directory: Directory, call: Callable[[str, Body, float], Body | None],
+                 takes: Callable[[], bool], change: Callable[[], None]) -> None:
+        self.node = node
+        self.name = node.name
+        self.directory = directory
+        self.call = call
+        self.takes = takes
+        self.change = change
+        self.store = node.store
+        self.lasting = node.lasting
+        self.counters = node.counters
+        self.clock = node.clock
+        table = self.lasting.decrees()
+        self.acceptor = Acceptor(boot_time(), table is None, table)
+        self.stamp = node.incarnation  # of the next move
+        self.acceptor.learned(self.name, self.stamp)
+        self.lasting.write_decrees(self.acceptor.table())
+        chance = random.Random(node.incarnation)
+        self.moves = Moves(self.name, f"{self.name}#{node.incarnation}", tuple(sorted(node.halls)), self.acceptor,
+                           lambda failed: chance.randint(0, 50_000 << min(failed, 5)))
+        self.planner = Planner(node.halls[self.name])
+        marks = self.lasting.inert()
+        self.store.inert = {number: mark for number, mark in marks.items() if number in self.store.kept}
+        self.store.marking = self.lasting.write_inert
+        self.desk: Desk
+        self.offers: dict[str, tuple[Stage, int]] = {}  # by move: what was staged here, and when
+        self.sequences: dict[str, int] = {}  # by move: of its session, since it began
+        self.answers: dict[str, gevent.event.AsyncResult] = {}  # by move: whether it was staged
+        self.under_way: set[tuple[str, Do]] = set()
+        self.limits_at = 0
+
+    def look(self, now: int) -> None:
+        """What the time asks for; never waits."""
+        self._look_at_marks(now)
+        self.act(self.moves.due(now))
+
+    def forget(self, now: int) -> None:
+        """Drop what is old; about once a second."""
+        if self.acceptor.prune(now):
+            self._guarded(self.lasting.write_decrees, self.acceptor.table())
+        for kept in (self.offers, self.sequences, self.answers):
+            for name in [name for name in kept if name not in self.moves.moves]:
+                del kept[name]
+
+    def learned(self, giver: str, stamp: int) -> None:
+        """A giver has answered with the stamp of its next move.
+
+        Danger: from a letter of its own, which may have been written before this boot, nothing is learned.
+        """
+        if stamp and self.acceptor.lost and giver not in self.acceptor.floors:
+            self.acceptor.learned(giver, stamp)
+            self._guarded(self.lasting.write_decrees, self.acceptor.table())
+
+    def under_way_here(self) -> bool:
+        """Whether a move from here is not over yet."""
+        return any(move.giving in (Giving.FREEZING, Giving.OFFERED)
+                   or move.giving is Giving.FORWARDING and not move.confirmed for move in self.moves.moves.values())
+
+    def begin(self, key: int, to: str, now: int) -> None:
+        """Start to give a session that is held here to another member."""
+        session = self.directory.sessions.get(key)
+        if session is None or session.used < now - LAPSES or not self.store.taking():
+            self.planner.ended(key, session is None, now)
+            return
+        name = name_move(self.stamp, self.name, to)
+        self.stamp += 1
+        acts = self.moves.begin(name, key, now)
+        if not acts:
+            self.planner.ended(key, False, now)
+            return
+        self.sequences[name] = session.sequence + 1
+        self.directory.hold(key, session.sequence + 1, self.directory.ids(key, now), now)
+        self.counters.add("moves begun")
+        self.act(acts)
+
+    # ---- letters ----
+
+    def answer(self, body: Stage | Prepare | Accept | Settled, now: int) -> Body:
+        """What another member is told about a move; `NotAMove` where there cannot be such a one."""
+        try:
+            parts(body.move)
+        except ValueError as error:
+            raise NotAMove(str(error)[:200]) from None
+        if isinstance(body, Stage):
+            return self._staged(body, now)
+        if isinstance(body, Prepare):
+            return voted(body.move, self.vote(body.move, ballot_of(body.ballot), None))
+        value = value_of(body.value)
+        if value is None:
+            raise NotAMove(f"no value of a decree: {body.value!r}")
+        if isinstance(body, Accept):
+            return voted(body.move, self.vote(body.move, ballot_of(body.ballot), value))
+        row = self.acceptor.settled(body.move, value, now)
+        if row is not None:
+            self._guarded(self.lasting.add_decree, row)
+        self.act(self.moves.settled(body.move, value, body.active, now))
+        known, active = self.moves.said(body.move)
+        return Settled(body.move, known or "", active)
+
+    def _guarded(self, write: Callable[..., None], *told: object) -> bool:
+        """Whether a small file could be written."""
+        try:
+            write(*told)
+        except OSError as error:
+            self.counters.trouble("votes on moves cannot be written", DecreesNotKept(str(error)))
+            return False
+        return True
+
+    # ---- what moves ask for ----
+
+    def act(self, acts: Iterable[Act]) -> None:
+        """Do what a move's rules say; what waits for something is done in a greenlet of its own."""
+        todo = deque(acts)
+        now = boot_time()
+        while todo:
+            act = todo.popleft()
+            if act.do is Do.ASK and act.ask is not None:
+                if act.ask.to == self.name:
+                    answer = self.vote(act.ask.move, act.ask.ballot, act.ask.value)
+                    todo.extend(self.moves.answered(act.ask, answer, now))
+                else:
+                    gevent.spawn(self._ask, act.ask)
+            elif act.do is Do.TELL:
+                gevent.spawn(self._tell, act)
+            elif act.do in (Do.STAGED, Do.REFUSE):
+                self._answer(act.move, act.do is Do.STAGED)
+            elif act.do is Do.FORWARD:
+                self._forward(act)
+            elif act.do is Do.CLOSE:
+                self.counters.add("moves closed")
+            elif (act.move, act.do) not in self.under_way:
+                self.under_way.add((act.move, act.do))
+                gevent.spawn(self._do, act)
+
+    def _do(self, act: Act) -> None:
+        work = {Do.FREEZE: self._freeze, Do.MARK: self._mark, Do.STAGE: self._stage, Do.WRITE: self._write,
+                Do.ACTIVATE: self._activate, Do.DROP: self._drop, Do.RELEASE: self._release, Do.OVER: self._over}
+        try:
+            work[act.do](act.move)
+        except Exception:  # one move that fails must not keep the others from being settled
+            self.counters.failed(f"a move failed at {act.do.value}")
+        finally:
+            self.under_way.discard((act.move, act.do))
+            self.change()
+
+    def _key(self, name: str) -> int:
+        move = self.moves.moves.get(name)
+        return move.key if move is not None else 0
+
+    def _marked(self, name: str, side: str) -> list[int]:
+        """Envelopes with the mark of one side of a move."""
+        return sorted(number for number, (_, text) in self.store.inert.items()
+                      if text == side + name and number in self.store.kept)
+
+    def _mine(self, name: str) -> bool:
+        """Whether this process began the move; else it has found it after a restart, or adopted the giver's book."""
+        return parts(name)[1] == self.name and name in self.sequences
+
+    def _sequence(self, name: str, numbers: Iterable[int]) -> int:
+        """Of the session, since the move began."""
+        return max([self.sequences.get(name, 0), *(self.store.inert[number][0] for number in numbers)])
+
+    def _save_without(self, numbers: Iterable[int]) -> None:
+        gone = set(numbers)
+        if gone:
+            self.lasting.write_inert({number: mark for number, mark in self.store.inert.items() if number not in gone})
+
+    # ---- the giver ----
+
+    def _freeze(self, name: str) -> None:
+        key = self._key(name)
+        still = self.desk.freeze(key)
+        if not still.wait(FREEZE / SECOND):
+            self.desk.cut(key)
+            still.wait(CUT)
+        self.act(self.moves.idle(name, boot_time()))
+
+    def _mark(self, name: str) -> None:
+        key = self._key(name)
+        self.desk.cut(key)
+        self.desk.between(lambda: True).get()  # what was cut off has told its end before the marks are made
+        books: set[int] = set()
+
+        def mark() -> bool:
+            owed = [kept for kept in self.store.kept.values()
+                    if kept.turn == key and kept.end is None and kept.number not in self.store.inert]
+            if not self.store.taking() or not all(self.store.may_fire(kept.number) for kept in owed):
+                return False
+            sequence, text = self.sequences[name], GIVEN + name
+            if owed:
+                self.lasting.write_inert(self.store.inert | {kept.number: (sequence, text) for kept in owed})
+            for kept in owed:
+                self.store.mark(kept.number, sequence, text)
+            books.update(kept.number >> 32 for kept in owed)
+            return True
+
+        if self.desk.between(mark).get() and self._copied(books):
+            self.act(self.moves.marked(name, boot_time()))
+        else:
+            self.act(self.moves.call_off(name, boot_time()))
+
+    def _copied(self, books: set[int]) -> bool:
+        """Whether every heir gets what is told of some books, before long."""
+        done, until = self.store.copied(books), boot_time() + WHOLE
+        while not done():
+            if boot_time() > until:
+                return False
+            gevent.sleep(0.002)
+        return True
+
+    def _stage(self, name: str) -> None:
+        key, to = self._key(name), parts(name)[2]
+        facts: list[Fact] = []
+        for number in self._marked(name, GIVEN):
+            fact = self.store.holdings[number >> 32].read(self.store, number)
+            if fact is None or fact.base is None:
+                self.act(self.moves.call_off(name, boot_time()))
+                return
+            facts.append(fact)
+        data = encode_facts(facts)
+        if len(data) > LARGEST_STAGE:
+            self.counters.trouble("a session stays", TooMuchQueued(f"{len(facts)} envelopes of {key:016x}"))
+            self.act(self.moves.call_off(name, boot_time()))
+            return
+        ids = self.directory.ids(key, boot_time())
+        if len(ids) > MOST_IDS:
+            self.act(self.moves.call_off(name, boot_time()))
+            return
+        recent = tuple(Recent(each, age, hashed) for each, (age, hashed) in ids.items())
+        stage = Stage(name, key, self.sequences[name], data, digest_of(data), recent, self.desk.rest_of(key))
+        answer = self.call(to, stage, STAGE_IN)
+        if isinstance(answer, Staged):
+            now = boot_time()
+            if not answer.kept:
+                self.counters.add("moves refused by the taker")
+            self.act(self.moves.staged(name, now) if answer.kept else self.moves.call_off(name, now))
+
+    def _forward(self, act: Act) -> None:
+        key, now = self._key(act.move), boot_time()
+        if self._mine(act.move):
+            self.directory.gone(key, act.to, self.sequences[act.move] + 1, now)
+            self.planner.ended(key, True, now)
+            self.desk.thaw(key)
+            self.counters.add("sessions given away")
+        self.change()
+
+    def _release(self, name: str) -> None:
+        key, now = self._key(name), boot_time()
+
+        def release() -> bool:
+            numbers = self._marked(name, GIVEN)
+            sequence = self._sequence(name, numbers) + 1
+            self._save_without(numbers)
+            for number in numbers:
+                self.store.mark(number, sequence, "")
+            if self._mine(name):
+                session = self.directory.sessions.get(key)
+                if session is not None:
+                    self.directory.hold(key, max(sequence, session.sequence), self.directory.ids(key, now), now)
+                self.desk.thaw(key)
+            owed = [kept.number for kept in self.store.kept.values()
+                    if kept.turn == key and kept.end is None and self.store.may_fire(kept.number)]
+            self.desk.adopt(owed, quietly=True)
+            return True
+
+        self.desk.between(release).get()
+        if self._mine(name):
+            self.planner.ended(key, False, boot_time())
+        self.counters.add("moves called off")
+
+    def _over(self, name: str) -> None:
+        self.desk.between(lambda: self._give_up(name, GIVEN)).get()
+
+    def _give_up(self, name: str, side: str) -> bool:
+        """The envelopes of one side are the other side's; nothing is told of them."""
+        numbers = self._marked(name, side)
+        for number in numbers:
+            self.store.over(number)
+            self.store.inert.pop(number, None)
+        self._save_without(numbers)
+        return True
+
+    # ---- the taker ----
+
+    def _staged(self, body: Stage, now: int) -> Staged:
+        if not whole(body):
+            return Staged(body.move, False, "spoilt")
+        room = self.takes() and len(self.directory.sessions) < SESSIONS
+        acts = self.moves.stage(body.move, body.key, room, now)
+        if any(act.do is Do.WRITE for act in acts):
+            self.offers[body.move] = body, now
+            self.sequences[body.move] = body.sequence
+        answer = self.answers.setdefault(body.move, gevent.event.AsyncResult())
+        if acts and acts[0].do is Do.REFUSE:
+            self.answers.pop(body.move, None)
+            return Staged(body.move, False, "no room")
+        self.act(acts)
+        kept = answer.wait(STAGE_IN)
+        return Staged(body.move, bool(kept), "" if kept else "it is not kept")
+
+    def _answer(self, name: str, staged: bool) -> None:
+        answer = self.answers.setdefault(name, gevent.event.AsyncResult())
+        if not answer.ready():
+            answer.set(staged)
+
+    def _write(self, name: str) -> None:
+        stage, _ = self.offers[name]
+
+        def write() -> bool:
+            made = [kept_of(fact) for fact in sorted(decode_facts(stage.facts), key=lambda fact: fact.number)]
+            if not self.store.taking():
+                return False
+            for place, kept in enumerate(made):
+                kept.number = self.store.next_number + place
+                if not self.store.has_room(kept):
+                    return False
+            if made:
+                mark = stage.sequence, TAKEN + name
+                self.lasting.write_inert(self.store.inert | {kept.number: mark for kept in made})
+            for kept in made:
+                self.store.next_number += 1
+                self.store.stage(kept, stage.sequence, TAKEN + name)
+            return True
+
+        kept = self.desk.between(write).get()
+        current = self.store.current
+        if kept and current is not None and self._copied({current.book}):
+            self.act(self.moves.written(name, boot_time()))
+        else:
+            self._answer(name, False)
+
+    def _activate(self, name: str) -> None:
+        key, offer = self._key(name), self.offers.get(name)
+
+        def activate() -> bool:
+            numbers, now = self._marked(name, TAKEN), boot_time()
+            holdings = [self.store.holdings.get(number >> 32) for number in numbers]
+            if not self.store.taking() or not all(each is not None and each.serving for each in holdings):
+                return False
+            sequence = self._sequence(name, numbers) + 1
+            self._save_without(numbers)
+            for number in numbers:
+                self.store.mark(number, sequence, "")
+            soon = self.clock.now() + LATE
+            # Danger: the giver may have answered what was about to end while the decree was not known.
+            late = [number for number in numbers if self.store.kept[number].outer_limit <= soon]
+            self.desk.answer_late(late)
+            # Danger: a shot of before the move may still run, of an envelope that has ended, too; then all keys rest.
+            quietly = offer is not None and not offer[0].rest
+            if numbers or not quietly:
+                self.desk.adopt([number for number in numbers if number not in late], quietly)
+            if offer is not None:  # else the ids of late are not known here, and it is claimed later
+                stage, at = offer
+                ids = {each.id: (each.age + now - at, each.hashed) for each in stage.ids}
+                self.directory.hold(key, sequence, ids, now)
+                self.planner.arrived(key, now)
+            return True
+
+        if self.desk.between(activate).get():
+            self.counters.add("sessions taken over")
+            self.act(self.moves.activated(name, boot_time()))
+
+    def _drop(self, name: str) -> None:
+        self.desk.between(lambda: self._give_up(name, TAKEN)).get()
+
+    # ---- decrees ----
+
+    def vote(self, move: str, ballot: Ballot, value: Value | None) -> Answer:
+        """This member's own answer, on the disk before anybody hears of it."""
+        now = boot_time()
+        answer = (self.acceptor.prepare(move, ballot, now) if value is None
+                  else self.acceptor.accept(move, ballot, value, now))
+        if answer.write is not None and not self._guarded(self.lasting.add_decree, answer.write):
+            return ABSTAINS
+        return answer
+
+    def _ask(self, ask: Ask) -> None:
+        vote = Vote(*ask.ballot)
+        body: Body = Prepare(ask.move, vote) if ask.value is None else Accept(ask.move, vote, ask.value)
+        told = self.call(ask.to, body, SETTLE_IN)
+        if isinstance(told, Voted):
+            value = value_of(told.value)
+            answer = Answer(told.granted, ballot_of(told.promised), ballot_of(told.accepted), value,
+                            told.decided and value is not None)
+            self.act(self.moves.answered(ask, answer, boot_time()))
+
+    def _tell(self, act: Act) -> None:
+        """The decree to one member, or to all; where the one knows nothing of an active side, its book is another's."""
+        assert act.value is not None
+        others = [name for name in self.node.halls if name != self.name]
+        for name in [act.to] if act.to in others else others:
+            if act.to:
+                if not self._tell_one(name, act):
+                    gevent.joinall([gevent.spawn(self._tell_one, each, act) for each in others if each != name])
+            else:
+                gevent.spawn(self._tell_one, name, act)
+        row = self.acceptor.settled(act.move, act.value, boot_time())
+        if row is not None:
+            self._guarded(self.lasting.add_decree, row)
+
+    def _tell_one(self, name: str, act: Act) -> bool:
+        """Whether the taker's side is live there."""
+        answer = self.call(name, Settled(act.move, act.value or "", act.active), SETTLE_IN)
+        if not isinstance(answer, Settled) or (value := value_of(answer.value)) is None:
+            return False
+        self.act(self.moves.settled(act.move, value, answer.active, boot_time()))
+        return answer.active
+
+    # ---- marks of before, and books that change hands ----
+
+    def _look_at_marks(self, now: int) -> None:
+        gone = [number for number in self.store.inert if number not in self.store.kept]
+        for number in gone:
+            del self.store.inert[number]
+        sides: dict[str, list[int]] = {}
+        for number, (_, text) in self.store.inert.items():
+            sides.setdefault(text, []).append(number)
+        for text, numbers in sides.items():
+            name, giving = text[1:], text[:1] == GIVEN
+            move = self.moves.moves.get(name)
+            if move is not None and (move.giving if giving else move.taking) is not None:
+                continue
+            books = {number >> 32 for number in numbers}
+            if not all(book in self.store.holdings and self.store.holdings[book].serving for book in books):
+                continue
+            if not giving and not self.store.copied(books)():
+                continue
+            logger.info("move {}: {} envelopes are marked here, it is to be settled", name, len(numbers))
+            self.act(self.moves.found(name, self.store.kept[numbers[0]].turn, giving, now))
+        for name, move in list(self.moves.moves.items()):
+            for giving, side, text in ((True, move.giving, GIVEN), (False, move.taking, TAKEN)):
+                open_side = side in (Giving.OFFERED, Taking.STAGED, Taking.GRANTED)
+                if open_side and name not in self.sequences and text + name not in sides:
+                    self.moves.lost(name, giving)  # found before, and its book is another's by now
+        if now - self.limits_at >= LOOK_LATE:
+            self.limits_at = now
+            self._answer_late()
+
+    def _answer_late(self) -> None:
+        soon = self.clock.now() + LATE
+        for number, (_, text) in list(self.store.inert.items()):
+            kept, holding = self.store.kept.get(number), self.store.holdings.get(number >> 32)
+            if kept is None or kept.end is not None or kept.outer_limit > soon or holding is None:
+                continue
+            if holding.serving and self.moves.near_limit(text[1:]) == "failed" and text[:1] == GIVEN:
+                self.counters.add("envelopes on the move that were answered by their limit")
+                self.desk.answer_late([number])
+
+
+# ---- from and to letters ----
+
+
+def ballot_of(vote: Vote) -> Ballot:
+    return vote.round, vote.mark
+
+
+def value_of(told: str) -> Value | None:
+    return "taker" if told == "taker" else "off" if told == "off" else None
+
+
+def voted(move: str, answer: Answer) -> Voted:
+    return Voted(move, answer.granted, Vote(*answer.promised), Vote(*answer.accepted), answer.value or "",
+                 answer.decided)
--- a/cedarwick/lab/load.py
+++ b/cedarwick/lab/load.py
@@ -42,6 +42,7 @@
     patience: float  # seconds
     connections: int  # at most, to each address
     seed: int = 1
+    first: int = 0  # the lowest number of a destination
 
 
 class Report(msgspec.Struct):
@@ -142,7 +143,7 @@
         self.late += self.day.now() - due > LATE
         plan = self.plan
         id = f"{self.nonce}{number:08x}"
-        pairs = f"c={plan.band},d={plan.outer_ms},dest={number % plan.destinations}".encode()
+        pairs = f"c={plan.band},d={plan.outer_ms},dest={plan.first + number % plan.destinations}".encode()
         request = command(b"SUBMIT", b"0" * 16, id.encode(), pairs, body_of(id, plan.size))
         with line.room:  # waiting for a connection is part of the time
             sent = self.day.now()
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -37,6 +37,8 @@
     UNKNOWN_BAND = "unknown band"
     UNKNOWN_DESTINATION = "unknown destination"  # as far as the list tells, which may be old
     REPEATED = "repeated"  # an id that was handed in before, and not the same request
+    FROZEN = "frozen"  # its session is on the move to another sender: not taken, to be handed in after that
+    UNSURE = "unsure"  # it was passed on to another sender, and nobody can tell whether that has taken it
 
 
 @dataclass(slots=True)
@@ -50,6 +52,14 @@
         self.answer.set((what, wait_ms))
 
 
+@dataclass(slots=True)
+class Frozen:
+    """A session on the move: what of it is still out."""
+
+    still: gevent.event.AsyncResult = field(default_factory=gevent.event.AsyncResult)
+    out: set[int] = field(default_factory=set)
+
+
 def in_thread(call: Callable[..., None], *told: object) -> None:
     """Run a blocking call where it holds up nobody but the one who asks; what it raises is raised here."""
     gevent.get_hub().threadpool.apply(call, told)
@@ -84,6 +94,8 @@
         self.keeping = False  # while holding fire: envelopes that come are still kept, for the next process
         self.parked: dict[int, Handle] = {}  # given up while a shot was out: it still ends
         self.to_adopt: set[int] = set()  # of these: to be gone on with once it has ended
+        self.frozen: dict[int, Frozen] = {}  # sessions on the move, by key
+        self.untold: set[int] = set()  # an end was chosen, and is told once the copies have it
         self.shots: Shots
         self.notices: Notices
         self.free_links: Callable[[int], None]
@@ -120,14 +132,42 @@
         are kept where `keeping` says so, else turned away."""
         self.queue.put((self._hold_fire, (keeping,)))
 
-    def adopt(self, numbers: list[int]) -> None:
-        """Go on with envelopes that are kept in the folder, as after a restart: this sender has the right to."""
-        self.queue.put((self._adopt, (numbers,)))
+    def adopt(self, numbers: list[int], quietly: bool = False) -> None:
+        """Go on with envelopes that are kept in the folder, as after a restart: this sender has the right to.
+
+        `quietly`: no shot of their keys is out or in doubt but what they tell themselves, so other keys need not rest.
+        """
+        self.queue.put((self._adopt, (numbers, quietly)))
+
+    def rest_of(self, key: int) -> int:
+        """For how many microseconds a key is to rest here: a shot of it, or of one before this process, may run."""
+        turns = self.sender.turns
+        return max(0, turns.all_rest - self.clock.now(), turns.rests.get(key, 0) - self.clock.now())
 
     def park(self, numbers: list[int]) -> None:
         """Leave envelopes alone from now on, without an answer: this sender has no right to fire for them."""
         self.queue.put((self._park, (numbers,)))
 
+    def freeze(self, key: int) -> gevent.event.AsyncResult:
+        """From now on no shot of a session begins, and nothing of it is taken; set once none is out any more."""
+        frozen = Frozen()
+        self.queue.put((self._freeze, (key, frozen)))
+        return frozen.still
+
+    def cut(self, key: int) -> None:
+        """The shots of a frozen session that are still out are given up, their links closed: they may have run."""
+        self.queue.put((self._cut, (key,)))
+
+    def thaw(self, key: int) -> None:
+        """A session is taken again; its envelopes are gone on with once they are adopted."""
+        self.queue.put((self._thaw, (key,)))
+
+    def between(self, call: Callable[[], bool]) -> gevent.event.AsyncResult:
+        """What a call returns that is made between two rounds, as nothing waits for the folder; False if it fails."""
+        answer: gevent.event.AsyncResult = gevent.event.AsyncResult()
+        self.queue.put((self._between, (call, answer)))
+        return answer
+
     def answer_late(self, numbers: list[int]) -> None:
         """Write parked envelopes off: their outer limit is near, and nobody is known to have the right."""
         self.queue.put((self._answer_late, (numbers,)))
@@ -186,7 +226,7 @@
             taken_up = self._take_up(numbers)
             logger.info("restarted with {} envelopes owed, {} notices", taken_up, len(self.notices.owed))
 
-    def _take_up(self, numbers: Sequence[int]) -> int:
+    def _take_up(self, numbers: Sequence[int], quietly: bool = False) -> int:
         """Kept envelopes become owed by the decisions; how many have no end yet."""
         owed = []
         for number in numbers:
@@ -196,19 +236,28 @@
                 logger.error("an envelope of a band that is no more is written off: {}", kept.band)
                 self._recorded("the record of an end", self.store.ended, number, False, 0)
             if kept.end is not None:
+                self.untold.discard(number)
                 self.notices.post(number, kept.id, *kept.end)
                 continue
             owed.append(Owed(number, kept.destination, self.bands[kept.band], kept.outer_limit,
                              place(self.tenants, kept.tenant), kept.turn, kept.earlier_shots()))
-        for each, handle in zip(owed, self.sender.resume(self.clock.now(), owed), strict=True):
+        now = self.clock.now()
+        if quietly and all(shot.outcome is not None and shot.outcome.never_ran for each in owed for shot in each.shots):
+            # Danger: sessions come one after another, and each `resume` has the keys of all others rest.
+            for each in owed:
+                handle = self.handles[each.envelope] = self.sender.take(now, *each[:-1])
+                handle.shots = len(each.shots)
+            return len(owed)
+        for each, handle in zip(owed, self.sender.resume(now, owed), strict=True):
             self.handles[each.envelope] = handle
         return len(owed)
 
-    def _adopt(self, numbers: list[int]) -> None:
-        known = [number for number in numbers if number in self.store.kept and number not in self.handles]
+    def _adopt(self, numbers: list[int], quietly: bool = False) -> None:
+        known = [number for number in numbers if number in self.store.kept and number not in self.handles
+                 and number not in self.store.inert and self.store.kept[number].turn not in self.frozen]
         # Danger: a shot of before the envelope was parked may still be out, and a second would run beside it.
         self.to_adopt.update(number for number in known if number in self.parked)
-        self._take_up([number for number in known if number not in self.parked])
+        self._take_up([number for number in known if number not in self.parked], quietly)
 
     def _park(self, numbers: list[int]) -> None:
         now, given_up = self.clock.now(), set(numbers)
@@ -225,11 +274,42 @@
                 if handle.out:
                     self.parked[number] = handle
 
+    def _freeze(self, key: int, frozen: "Frozen") -> None:
+        self.frozen[key] = frozen
+        numbers = [number for number, handle in self.handles.items() if handle.key == key]
+        for number in numbers:
+            submission = self.fresh.pop(number, None)
+            if submission is not None:
+                # It is not kept yet, and neither is anything known of it that its next holder must not take.
+                self.recent.pop(submission.kept.id, None)
+                submission.kept.number = 0
+                submission.answered(Answered.FROZEN)
+        self._park(numbers)
+        frozen.out = {number for number, handle in self.parked.items() if handle.key == key}
+        if not frozen.out:
+            frozen.still.set(True)
+
+    def _cut(self, key: int) -> None:
+        frozen = self.frozen.get(key)
+        if frozen is not None and frozen.out:
+            self.shots.cut(frozen.out)
+
+    def _thaw(self, key: int) -> None:
+        self.frozen.pop(key, None)
+
+    def _between(self, call: Callable[[], bool], answer: gevent.event.AsyncResult) -> None:
+        answer.set(call())
+
     def _answer_late(self, numbers: list[int]) -> None:
         for number in numbers:
             kept = self.store.kept.get(number)
-            if kept is not None and kept.end is None and number not in self.handles:
-                self._final(number, False, 0)
+            if kept is None or number in self.handles or number in self.notices.owed:
+                continue
+            if kept.end is None or number in self.untold:
+                self.counters.trouble("an envelope ends that nobody may fire for", number)
+                self._final(number, False, 0, alone=True)
+            else:
+                self.notices.post(number, kept.id, *kept.end)
 
     def _take(self, submission: Submission) -> None:
         kept = submission.kept
@@ -242,6 +322,9 @@
             submission.answered(Answered.UNKNOWN_DESTINATION)
             return
         now = self.clock.now()
+        if kept.turn in self.frozen:
+            submission.answered(Answered.FROZEN)
+            return
         # Danger: a copy of an id that has ended would go out again, with whatever body it brings.
         copied = hash((kept.key, kept.turn, kept.band, kept.tenant, kept.destination, kept.body))
         known = self.recent.get(kept.id)
@@ -268,6 +351,8 @@
             place(self.tenants, kept.tenant), kept.turn)
 
     def _withdraw(self, kept: Kept) -> None:
+        if kept.number in self.store.inert:
+            return  # it is on its way to another sender, who knows nothing of this
         handle = self.handles.get(kept.number)
         if handle is not None:
             handle.withdrawn(self.clock.now())
@@ -318,6 +403,11 @@
         if handle is None and (parked := self.parked.pop(number, None)) is not None:
             parked.shot_ended(self.clock.now(), ending.outcome, call.shot, call.receiver, ending.took,
                               ending.told_wait, ending.last, ending.report, ending.kept_link)
+            frozen = self.frozen.get(call.kept.turn)
+            if frozen is not None:
+                frozen.out.discard(number)
+                if not frozen.out and not frozen.still.ready():
+                    frozen.still.set(True)
             if number in self.to_adopt:
                 self.to_adopt.discard(number)
                 self._adopt([number])
@@ -359,6 +449,7 @@
     def _over(self, kept: Kept) -> None:
         """Nothing more is owed for this envelope."""
         self.numbers.pop(kept.id, None)
+        self.untold.discard(kept.number)
         self._recorded("the record of an end", self.store.over, kept.number)
 
     def _recorded(self, what: str, write: Callable[..., None], *told: Any) -> bool:
@@ -448,6 +539,10 @@
             self._taken(submission)
 
     def _taken(self, submission: Submission) -> None:
+        if not self.store.may_fire(submission.kept.number):
+            # Danger: the right was lost in this round; then no copy was waited for.
+            self._not_taken(submission)
+            return
         self.counters.add("taken")
         submission.answered(Answered.KEPT)
 
@@ -469,8 +564,11 @@
         for then, _ in waiting:
             then()
 
-    def _final(self, number: int, nacked: bool, wait_ms: int) -> None:
-        """The final answer of a kept envelope: recorded, then told until it is acknowledged."""
+    def _final(self, number: int, nacked: bool, wait_ms: int, alone: bool = False) -> None:
+        """The final answer of a kept envelope: recorded, then told until it is acknowledged.
+
+        `alone`: without waiting for a copy, since none can be asked.
+        """
         self.handles.pop(number, None)
         kept = self.store.kept.get(number)
         if kept is None:
@@ -478,7 +576,9 @@
         self._recorded("the record of an end", self.store.ended, number, nacked, wait_ms)
         self.counters.add("nacked" if nacked else "written off")
         (self.counters.figures.dropped if nacked else self.counters.figures.bad_gateway)[kept.band] += 1
-        if self.store.by_copy:
+        self.untold.discard(number)
+        if self.store.by_copy and not alone:
+            self.untold.add(number)
             self._post_once_copied(kept)
         else:
             self.notices.post(number, kept.id, nacked, wait_ms)
@@ -487,10 +587,15 @@
         """Danger: told before a copy knows of it, the end would be followed by a shot of whoever takes over."""
         def post() -> None:
             if kept.end is not None and kept.number in self.store.kept and self.store.may_fire(kept.number):
+                self.untold.discard(kept.number)
                 self.notices.post(kept.number, kept.id, *kept.end)
 
         def again() -> None:
             if kept.number in self.store.kept and self.store.may_fire(kept.number):
+                if self.clock.now() >= kept.outer_limit:
+                    # Whoever takes over fires nothing any more, and says that it failed, too.
+                    self._final(kept.number, False, 0, alone=True)
+                    return
                 self.after_flush.append((post, again))
                 self.wake_at = min(self.wake_at or FAR, self.clock.now() + NO_RIGHT)
 
--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -46,7 +46,9 @@
 BUSY, PONG, LOADING = b"-BUSY\r\n", b"+PONG\r\n", b"-LOADING not ready yet\r\n"
 PAUSED = b"-LOADING paused by the operators\r\n"
 REPLIES = {Answered.KEPT: b"+OK\r\n", Answered.BUSY: BUSY, Answered.UNKNOWN_BAND: b"-ERR unknown class\r\n",
-           Answered.UNKNOWN_DESTINATION: BUSY, Answered.REPEATED: BUSY}
+           Answered.UNKNOWN_DESTINATION: BUSY, Answered.REPEATED: BUSY, Answered.FROZEN: BUSY, Answered.UNSURE: b""}
+# What became of an envelope, the advised wait, and what takes it back where it was taken just now.
+Handed = tuple[Answered, int, Callable[[], None] | None]
 
 
 class Malformed(Trouble):
@@ -109,6 +111,7 @@
         self.paused = False  # drained by the operators: PING says no, clients are let go between requests
         self.still_taking = False  # while closing: requests that were read are still kept, for a hand-over
         self.waste = bytearray(1 << 16)
+        self.hand_in: Callable[[Kept], Handed] = self.to_desk
         if listener is not None:
             self.listener = listener  # the platform's, shared with a process that replaces this one
             return
@@ -236,6 +239,8 @@
                     reply = self._answer(client, parts)
                 finally:
                     self.answering -= 1
+                if not reply:
+                    break  # Danger: any answer might be wrong, and the client would rely on it
                 if reply.startswith(BUSY[:5]) and len(parts) == 5:
                     self._dropped(parts[3])
                 last = (self.closing or self.paused) and not len(client.buffer) and self._silent(client)
@@ -350,21 +355,28 @@
         if self.closing and not self.still_taking or not self.ready():
             self.counters.add("turned away at a start or an end")
             return BUSY
-        submission = Submission(kept)
-        self.desk.submit(submission)
-        answered, wait_ms = submission.answer.get()
+        answered, wait_ms, withdraw = self.hand_in(kept)
         if answered in (Answered.KEPT, Answered.BUSY):
             client.served, client.unusable = True, 0
-        if answered is Answered.KEPT and kept.number and lies_there(client.sock) == b"":
+        if withdraw is not None and lies_there(client.sock) == b"":
             # Danger: who has gone before the answer hands it in elsewhere; nothing has gone out yet.
             self.counters.add("clients gone before their answer")
-            self.desk.withdraw(submission)
+            withdraw()
             return BUSY
         if answered is Answered.BUSY and wait_ms:
             return b"-BUSY %d\r\n" % wait_ms
         return REPLIES[answered]
 
 
+    def to_desk(self, kept: Kept) -> Handed:
+        """Hand an envelope to this sender's own desk."""
+        submission = Submission(kept)
+        self.desk.submit(submission)
+        answered, wait_ms = submission.answer.get()
+        taken = answered is Answered.KEPT and kept.number
+        return answered, wait_ms, (lambda: self.desk.withdraw(submission)) if taken else None
+
+
 def command(buffer: Buffer) -> list[bytes] | None:
     """The next whole command, taken out of the buffer; None while it is incomplete."""
     head = count_at(buffer, 0, b"*")
