--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -71,7 +71,7 @@
         self.from_term = 0  # the term of the copy that it was adopted from in this process; 0: it was not
         self.offered = False  # the newer holder has taken all that was known here
         self.unheld_since = 0  # since when the right has run out and no majority says more; 0: it is held, or lost
-        self.heard_out = False  # of an adopted book: its last holder has offered all that it knew
+        self.heard_out = 0  # of an adopted book: when its last holder has offered all that it knew
         self.sent = 0  # facts below this index were sent to some copy
         self.finished: set[int] = set()  # of an adopted book: ended here, so that old news does not bring them back
 
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import TYPE_CHECKING, Protocol
 
 import gevent
@@ -74,6 +74,7 @@
 BACK = 10_000_000  # a copy must have been whole for so long before a sender that went on alone counts on it again
 REBORN = 600_000  # in which a member that was started again asks for the book that it still has
 DOUBTED = 5_000_000  # so long the heirs of what a damaged folder has may adopt it, before it goes on with what is left
+IDLE = 1_800_000  # in which a member that is granted a book begins to fire for it
 EXPECTED = 60_000_000  # so long an adopted book is kept for what its last holder may still offer
 UNWANTED = 30_000_000  # a copy that its holder has not written to for so long, and names no heir, is dropped
 OFFER_PART = 1 << 17  # bytes of facts in one part of an offer
@@ -133,6 +134,7 @@
         self.doubted: set[int] = set()  # books of a folder with damage: the heirs may have more of them
         self.reborn: dict[str, int] = {}  # when a member was first heard under a newer incarnation than before
         self.served: dict[int, tuple[str, int]] = {}  # by book: who has said that it fires for it, and when
+        self.claimed: dict[int, tuple[str, int]] = {}  # by book: who is said to hold it, and since when
         self.full_at: dict[str, int] = {}  # when a member has refused to keep a copy
         self.asking: set[str] = set()  # grantors whose tables were asked for and have not come
         self.pumps: dict[tuple[int, str], gevent.Greenlet] = {}
@@ -144,7 +146,6 @@
         self.sharing = Sharing(name, self.lasting, clock, counters, self._call)
         self.exchange = Exchange(name, self.gate, counters, self._call)
         store.seen = self.exchange.seen
-        self.ends_told: Callable[[str, str], None] = lambda *_: None
         store.reserve, store.starved = self._reserve, self._starved
         self.traffic: Traffic | None = None
         if told.sessions:
@@ -361,7 +362,6 @@
     def look(self, now: int) -> None:
         for change in self.members.changes(now):
             logger.info("member {} is {} (was {})", change.name, change.now.value, change.before.value)
-            self.ends_told(change.name, change.now.value)
             self.exchange.member(change, self.members.beat_ages(now).get(change.name, 0))
         self.alive = [name for name in self.halls if self.members.state(now, name) is Standing.ALIVE]
         # Counted from the look that saw it: a process that slept has heard nobody, and is answered in a moment.
@@ -450,8 +450,12 @@
             owed = owed or 1
         # Danger: the own grantor knows nothing of a holder whose term it has given to somebody else, in vain.
         served = self.served[book][1] + SPAN if book in self.served else 0
+        asked = holder.term if adoption.stage is Stage.ASKING else 0
         step = adoption.step(now, self.grantor.grant(right), max(self.grantor.promised(right), served),
-                             lambda name: self._standing(now, name, book), whole, owed)
+                             lambda name: self._standing(now, name, adoption), whole, owed)
+        if asked and adoption.stage is not Stage.HOLDING and (holder.term, holder.state) != (asked, Tenure.ASKING):
+            # Danger: two that ask in vain, each promised by itself, would keep each other from it for ever.
+            self._give_up(Ask(right, asked, self.name, 0))
         if step.do is Do.ASK:
             logger.info("book {}: asking for term {}", book, holder.term)
         elif step.do is Do.IMPORT:
@@ -476,16 +480,33 @@
 
     def _expects_offer(self, now: int, holding: Holding) -> bool:
         """Under `ack = "own"`: whether who held an adopted book before may come back with what no copy was told."""
-        return (not self.store.by_copy and holding.from_term > 0 and not holding.heard_out
-                and now - holding.begun_at < EXPECTED)
-
-    def _standing(self, now: int, name: str, book: int) -> Standing:
-        """How a member stands as the holder of a book."""
-        reborn = self.reborn.get(name, 0)
-        if reborn and self.served.get(book, ("", 0))[1] < reborn and now - reborn >= REBORN:
-            return Standing.DEAD  # alive under another incarnation, and it would have asked for this book by now
+        if self.store.by_copy or not holding.from_term:
+            return False
+        # Danger: closed before it has the answer to its offer, it would end all of that itself.
+        return now - holding.heard_out < 3 * OFFER_IN * 1e6 if holding.heard_out else now - holding.begun_at < EXPECTED
+
+    def _standing(self, now: int, name: str, adoption: Adoption) -> Standing:
+        """How a member stands; one that is said to hold the book, and does not fire for it, is as good as gone."""
+        book, grant = adoption.book, self.grantor.grant(right_of(adoption.book))
+        term, holder = adoption.holder.newer
+        holder = grant.holder if grant.term > term else holder
+        if self.claimed.get(book, ("", 0))[0] != holder:
+            self.claimed[book] = holder, now
+        if name == holder:
+            who, at = self.served.get(book, ("", 0))
+            reborn = self.reborn.get(name, 0)
+            idle_since = max(self.claimed[book][1], at if who == name else 0)
+            # Alive under another incarnation, it would have asked for the book by now; or it has asked in vain.
+            if at < reborn <= now - REBORN or idle_since <= now - IDLE:
+                return Standing.DEAD
         return self.members.state(now, name)
 
+    def _give_up(self, ask: Ask) -> None:
+        """Tell all that they need not keep their promise of a right."""
+        self._answer_ask(ask)
+        for name in self.peers.names():
+            gevent.spawn(self._call, name, ask, ANSWER_IN)
+
     def _ask(self, adoption: Adoption, name: str, ask: Ask, sent_at: int) -> None:
         answer = self._call(name, ask, ANSWER_IN)
         if isinstance(answer, Told):
@@ -525,9 +546,7 @@
                 self.counters.trouble("a book cannot be adopted", error)
                 ask = adoption.holder.release()
                 if ask is not None:
-                    self._answer_ask(ask)
-                    for name in self.peers.names():
-                        gevent.spawn(self._call, name, ask, ANSWER_IN)
+                    self._give_up(ask)
                 adoption.holder.state = Tenure.LOST  # asked for again after a while, if nobody else has it by then
                 return
             self._note(book, term, 0)
@@ -668,9 +687,6 @@
     def _offer(self, adoption: Adoption, to: str) -> None:
         """Tell the newer holder what only this member knows, until it has taken all."""
         holding = self.store.holdings.get(adoption.book)
-        if holding is not None and not holding.ledger.term:
-            # Danger: what an earlier process of this sender has taken, or heard of, may be nowhere but in this folder.
-            self.store.resume_own(holding, self._term_of(adoption.book))
         if holding is not None and not holding.ledger.term:
             # Danger: what an earlier process of this sender has taken, or heard of, may be nowhere but in this folder.
             self.store.resume_own(holding, self._term_of(adoption.book))
@@ -721,8 +737,7 @@
         except (known_facts.Spoilt, NoRoom) as error:
             return Taken(body.book, body.part, str(error)[:512])
         logger.info("book {}: {} told of {} ends and {} news", body.book, sender, len(ended), len(news))
-        holding.heard_out = holding.heard_out or body.last
-        holding.heard_out = holding.heard_out or body.last
+        holding.heard_out = boot_time() if body.last else holding.heard_out
         if holding.serving and (ended or news):
             # What was decided on less is decided anew.
             self.desk.park(ended + news)
@@ -761,6 +776,7 @@
         self.copies.drop(book)
         self.shipped_at.pop(book, None)
         self.served.pop(book, None)
+        self.claimed.pop(book, None)
 
     def _rekey(self, numbers: list[int], failed: bool = False) -> None:
         """Envelopes that only this member has go on in the open book."""
@@ -784,11 +800,11 @@
         soon = self.clock.now() + LATE
         for holding in list(self.store.holdings.values()):
             stage = holding.adoption.stage
-            if holding.serving or stage is Stage.OFFERING or self.leaving:
-                continue
             held = stage is Stage.HOLDING and holding.imported
             ours = held and holding.adoption.holder.may_fire(now)
             holding.unheld_since = (holding.unheld_since or now) if held and not ours else 0
+            if holding.serving or stage is Stage.OFFERING or self.leaving:
+                continue
             # No majority has answered for so long, though its members may be heard.
             ours = ours or holding.unheld_since > 0 and now - holding.unheld_since >= ALONE
             left = stage is Stage.GONE and not holding.offered
--- a/cedarwick/fleet/traffic.py
+++ b/cedarwick/fleet/traffic.py
@@ -15,7 +15,6 @@
 
 from cedarwick.errors import Trouble
 from cedarwick.fleet.book import boot_time
-from cedarwick.fleet.lasting import HeldSession, Sessions
 from cedarwick.fleet.link import Peers, Refusal, Unreachable
 from cedarwick.fleet.members import Standing
 from cedarwick.fleet.messages import (
@@ -34,6 +33,7 @@
     Stage,
 )
 from cedarwick.fleet.moves import WAITS, Neighbour, Why, Wish
+from cedarwick.fleet.session_files import HeldSession, Sessions
 from cedarwick.fleet.sessions import CLAIM, LAPSES, Asking, Claim, Directory, Entry, Ruling, contents
 from cedarwick.fleet.transfers import SECOND, SESSIONS, SETTLE_IN, Transfers
 from cedarwick.net.desk import Answered, Desk, Submission
@@ -129,7 +129,7 @@
 
     def take_up(self) -> None:
         """Go on with the sessions of the process that this one replaces, if it ended a moment ago."""
-        left, now = self.lasting.take_sessions(), boot_time()
+        left, now = self.transfers.files.take_sessions(), boot_time()
         age = time.time_ns() // 1000 - left.at if left is not None else 0
         # Danger: a file that is older, or of the future, may speak of sessions that others hold by now.
         if left is not None and 0 <= age < HANDED_OVER:
@@ -144,7 +144,7 @@
         held = [HeldSession(key, session.sequence, self.directory.ids(key, now))
                 for key, session in self.directory.sessions.items()
                 if session.used >= now - LAPSES and self._standing(key)[0] == "here"]
-        self.lasting.write_sessions(Sessions(time.time_ns() // 1000, held))
+        self.transfers.files.write_sessions(Sessions(time.time_ns() // 1000, held))
         self.directory.sessions.clear()
 
     def leave(self) -> None:
--- a/cedarwick/fleet/transfers.py
+++ b/cedarwick/fleet/transfers.py
@@ -33,6 +33,7 @@
     whole,
 )
 from cedarwick.fleet.moves import FREEZE, Act, Do, Giving, Moves, Planner, Taking
+from cedarwick.fleet.session_files import SessionFiles
 from cedarwick.fleet.sessions import LAPSES, Directory
 from cedarwick.net.desk import Desk
 
@@ -91,21 +92,21 @@
         self.takes = takes
         self.change = change
         self.store = node.store
-        self.lasting = node.lasting
+        self.files = SessionFiles(node.lasting)
         self.counters = node.counters
         self.clock = node.clock
-        table = self.lasting.decrees()
+        table = self.files.decrees()
         self.acceptor = Acceptor(boot_time(), table is None, table)
         self.stamp = node.incarnation  # of the next move
         self.acceptor.learned(self.name, self.stamp)
-        self.lasting.write_decrees(self.acceptor.table())
+        self.files.write_decrees(self.acceptor.table())
         chance = random.Random(node.incarnation)
         self.moves = Moves(self.name, f"{self.name}#{node.incarnation}", tuple(sorted(node.halls)), self.acceptor,
                            lambda failed: chance.randint(0, 50_000 << min(failed, 5)))
         self.planner = Planner(node.halls[self.name])
-        marks = self.lasting.inert()
+        marks = self.files.inert()
         self.store.inert = {number: mark for number, mark in marks.items() if number in self.store.kept}
-        self.store.marking = self.lasting.write_inert
+        self.store.marking = self.files.write_inert
         self.desk: Desk
         self.offers: dict[str, tuple[Stage, int]] = {}  # by move: what was staged here, and when
         self.sequences: dict[str, int] = {}  # by move: of its session, since it began
@@ -121,7 +122,7 @@
     def forget(self, now: int) -> None:
         """Drop what is old; about once a second."""
         if self.acceptor.prune(now):
-            self._guarded(self.lasting.write_decrees, self.acceptor.table())
+            self._guarded(self.files.write_decrees, self.acceptor.table())
         for kept in (self.offers, self.sequences, self.answers):
             for name in [name for name in kept if name not in self.moves.moves]:
                 del kept[name]
@@ -133,7 +134,7 @@
         """
         if stamp and self.acceptor.lost and giver not in self.acceptor.floors:
             self.acceptor.learned(giver, stamp)
-            self._guarded(self.lasting.write_decrees, self.acceptor.table())
+            self._guarded(self.files.write_decrees, self.acceptor.table())
 
     def under_way_here(self) -> bool:
         """Whether a move from here is not over yet."""
@@ -176,7 +177,7 @@
             return voted(body.move, self.vote(body.move, ballot_of(body.ballot), value))
         row = self.acceptor.settled(body.move, value, now)
         if row is not None:
-            self._guarded(self.lasting.add_decree, row)
+            self._guarded(self.files.add_decree, row)
         self.act(self.moves.settled(body.move, value, body.active, now))
         known, active = self.moves.said(body.move)
         return Settled(body.move, known or "", active)
@@ -247,7 +248,7 @@
     def _save_without(self, numbers: Iterable[int]) -> None:
         gone = set(numbers)
         if gone:
-            self.lasting.write_inert({number: mark for number, mark in self.store.inert.items() if number not in gone})
+            self.files.write_inert({number: mark for number, mark in self.store.inert.items() if number not in gone})
 
     # ---- the giver ----
 
@@ -272,7 +273,7 @@
                 return False
             sequence, text = self.sequences[name], GIVEN + name
             if owed:
-                self.lasting.write_inert(self.store.inert | {kept.number: (sequence, text) for kept in owed})
+                self.files.write_inert(self.store.inert | {kept.number: (sequence, text) for kept in owed})
             for kept in owed:
                 self.store.mark(kept.number, sequence, text)
             books.update(kept.number >> 32 for kept in owed)
@@ -400,7 +401,7 @@
                     return False
             if made:
                 mark = stage.sequence, TAKEN + name
-                self.lasting.write_inert(self.store.inert | {kept.number: mark for kept in made})
+                self.files.write_inert(self.store.inert | {kept.number: mark for kept in made})
             for kept in made:
                 self.store.next_number += 1
                 self.store.stage(kept, stage.sequence, TAKEN + name)
@@ -454,7 +455,7 @@
         now = boot_time()
         answer = (self.acceptor.prepare(move, ballot, now) if value is None
                   else self.acceptor.accept(move, ballot, value, now))
-        if answer.write is not None and not self._guarded(self.lasting.add_decree, answer.write):
+        if answer.write is not None and not self._guarded(self.files.add_decree, answer.write):
             return ABSTAINS
         return answer
 
@@ -480,7 +481,7 @@
                 gevent.spawn(self._tell_one, name, act)
         row = self.acceptor.settled(act.move, act.value, boot_time())
         if row is not None:
-            self._guarded(self.lasting.add_decree, row)
+            self._guarded(self.files.add_decree, row)
 
     def _tell_one(self, name: str, act: Act) -> bool:
         """Whether the taker's side is live there."""
--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -37,6 +37,7 @@
 MOST_BUFFERED = 1 << 23  # bytes in the buffers of all clients together; what needs more is turned away
 SMALL = 1 << 13  # a buffer up to this size needs no look at the others
 LOOK = 0.01  # seconds between two looks at the requests that are not answered at the end
+GIVES_UP = 450_000  # after a request that nobody can answer its client has gone, or is let go
 LEFT_FREE = 8  # this part of the descriptors is left to links where clients hold more than half
 BACKLOG = 1024
 WORD = re.compile(rb"[!-~]{1,200}")
@@ -240,7 +241,9 @@
                 finally:
                     self.answering -= 1
                 if not reply:
-                    break  # Danger: any answer might be wrong, and the client would rely on it
+                    # Danger: any answer might be wrong, and an end at once would be taken for one.
+                    self._outlast(client)
+                    break
                 if reply.startswith(BUSY[:5]) and len(parts) == 5:
                     self._dropped(parts[3])
                 last = (self.closing or self.paused) and not len(client.buffer) and self._silent(client)
@@ -300,6 +303,12 @@
         client.waiting, client.begun_at, client.asked = False, 0, True
         return parts
 
+    def _outlast(self, client: Client) -> None:
+        """Returns once the client has given up its request, or should have."""
+        until = self.clock.now() + GIVES_UP
+        while self.clock.now() < until and lies_there(client.sock) != b"":
+            gevent.sleep(LOOK)
+
     def _see_off(self, client: Client) -> None:
         """The client is told the end, where it was not, and may close first; what it still sends stays unread."""
         if client.cut:
