--- /dev/null
+++ b/cedarwick/lab/virtualday.py
@@ -0,0 +1,621 @@
+"""Days of a fleet in one process with virtual time: `python -m cedarwick.lab.virtualday FIRST LAST [--senders N] ...`.
+
+The members, their desks, decisions, letters, notices and files are the real ones. Network, partners, clients and the
+platform are drawn from the seed; troubles are those of `schedule.py`, carried out on the drawn network and on the
+senders' folders; `claims.py` judges what was seen. One seed gives one day. Prints a JSON line for each day: its
+seed, findings and account; ends with 1 where there are findings.
+"""
+
+import argparse
+import json
+import os
+import random
+import shutil
+import sys
+import tempfile
+import traceback
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from typing import Any, Literal, cast
+
+import msgspec
+from loguru import logger
+
+from cedarwick.config.operator import Fleet, Member
+from cedarwick.errors import Trouble as Refusing
+from cedarwick.fleet.book import Shared
+from cedarwick.fleet.messages import Refused, decode, digest_of, encode
+from cedarwick.fleet.node import Node
+from cedarwick.interface import ListChange, Listing, Outcome, Phase
+from cedarwick.lab import claims
+from cedarwick.lab.audit import Finding, Verdict
+from cedarwick.lab.history import NEVER, Called, Gone, Handed, History, Life, Noticed
+from cedarwick.lab.relay import Fault, Way
+from cedarwick.lab.scenario import Band, Limits, Load, Partner, Scenario, Service, sender_settings
+from cedarwick.lab.schedule import KINDS, LINKS, Trouble, draw
+from cedarwick.lab.virtual import SECOND, WALL, AsyncResult, Kernel, Owner, Task, standing_in
+from cedarwick.net.assignment import Assignment, plain
+from cedarwick.net.clock import Clock
+from cedarwick.net.counters import Counters
+from cedarwick.net.desk import Answered, Desk, Submission
+from cedarwick.net.notices import Notices
+from cedarwick.net.shots import Call, Ending, Shots
+from cedarwick.net.sockets import Polled
+from cedarwick.store.records import Kept
+
+Ack = Literal["own", "copy"]
+Alone = Literal["busy", "own"]
+Pair = tuple[int, int]  # who asks, who answers
+
+SCENARIO = Scenario(
+    name="virtual", load=Load(rate=60), limits=Limits(disk_mb=16, most_open=2000),
+    band=[
+        Band(name="free", outer_ms=6000, expected_ms=1500),
+        Band(name="marked", repeat="numbered", outer_ms=6000, expected_ms=1500, window_ms=4000),
+        Band(name="once", repeat="at-most-once", outer_ms=6000, expected_ms=1500),
+        Band(name="line", repeat="numbered", in_turn=True, keys=6, outer_ms=6000, expected_ms=1500),
+    ],
+    partner=[Partner(name="hotel", destinations=3, workers=8, service=Service(mean_ms=20))],
+)
+RECEIVERS = 2  # of each destination
+HALLS = {3: "eew", 4: "eeww", 5: "eeeww"}  # by the number of senders: each one's hall
+ANSWERS = ("ok", "full", "error", "hang", "reset")
+USUAL, HARD = (80, 8, 4, 3, 5), (30, 15, 10, 25, 20)  # how often partners answer so
+STATUS = {"ok": 200, "full": 503, "error": 500}
+OUTCOMES = {"ok": Outcome.COMPLETED, "full": Outcome.FULL, "error": Outcome.ERROR, "reset": Outcome.RESET}
+FULL = 10_000  # bytes of a folder whose disk is full
+PATIENCE = 400_000  # microseconds that a client waits
+TOO_OLD = 50_000  # a clearance that rests on an older look at the sockets is asked for anew
+SETTLE = 1.8  # seconds from when all senders are ready to the first envelope
+STAY = 1.2  # seconds that a sender which is told to end goes on to take what was routed to it
+DRAIN = 2 * SECOND  # in which it ends what is out
+KNOWN_GONE = SECOND // 2  # so long after a sender's end clients go to others
+WATCHED = 12 * SECOND  # the longest that ends are awaited after the last trouble
+QUIET = 10  # looks in a row, a tenth of a second apart, that find nothing owed
+LONGEST = 200 * SECOND  # a day that is not over by then has failed
+LOOK = 0.02  # seconds between two looks at a state that is awaited
+
+
+class VirtualClock(Clock):
+    """The kernel's wall time; the loop looks at its sockets all the time."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+
+    def now(self) -> int:
+        return WALL + self.kernel.now
+
+    @property
+    def at(self) -> int:
+        """As of `Polled`."""
+        return self.now()
+
+
+class Strict(Counters):
+    """An error that the program would log and live with ends the day as a finding."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__()
+        self.kernel = kernel
+        self.quiet = 0.0
+
+    def failed(self, kind: str) -> None:
+        self.kernel.errors.append(f"{kind}: {traceback.format_exc()}")
+
+
+class DrawnNotices(Notices):
+    """Posts to a platform that takes a moment, and sometimes loses an answer."""
+
+    def __init__(self, day: "Day", sender: int, counters: Counters, acknowledged: Callable[[list[int]], None]) -> None:
+        super().__init__(("", 0), counters, acknowledged)
+        self.day = day
+        self.sender = sender
+
+    def _post(self, body: bytes) -> int:
+        day = self.day
+        day.kernel.sleep(day.chance.uniform(0.0005, 0.01))
+        for line in body.splitlines():
+            told = json.loads(line)
+            after = round(told.get("after_ms", 0) * 1000)
+            day.history.add(Noticed(told["id"], told["state"], after, day.now(), self.sender))
+        if day.chance.random() < 0.03:
+            return 0
+        day.kernel.sleep(day.chance.uniform(0.0005, 0.01))
+        return 204
+
+
+class DrawnShots(Shots):
+    """Shots at partners whose answers are drawn, with the looks before the first byte that the real ones make."""
+
+    def __init__(self, day: "Day", sender: "Sender") -> None:
+        self.day = day
+        self.sender = sender
+        self.out = {}
+
+    def start(self, call: Call) -> None:
+        task = self.day.kernel.spawn(self._run, call)
+        self.out[task] = call
+        task.rawlink(lambda ended: self.out.pop(ended, None))
+
+    def _run(self, call: Call) -> None:
+        day, sender = self.day, self.sender
+        day.kernel.sleep(day.chance.uniform(0.0002, 0.002))
+        for _ in range(3):
+            if not sender.desk.clear(call):
+                return
+            if WALL + day.kernel.now - call.looked_at <= TOO_OLD:
+                break
+            day.kernel.sleep()
+        else:
+            return self._ended(call, Outcome.MOOT)
+        if not sender.store.may_fire(call.kept.number):
+            return self._ended(call, Outcome.MOOT)
+        self._ended(call, self._shot(call))
+
+    def _shot(self, call: Call) -> Outcome:
+        day, kept = self.day, call.kept
+        answer = day.chance.choices(ANSWERS, day.answers)[0]
+        took = round(day.chance.uniform(0.004, 0.08) * SECOND) if answer != "hang" else LONGEST
+        seen = Called(kept.id, kept.key, f"s-{call.receiver}", kept.destination, self.sender.number, day.now(),
+                      day.now())
+        day.history.add(seen)
+        left = max(0, call.until - WALL - day.kernel.now)
+        day.kernel.spawn_as(None, day.partner, seen, self.sender.owner, answer, day.kernel.now + took)
+        day.kernel.sleep(min(took, left) / SECOND)
+        if took <= left:
+            return OUTCOMES[answer]
+        if seen.ended == NEVER:
+            seen.ended = day.now()
+        return Outcome.TIME_OUT
+
+    def _ended(self, call: Call, outcome: Outcome) -> None:
+        call.told = True
+        self.sender.desk.shot_ended(call, Ending(outcome, took=1000, last=outcome is Outcome.COMPLETED))
+
+
+class Sender:
+    """One sender over all its lives: its folder stays, the rest is made anew by each `start`."""
+
+    def __init__(self, day: "Day", number: int) -> None:
+        self.day = day
+        self.number = number
+        self.name = f"n{number}"
+        self.folder = os.path.join(day.scratch, self.name)
+        os.makedirs(self.folder)
+        self.owner: Owner = Owner(self.name)
+        self.running = self.leaving = False
+        self.node: Node | None = None  # None until it is ready
+        self.disk = usual_disk()
+        self.ended_at = 0
+        self.store: Shared
+        self.desk: Desk
+
+    def start(self) -> None:
+        self.owner, self.running, self.leaving = Owner(self.name), True, False
+        self._life("started")
+        self.day.kernel.spawn_as(self.owner, self._start)
+
+    def _start(self) -> None:
+        day, clock, counters = self.day, VirtualClock(self.day.kernel), Strict(self.day.kernel)
+        day.kernel.sleep(day.chance.uniform(0.3, 0.9))
+        told = Assignment(self.name, ("", 0), ("", 0), self.folder, day.seed * 16 + self.number, 2000, self.disk, {},
+                          plain(sender_settings(SCENARIO, day.fleet_size)))
+        self.store = Shared(self.folder, self.disk, now=clock.now, by_copy=day.table.ack == "copy",
+                            within_us=round(day.table.ack_within_ms * 1000))
+        self.desk = desk = Desk(told, clock, counters, self.store, cast(Polled, clock))
+        self.store.load()
+        receivers = range(SCENARIO.destinations() * RECEIVERS)
+        desk.listed(ListChange.SAVED, [Listing(1 + each, 0, 0, each // RECEIVERS, Phase.READY, 100.0)
+                                       for each in receivers])
+        desk.notices = DrawnNotices(day, self.number, counters, desk.acknowledged)
+        desk.shots = DrawnShots(day, self)
+        desk.free_links = lambda _: None
+        desk.ask_for_list = lambda: None
+        desk.resume()
+        node = Node(self.name, day.table, self.folder, self.store, clock, counters)
+        day.kernel.spawn(desk.run)
+        day.kernel.spawn(desk.notices.run)
+        node.start(desk)
+        self.node = node
+        self._life("ready")
+
+    def kill(self) -> None:
+        if self.running:
+            self._life("killed")
+            self.gone()
+
+    def term(self) -> None:
+        if self.running:
+            self._life("termed")
+            self.leaving = True
+            self.day.kernel.spawn_as(self.owner, self._leave)
+
+    def _leave(self) -> None:
+        kernel = self.day.kernel
+        if self.node is not None:
+            kernel.sleep(STAY)
+            self.desk.hold_fire()
+            end = kernel.now + DRAIN
+            while kernel.now < end and not (self.desk.idle() and not self.desk.notices.owed):
+                kernel.sleep(LOOK)
+            self.node.leave()
+        self.gone()
+
+    def stop(self) -> None:
+        self._life("stopped")
+        self.owner.stopped = True
+
+    def go_on(self) -> None:
+        self.day.kernel.go_on(self.owner)
+        self._life("continued")
+
+    def gone(self) -> None:
+        """The process has ended."""
+        self.close()
+        self.ended_at = self.day.now()
+        self._life("ended")
+
+    def close(self) -> None:
+        """Nothing of the process goes on, and its files stay as they are."""
+        self.running, self.owner.dead = False, True
+        if self.node is not None:
+            self.node.copies.close()
+            self.store.close()
+        self.node = None
+
+    def submit(self, kept: Kept, box: AsyncResult) -> None:
+        """What a client is answered, into the box."""
+        if self.node is None or self.leaving or not self.store.taking():
+            box.set("busy")
+            return
+        submission = Submission(kept, AsyncResult())
+        self.desk.submit(submission)
+        what, _ = submission.answer.get()
+        box.set("ok" if what in (Answered.KEPT, Answered.REPEATED) else "busy")
+
+    def answer(self, letter: bytes, box: AsyncResult) -> None:
+        """The answer to a letter, as the link's server gives it; None where nobody listens."""
+        if self.node is None:
+            box.set(None)
+            return
+        gate, read = self.node.gate, decode(letter)
+        try:
+            gate.check(read)
+            told = self.node.answer(read)
+        except Refusing as error:
+            told = gate.letter(read.sender, Refused(error.code, str(error)[:512]))
+        box.set(encode(told))
+
+    def set_disk(self, size: int) -> None:
+        self.disk = size
+        if self.node is not None:
+            self.store.set_limit(size)
+
+    def _life(self, event: str) -> None:
+        self.day.history.add(Life(self.number, event, self.day.now()))
+
+
+def usual_disk() -> int:
+    """Bytes of a folder."""
+    return round(SCENARIO.limits.disk_mb * (1 << 20))
+
+
+class Network:
+    """Carries letters between senders, as the faults that are on have it."""
+
+    def __init__(self, day: "Day") -> None:
+        self.day = day
+        self.faults: list[tuple[Pair, Fault]] = []
+
+    def carry(self, asks: str, answers: str, letter: bytes, box: AsyncResult) -> None:
+        """As `virtual.Carry`."""
+        self.day.kernel.spawn_as(None, self._carry, (int(asks[1:]), int(answers[1:])), letter, box)
+
+    def _carry(self, pair: Pair, letter: bytes, box: AsyncResult) -> None:
+        kernel, sender = self.day.kernel, self.day.senders[pair[1]]
+        if not self._through(pair, "asks", "ask-lost", len(letter), box):
+            return
+        if not sender.running:
+            return box.set(None)
+        if (twice := self._hit(pair, "twice", "asks")) is not None:
+            kernel.spawn_as(None, self._again, sender, letter, self._wait(twice))
+        owner, answered = sender.owner, AsyncResult()
+        kernel.spawn_as(owner, sender.answer, letter, answered)
+        while not answered.wait(0.05):
+            if owner.dead:
+                return box.set(None)
+        if answered.value is None or self._through(pair, "answers", "answer-lost", len(answered.value), box):
+            box.set(answered.value)
+
+    def _again(self, sender: Sender, letter: bytes, after: float) -> None:
+        self.day.kernel.sleep(after)
+        if sender.running:
+            self.day.kernel.spawn_as(sender.owner, sender.answer, letter, AsyncResult())
+
+    def _through(self, pair: Pair, way: Way, loss: str, size: int, box: AsyncResult) -> bool:
+        """Whether a message gets through, after its time on the way; the box is set where its connection is reset."""
+        lost = self._hit(pair, loss, way)
+        if lost is not None and lost.then == "silent":
+            return False
+        if lost is not None or self._hit(pair, "reset", way) is not None:
+            box.set(None)
+            return False
+        for late in (0.0, self._late(pair, way, size)):
+            self.day.kernel.sleep(late)
+            while any(fault.kind == "silent" and fault.held for fault in self._on(pair, way)):
+                self.day.kernel.sleep(LOOK)
+            if any(fault.kind == "cut" and fault.way == "both" for fault in self._on(pair, way)):
+                box.set(None)
+                return False
+            if any(fault.kind in ("cut", "silent") for fault in self._on(pair, way)):
+                return False
+        return True
+
+    def _on(self, pair: Pair, way: Way) -> Iterator[Fault]:
+        return (fault for met, fault in self.faults if met == pair and fault.goes(way))
+
+    def _hit(self, pair: Pair, kind: str, way: Way) -> Fault | None:
+        """The first fault of a kind that meets this message, by its share."""
+        chance = self.day.chance
+        return next((each for each in self._on(pair, way) if each.kind == kind and chance.random() < each.share), None)
+
+    def _wait(self, fault: Fault) -> float:
+        return (fault.ms + self.day.chance.uniform(0, fault.jitter_ms)) / 1000
+
+    def _late(self, pair: Pair, way: Way, size: int) -> float:
+        """Seconds that a message is on its way."""
+        took = self.day.chance.uniform(0.0001, 0.0008)
+        for fault in self._on(pair, way):
+            if fault.kind == "delay":
+                took += self._wait(fault)
+            elif fault.kind == "trickle":
+                took += size / fault.size * fault.ms / 1000
+        return took
+
+
+class Day:
+    """One drawn day, from the start of its senders to its last end."""
+
+    def __init__(self, seed: int, table: Fleet, seconds: float, answers: Sequence[int], scratch: str) -> None:
+        self.seed = seed
+        self.table = table
+        self.seconds = seconds
+        self.answers = answers
+        self.scratch = scratch
+        self.fleet_size = len(table.member)
+        self.chance = random.Random(f"virtual {seed} {self.fleet_size} {table.ack} {table.alone} {table.copies}")
+        self.kernel = Kernel()
+        self.history = History()
+        self.network = Network(self)
+        self.senders = [Sender(self, number) for number in range(self.fleet_size)]
+        self.tasks: list[Task] = []  # the load and the troubles
+        self.ended = 0  # when the watching stopped
+
+    def now(self) -> int:
+        return self.kernel.now
+
+    def sleep_until(self, at: int) -> None:
+        if at > self.now():
+            self.kernel.sleep((at - self.now()) / SECOND)
+
+    def run(self, troubles: list[Trouble]) -> None:
+        """`TimeoutError` where the day does not end."""
+        with standing_in(self.kernel, self.network.carry):
+            try:
+                self.kernel.spawn_as(None, self._run, troubles)
+                while not self.ended and not self.kernel.errors and self.now() < LONGEST:
+                    self.kernel.run(self.now() + SECOND // 10)
+            finally:
+                self.kernel.close()
+                for sender in self.senders:
+                    sender.close()
+        if not self.ended and not self.kernel.errors:
+            raise TimeoutError(f"the day of seed {self.seed} is not over after {LONGEST // SECOND} s")
+
+    def _run(self, troubles: list[Trouble]) -> None:
+        kernel = self.kernel
+        for sender in self.senders:
+            sender.start()
+        while any(sender.node is None for sender in self.senders):
+            kernel.sleep(LOOK)
+        kernel.sleep(SETTLE)
+        begun = self.now()
+        self.tasks = [kernel.spawn_as(None, self._load, begun + round(self.seconds * SECOND))]
+        self.tasks += [kernel.spawn_as(None, self._carry_out, each, begun) for each in troubles]
+        kernel.joinall(self.tasks)
+        end, quiet = self.now() + WATCHED, 0
+        while quiet < QUIET and self.now() < end:
+            kernel.sleep(0.1)
+            quiet = quiet + 1 if not self._owed() else 0
+        self.ended = self.now()
+
+    def _owed(self) -> bool:
+        """Whether an envelope that was taken has no end yet."""
+        ended = {each.id for each in self.history.noticed}
+        ended |= {each.id for each in self.history.called if each.status == 200}
+        return any(each.answer == "ok" and each.id not in ended for each in self.history.handed)
+
+    # ---- partners and clients ----
+
+    def partner(self, seen: Called, owner: Owner, answer: str, end: int) -> None:
+        """What a partner sees of a call, until it has answered or the caller has gone."""
+        while self.now() < end and not owner.dead and seen.ended == NEVER:
+            self.kernel.sleep(min(0.01, (end - self.now()) / SECOND))
+        seen.ran = answer in ("ok", "reset") or answer in ("error", "hang") and self.chance.random() < 0.5
+        if seen.ended == NEVER:
+            seen.ended = self.now()
+            seen.status = STATUS.get(answer, 0) if self.now() >= end else 0
+
+    def _load(self, until: int) -> None:
+        while self.now() < until:
+            self.kernel.sleep(self.chance.expovariate(SCENARIO.load.rate))
+            band = self.chance.choice(SCENARIO.band)
+            turn = self.chance.randint(1, band.keys) if band.in_turn else 0
+            self.kernel.spawn_as(None, self._hand_in, band, turn)
+
+    def _chosen(self, turn: int) -> Sender:
+        """The sender that a client hands in to: of one key always the same, as long as it is there."""
+        usable = [each for each in self.senders if each.running or self.now() - each.ended_at < KNOWN_GONE]
+        if not turn or not usable:
+            return self.chance.choice(usable or self.senders)
+        return max(usable, key=lambda each: digest_of(f"{turn} {each.name}".encode()))
+
+    def _hand_in(self, band: Band, turn: int) -> None:
+        sender, destination = self._chosen(turn), self.chance.randrange(SCENARIO.destinations())
+        number, mark = (f"{self.chance.getrandbits(63):016x}" for _ in range(2))
+        outer = self.now() + round(band.outer_ms * 1000)
+        handed = Handed(number, number, band.name, destination, mark, f"{turn:016x}", self.now(), self.now(), outer,
+                        sender.number)
+        self.history.add(handed)
+        owner, box, end = sender.owner, AsyncResult(), self.now() + PATIENCE
+        if sender.running:
+            kept = Kept(0, number, mark, turn, band.name, "", destination, WALL + outer,
+                        bytes(self.chance.randint(1, 400)))
+            self.kernel.spawn_as(owner, sender.submit, kept, box)
+            while not box.wait(0.05) and self.now() < end and not owner.dead:
+                continue
+        handed.answer = box.value if box.on else "down" if not sender.running and self.now() == handed.sent else "none"
+        handed.answered = self.now()
+
+    # ---- troubles ----
+
+    def _carry_out(self, trouble: Trouble, begun: int) -> None:
+        self.sleep_until(begun + trouble.begin)
+        logger.info("{}", trouble.line())
+        end = begun + trouble.end
+        if trouble.kind in LINKS and trouble.fault is not None:
+            with self._spoilt(trouble, trouble.fault, trouble.pairs):
+                self.sleep_until(end)
+        elif trouble.kind == "split":
+            fault = Fault(kind="silent" if trouble.draw & 1 else "cut")
+            everybody = range(self.fleet_size)
+            parted = [(one, other) for one in everybody for other in everybody
+                      if (one in trouble.on) != (other in trouble.on)]
+            with self._spoilt(trouble, fault, parted):
+                self.sleep_until(end)
+        else:
+            self._at_sender(trouble, self.senders[trouble.on[0]], end)
+
+    @contextmanager
+    def _spoilt(self, trouble: Trouble, fault: Fault, pairs: Sequence[Pair]) -> Iterator[None]:
+        """Some talk is spoilt meanwhile."""
+        began = self.now()
+        faults = [(pair, msgspec.structs.replace(fault)) for pair in pairs]
+        self.network.faults += faults
+        yield
+        self.network.faults = [each for each in self.network.faults if all(each is not other for other in faults)]
+        self.history.add(Gone(trouble.number, trouble.kind, began, self.now(), trouble.names(), 0.0))
+
+    def _at_sender(self, trouble: Trouble, sender: Sender, end: int) -> None:
+        if trouble.kind == "disk-full":
+            sender.set_disk(FULL)
+            self.sleep_until(end)
+            sender.set_disk(usual_disk())
+        elif trouble.kind == "stop":
+            if sender.running:
+                owner = sender.owner
+                sender.stop()
+                self.sleep_until(end)
+                if sender.owner is owner and sender.running:
+                    sender.go_on()
+        else:
+            self._restart(trouble, sender, end)
+
+    def _restart(self, trouble: Trouble, sender: Sender, end: int) -> None:
+        if trouble.kind == "term":
+            sender.term()
+        else:
+            sender.kill()
+        if trouble.kind == "folder-lost":
+            shutil.rmtree(sender.folder)
+            os.makedirs(sender.folder)
+        elif trouble.kind == "folder-spoilt":
+            spoil(sender.folder, trouble.draw)
+        if trouble.kind in ("folder-lost", "folder-spoilt"):
+            self.history.add(Gone(trouble.number, trouble.kind, self.now(), self.now(), trouble.names(), 0.0))
+        self.sleep_until(end)
+        while sender.running:
+            self.kernel.sleep(LOOK)
+        sender.start()
+        while sender.running and sender.node is None:
+            self.kernel.sleep(LOOK)
+
+
+def spoil(folder: str, draw: int) -> None:
+    """Turn over some bytes of one of the files, both drawn."""
+    held = sorted(os.path.join(at, name) for at, _, names in os.walk(folder) for name in names)
+    found = [path for path in held if os.path.getsize(path)]
+    if not found:
+        return
+    chance = random.Random(draw)
+    path = chance.choice(found)
+    begin = chance.randrange(os.path.getsize(path))
+    with open(path, "r+b") as file:
+        file.seek(begin)
+        spoilt = bytes(byte ^ 0xA5 for byte in file.read(64))
+        file.seek(begin)
+        file.write(spoilt)
+
+
+def play(seed: int, senders: int = 3, ack: Ack = "own", alone: Alone = "busy", copies: int = 1, seconds: float = 8.0,
+         kinds: tuple[str, ...] = KINDS, hard: bool = False, history: str = "") -> Verdict:
+    """The verdict on the day of a seed. An error in the program is a finding of rule 0; `history`: a file to write.
+
+    `hard`: twice as many troubles, shorter ones, and partners that mostly refuse, hang or reset.
+    """
+    halls = {"e": "east", "w": "west"}
+    table = Fleet(group="virtual", ack=ack, alone=alone, copies=copies, member=[
+        Member(name=f"n{number}", address=f"127.0.0.{number + 1}:7000", hall=halls[hall])
+        for number, hall in enumerate(HALLS[senders])])
+    many: dict[str, Any] = {"count": round(seconds), "longest_s": 2.5} if hard else {}
+    plan = draw(seed, senders, seconds, kinds=kinds, copies=copies, **many)
+    with tempfile.TemporaryDirectory() as scratch:
+        day = Day(seed, table, seconds, HARD if hard else USUAL, scratch)
+        day.run(plan.troubles)
+    if history:
+        day.history.write(history)
+    # What goes on alone promises no more than the own folder.
+    terms = claims.Terms(senders=senders, ack="own" if alone == "own" else ack)
+    verdict = claims.judge(SCENARIO, day.history, day.ended or day.now(), terms)
+    verdict.findings += [Finding(0, (), error) for error in day.kernel.errors]
+    return verdict
+
+
+def line_of(_: object) -> str:
+    """The format of a line of the log: virtual time, and whose it is."""
+    kernel = Kernel.running
+    owner = kernel.current.owner if kernel.current is not None else None
+    return f"{kernel.now / SECOND:8.3f} {owner.name if owner is not None else '--'} {{message}}\n"
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m cedarwick.lab.virtualday", description=__doc__)
+    parser.add_argument("first", type=int, help="the first seed")
+    parser.add_argument("last", type=int, help="the last seed")
+    parser.add_argument("--senders", type=int, default=3, choices=sorted(HALLS))
+    parser.add_argument("--ack", default="own", choices=("own", "copy"))
+    parser.add_argument("--alone", default="busy", choices=("busy", "own"))
+    parser.add_argument("--copies", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=8.0, help="in which envelopes come")
+    parser.add_argument("--kinds", nargs="+", default=KINDS, choices=KINDS, metavar="KIND", help=", ".join(KINDS))
+    parser.add_argument("--hard", action="store_true", help="more troubles, and worse partners")
+    parser.add_argument("--history", default="", metavar="FOLDER", help="write each day's history to a file in it")
+    parser.add_argument("--log", action="store_true", help="what the senders log, to the standard error")
+    told = parser.parse_args(arguments)
+    logger.remove()
+    if told.log:
+        logger.add(sys.stderr, format=line_of)
+    broken = False
+    for seed in range(told.first, told.last + 1):
+        path = os.path.join(told.history, f"{seed}.jsonl") if told.history else ""
+        verdict = play(seed, told.senders, told.ack, told.alone, told.copies, told.seconds, tuple(told.kinds),
+                       told.hard, path)
+        broken = broken or bool(verdict.findings)
+        found = [{"rule": each.rule, "ids": each.ids, "text": each.text} for each in verdict.findings]
+        line = {"seed": seed, "findings": found, "account": msgspec.to_builtins(verdict.account)}
+        print(json.dumps(line), flush=True)
+    return int(broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
