--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -264,7 +264,9 @@
             for book, adoption in self.adoptions.items():
                 if book in terms:
                     self.served[book] = name, now
-                    adoption.holder.newer = max(adoption.holder.newer, (terms[book], name))
+                    # Danger: a term that was asked for here, in vain, would hide who holds the book.
+                    term = max(terms[book], adoption.holder.term, self.grantor.grant(right_of(book)).term)
+                    adoption.holder.newer = max(adoption.holder.newer, (term, name))
                 elif book in self.served and self.served[book][0] == name:
                     del self.served[book]
         if 0 < before < incarnation:
@@ -479,8 +481,8 @@
             self._drop(book)
 
     def _expects_offer(self, now: int, holding: Holding) -> bool:
-        """Under `ack = "own"`: whether who held an adopted book before may come back with what no copy was told."""
-        if self.store.by_copy or not holding.from_term:
+        """Whether who held an adopted book before may come back with what no copy was told."""
+        if not holding.from_term:
             return False
         # Danger: closed before it has the answer to its offer, it would end all of that itself.
         return now - holding.heard_out < 3 * OFFER_IN * 1e6 if holding.heard_out else now - holding.begun_at < EXPECTED
@@ -492,14 +494,15 @@
         holder = grant.holder if grant.term > term else holder
         if self.claimed.get(book, ("", 0))[0] != holder:
             self.claimed[book] = holder, now
-        if name == holder:
+        state = self.members.state(now, name)
+        if name == holder and state is Standing.ALIVE:
             who, at = self.served.get(book, ("", 0))
             reborn = self.reborn.get(name, 0)
             idle_since = max(self.claimed[book][1], at if who == name else 0)
             # Alive under another incarnation, it would have asked for the book by now; or it has asked in vain.
             if at < reborn <= now - REBORN or idle_since <= now - IDLE:
                 return Standing.DEAD
-        return self.members.state(now, name)
+        return state
 
     def _give_up(self, ask: Ask) -> None:
         """Tell all that they need not keep their promise of a right."""
@@ -529,6 +532,9 @@
             replica = self.copies.replica(book)
             try:
                 if replica is None:
+                    last = self._term_of(book)
+                    if 0 < last < term - 1:
+                        holding.from_term = last  # somebody else may have held it between
                     self.store.resume_own(holding, term)
                 else:
                     holding.from_term = replica.place.term
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -586,13 +586,15 @@
     def _post_once_copied(self, kept: Kept) -> None:
         """Danger: told before a copy knows of it, the end would be followed by a shot of whoever takes over."""
         def post() -> None:
-            if kept.end is not None and kept.number in self.store.kept and self.store.may_fire(kept.number):
+            if not self.store.may_fire(kept.number):
+                again()  # Danger: the right may be back in a moment, and nobody else would tell it then
+            elif kept.end is not None and kept.number in self.store.kept and kept.number in self.untold:
                 self.untold.discard(kept.number)
                 self.notices.post(kept.number, kept.id, *kept.end)
 
         def again() -> None:
-            if kept.number in self.store.kept and self.store.may_fire(kept.number):
-                if self.clock.now() >= kept.outer_limit:
+            if kept.number in self.store.kept and kept.number in self.untold:
+                if self.clock.now() >= kept.outer_limit and self.store.may_fire(kept.number):
                     # Whoever takes over fires nothing any more, and says that it failed, too.
                     self._final(kept.number, False, 0, alone=True)
                     return
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -114,6 +114,9 @@
             node._look_at(now, adoption)
             self.assertGreaterEqual(step.call_args.args[2], now + SPAN)
             self.assertEqual(adoption.holder.newer, (3, "b"))
+            adoption.holder.term = 5  # asked for in vain
+            node._heard("b", 7, Beat(False, {}, (Right(BOOK, 3),)))
+            self.assertEqual(adoption.holder.newer, (5, "b"))
             standing = step.call_args.args[3]
             self.assertIs(standing("b"), Standing.ALIVE)
             node._heard("b", 8, Beat(False, {}))
@@ -126,12 +129,10 @@
         adoption = node.adoptions[BOOK] = Adoption(BOOK, "a", NAMES)
         adoption.holder.newer = 3, "b"  # as a grantor said that has granted it to b, alone
         now = boot_time() + 1
-        node._heard("b", 7, Beat(False, {}))
-        node._heard("c", 7, Beat(False, {}))
-        self.assertIs(node._standing(now, "b", adoption), Standing.ALIVE)
-        self.assertIsNot(node._standing(now + module.IDLE - 1, "b", adoption), Standing.DEAD)
-        self.assertIs(node._standing(now + module.IDLE, "b", adoption), Standing.DEAD)
-        self.assertIsNot(node._standing(now + module.IDLE, "c", adoption), Standing.DEAD)
+        with mock.patch.object(node.members, "state", return_value=Standing.ALIVE):
+            for after, name, stands in ((0, "b", Standing.ALIVE), (module.IDLE - 1, "b", Standing.ALIVE),
+                                        (module.IDLE, "b", Standing.DEAD), (module.IDLE, "c", Standing.ALIVE)):
+                self.assertIs(node._standing(now + after, name, adoption), stands)
 
     def test_who_leaves_or_fires_for_a_book_no_more_is_waited_for_no_longer(self) -> None:
         node = self.member()
@@ -287,11 +288,21 @@
             node._import(boot_time(), adoption)
         self.assertEqual([node.store.kept[number(index)].doubt_at for index in (1, 2)], [77, 77])
 
-    def test_an_adopted_book_is_kept_for_its_last_holder_while_no_copy_must_have_all(self) -> None:
-        for ack, waits in (("own", True), ("copy", False)):
-            node = self.member(ack)
+    def test_an_owner_that_comes_back_after_others_waits_for_what_they_may_offer(self) -> None:
+        for term, from_term in ((2, 0), (3, 1)):
+            node = self.member()
+            node._note(BOOK, 1, 0)
+            adoption = node.adoptions[BOOK] = Adoption(BOOK, "a", NAMES, 1, resume=True)
+            adoption.holder.term = term
+            with mock.patch("cedarwick.fleet.node.gevent.spawn"):
+                node._import(boot_time(), adoption)
+            self.assertEqual(node.store.holdings[BOOK].from_term, from_term)
+
+    def test_an_adopted_book_is_kept_for_what_its_last_holder_may_offer(self) -> None:
+        for from_term, waits in ((1, True), (0, False)):
+            node = self.member()
             holding = self.holding(node)
-            holding.from_term = 1
+            holding.from_term = from_term
             now = boot_time()
             self.assertEqual(node._expects_offer(now, holding), waits)
             self.assertFalse(node._expects_offer(now + module.EXPECTED, holding))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -71,6 +71,14 @@
         self.assertEqual(returned.answer.get()[0], Answered.KEPT)
         self.assertEqual([json.loads(line)["state"] for line in self.desk.notices.owed.values()], ["failed", "failed"])
         self.assertEqual(self.taken(name="c").answer.get()[0], Answered.BUSY)
+        del self.store.may_fire
+        self.taken(name="d")
+        with mock.patch.object(self.store, "may_fire", return_value=False):
+            self.desk._final(self.desk.numbers["d"], True, 0)
+            self.desk._flush()
+        self.assertEqual(len(self.desk.notices.owed), 2)
+        self.desk._flush()
+        self.assertEqual(len(self.desk.notices.owed), 3)  # the right was back in a moment
 
     def test_an_envelope_is_kept_before_its_shot_starts(self) -> None:
         self.assertEqual(self.taken().answer.get(block=False), (Answered.KEPT, 0))
