--- a/cedarwick/config/operator.py
+++ b/cedarwick/config/operator.py
@@ -160,15 +160,6 @@
             "another; the same in every member's file."
         ),
     ] = False
-    follow_s: Annotated[
-        float,
-        Meta(
-            ge=1,
-            le=604800,
-            description="A subscription that nobody has followed for so long ends everywhere.",
-            extra={"unit": "seconds"},
-        ),
-    ] = 3600.0
 
 
 class Operator(Table, frozen=True, kw_only=True):
