--- a/cedarwick/fleet/members.py
+++ b/cedarwick/fleet/members.py
@@ -9,7 +9,7 @@
 All times are whole microseconds of the member's own clock that goes on while the machine sleeps.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -152,8 +152,3 @@
             for name, member in self._members.items()
             if name != about and member.heard is not None and now - member.heard < ALIVE_WITHIN
         ]
-
-
-def standings(members: Members, now: int, names: Collection[str]) -> dict[str, Standing]:
-    """How each of some members stands."""
-    return {name: members.state(now, name) for name in names}
--- a/cedarwick/lab/audit.py
+++ b/cedarwick/lab/audit.py
@@ -93,8 +93,8 @@
         return min((call.ended for call in self.calls if call.status == 200), default=NEVER)
 
 
-def judge(scenario: Scenario, history: History, ended: int) -> Verdict:
-    """Account for every envelope and judge the rules; `ended` is when the watching stopped, in microseconds."""
+def cases_of(history: History) -> dict[str, Case]:
+    """All that was seen of each envelope, by its id; its calls in the order in which they began."""
     cases: defaultdict[str, Case] = defaultdict(Case)
     for handed in history.handed:
         cases[handed.id].handed = handed
@@ -102,6 +102,12 @@
         cases[call.id].calls.append(call)
     for notice in history.noticed:
         cases[notice.id].notices.append(notice)
+    return cases
+
+
+def judge(scenario: Scenario, history: History, ended: int) -> Verdict:
+    """Account for every envelope and judge the rules; `ended` is when the watching stopped, in microseconds."""
+    cases = cases_of(history)
     lives = Lives(history)
     findings = [
         *strangers(cases),
--- a/cedarwick/lab/claims.py
+++ b/cedarwick/lab/claims.py
@@ -139,13 +139,7 @@
 
 def judge(scenario: Scenario, history: History, ended: int, terms: Terms, watched: Watched | None = None) -> Verdict:
     """Account for every envelope and judge rules and claims; `ended` is when the watching stopped, microseconds."""
-    cases: defaultdict[str, Case] = defaultdict(Case)
-    for handed in history.handed:
-        cases[handed.id].handed = handed
-    for call in sorted(history.called, key=lambda call: call.first):
-        cases[call.id].calls.append(call)
-    for notice in history.noticed:
-        cases[notice.id].notices.append(notice)
+    cases = audit.cases_of(history)
     lives = Lives(history)
     spans = spans_of(history, lives)
     findings = [
