What a receiver answers is told to subscribers though its envelope has gone meanwhile

The client's patience of 400 ms ended while its sender, which had just opened a new book, waited for copies; the sender saw it gone and withdrew the envelope, but its shot had been recorded and cleared in the same flush and went out. `Store.over` had taken the record, and `Shared.outcome` raises the event only with the record there: nobody told "completed".

Ruled out: an heir that learns of the end by an offer (the offers in the logs told of 0 ends), the lane and cursors of the subscriber that moved (the event never got a number), the right to fire (it was held: "serving True").

`Shared` now keeps the record aside from `shot` to `outcome`, whatever takes it away between: a withdrawal, a book that is given up, an offer that ends it. The event comes before the folder's own record, which a full folder refuses and owes. `Fleet.until` may be told what to name at the end of a wait, and the case names what is missing then.

The new test fails without the keeping aside for three of its four ways.

--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -106,6 +106,7 @@
         self.starved: Callable[[Holding], None] = lambda _: None
         self.seen: Callable[[str, Kept, int], None] = lambda *_: None  # events: kind, envelope, a figure
         self.marking: Callable[[dict[int, tuple[int, str]]], None] = lambda _: None  # on the disk before they count
+        self.out: dict[int, Kept] = {}  # a shot of this process is out, though the record may have gone meanwhile
 
     # ---- the right ----
 
@@ -152,6 +153,7 @@
         holding = self._knows(number)
         if holding is not None:
             self._tell(holding, holding.ledger.shot(number, sent_at, zone))
+        self.out[number] = self.kept[number]
         self.seen("shot", self.kept[number], zone)
 
     def outcome(self, number: int, outcome: Outcome) -> None:
@@ -159,9 +161,12 @@
         if kept is not None and kept.out_at and holding is not None:
             # Danger: told after the folder's own record, a completed one would already be over, as any other end.
             self._tell(holding, holding.ledger.outcome(number, outcome.never_ran, outcome is Outcome.COMPLETED))
+        # Danger: its record may have gone while the shot was out, since its client has left or another sender has its
+        # book by now; what the receiver said would be told by nobody. A full folder raises, and owes its own record.
+        sent = self.out.pop(number, kept)
+        if sent is not None:
+            self.seen("completed" if outcome is Outcome.COMPLETED else "outcome", sent, list(Outcome).index(outcome))
         super().outcome(number, outcome)
-        if kept is not None:
-            self.seen("completed" if outcome is Outcome.COMPLETED else "outcome", kept, list(Outcome).index(outcome))
 
     def ended(self, number: int, nacked: bool, wait_ms: int) -> None:
         holding = self._knows(number)
--- a/cedarwick/lab/fleet.py
+++ b/cedarwick/lab/fleet.py
@@ -481,12 +481,13 @@
         gevent.sleep(0.05)
         return self.log(number)[before:]
 
-    def until(self, condition: Callable[[], Any], seconds: float, what: str = "it") -> None:
-        """Wait for something; TimeoutError names it and the seed."""
+    def until(self, condition: Callable[[], Any], seconds: float, what: str | Callable[[], str] = "it") -> None:
+        """Wait for something; TimeoutError names it, as it is called at the end of the wait, and the seed."""
         end = self.day.now() + round(seconds * 1_000_000)
         while not condition():
             if self.day.now() > end:
-                raise TimeoutError(f"seed {self.seed}: {what} did not come within {seconds} s")
+                named = what if isinstance(what, str) else what()
+                raise TimeoutError(f"seed {self.seed}: {named} did not come within {seconds} s")
             gevent.sleep(LOOK)
 
     def owed(self) -> list[Handed]:
--- a/tests/processes/test_events.py
+++ b/tests/processes/test_events.py
@@ -96,8 +96,8 @@
 
 
 def owed_to_subscribers(fleet: Fleet, sender: int) -> set[str]:
-    """Those that it has delivered for all it knows: where it came too late to hear so, or had lost the envelope to
-    another sender by then, that one has delivered it again, or a notice says that it may not have been."""
+    """Those that it has delivered for all it knows, also of a client that had left. Where it came too late to hear so,
+    it or another sender has delivered it again, or a notice says that it may not have been."""
     others = set().union(*(completed(fleet, number) for number in range(3) if number != sender))
     return completed(fleet, sender) - others - {notice.id for notice in fleet.history.noticed}
 
@@ -132,7 +132,7 @@
             gevent.sleep(0.05)
         fleet.until(lambda: not fleet.owed(), 8.0, "the last ends")
         # A sender that has not read a partner's answer in time may still deliver again, or give up.
-        fleet.until(lambda: not missing(), 9.0, f"{missing()}")
+        fleet.until(lambda: not missing(), 9.0, lambda: f"{missing()}")
 
     def judge(self, fleet: Fleet, subscriber: Subscriber) -> None:
         """Claims 15 and 16; what met the filter is known by the partners."""
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -2,6 +2,7 @@
 
 import tempfile
 import unittest
+from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
@@ -19,6 +20,7 @@
 from cedarwick.fleet.messages import Held as Right
 from cedarwick.fleet.node import Node
 from cedarwick.fleet.shipping import EVERYTHING
+from cedarwick.interface import Outcome
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.notices import Notices
@@ -248,6 +250,28 @@
             rekey.assert_not_called()
             self.assertIn(BOOK, node.adoptions)
 
+    def test_what_a_receiver_answers_is_told_once_whatever_became_of_the_envelope_meanwhile(self) -> None:
+        done = Fact(number(1), None, Known(end=(Rank.TOLD, 0)))
+        ways: tuple[Callable[[Shared], object], ...] = (
+            lambda store: None,
+            lambda store: store.over(number(1)),  # its client had left
+            lambda store: store.forget(BOOK),  # another sender has its book
+            lambda store: store.offered(store.holdings[BOOK], [done], 1),  # an earlier holder has ended it
+        )
+        for gone in ways:
+            for outcome, kind in ((Outcome.COMPLETED, "completed"), (Outcome.TIME_OUT, "outcome")):
+                node, seen = self.member(), mock.Mock()
+                self.holding(node)
+                store = node.store
+                store.seen = seen
+                store.keep(kept(1))
+                store.shot(number(1), CLOCK.now(), 0)
+                gone(store)
+                store.outcome(number(1), outcome)
+                self.assertEqual([(call.args[0], call.args[1].id) for call in seen.mock_calls],
+                                 [("taken", "id-1"), ("shot", "id-1"), (kind, "id-1")])
+                self.assertEqual(store.out, {})
+
     def test_a_copy_counts_once_a_majority_knows_its_heir(self) -> None:
         node = self.member()
         holding = self.holding(node)
