Members change one at a time: a reload that changes more, or too early, is refused

Seen by reading: `Node.replace` took over any list. Two changes in quick succession on one member do the same to one that has followed neither.

Now: a reload that differs by more than one member, or while another one's last beat shows neither the list in use nor the next, is refused whole as CW744; a grantor refuses the asks of a member that is two or more apart (a start with another file); the rest of the table stays as it was started with, and the log says so. Beats name all members already, so nothing on the wire changes.

--- a/cedarwick/fleet/members.py
+++ b/cedarwick/fleet/members.py
@@ -123,6 +123,16 @@
         self._last = {change.name: change.now for change in found}
         return [change for change in found if change.before is not change.now]
 
+    def list_of(self, name: str) -> frozenset[str] | None:
+        """Whom another one has for members, as it told in its last beat; None where it was never heard."""
+        member = self._members.get(name)
+        return None if member is None or member.heard is None else frozenset(member.ages) | {name}
+
+    def apart(self, name: str) -> frozenset[str]:
+        """The members that another one has and I have not, or the other way round; none where it was never heard."""
+        theirs = self.list_of(name)
+        return self.names ^ theirs if theirs is not None else frozenset()
+
     def incarnation_of(self, name: str) -> int:
         """The newest boot heard of a member; 0: none."""
         if name == self.me:
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -11,6 +11,7 @@
 
 import gevent
 import gevent.event
+import msgspec
 from loguru import logger
 
 from cedarwick.config.operator import Fleet
@@ -226,8 +227,16 @@
             self.counters.trouble("the members stay as they were",
                                   NotAMember(f"fleet.member: no entry has the name of this sender, {self.name!r}"))
             return
+        try:
+            self._one_at_a_time({member.name for member in told.member})
+        except MembersApart as error:
+            self.counters.trouble("the members stay as they were", error)
+            return
         before, now = set(self.halls), boot_time()
-        self.told = told
+        kept = msgspec.structs.replace(self.told, member=told.member)
+        if kept != told:
+            logger.warning("the fleet's table is taken over at a start only, but for the members")
+        self.told = kept
         self.halls = {member.name: member.hall for member in told.member}
         self.where = {member.name: address(member.address) for member in told.member}
         self.peers.replace(self.where)
@@ -243,6 +252,16 @@
             gevent.spawn(self._beat, name)
         logger.info("members of {}: {}", told.group, ", ".join(sorted(self.halls)))
 
+    def _one_at_a_time(self, names: set[str]) -> None:
+        """`MembersApart` where majorities of a list in use and of the next one might share no member."""
+        mine = self.members.names
+        if len(mine ^ names) > 1:
+            raise MembersApart(f"the file changes {', '.join(sorted(mine ^ names))} at once")
+        # Danger: two changes in turn here are two at once for a member that has taken over neither.
+        behind = [name for name in sorted(mine) if self.members.list_of(name) not in (None, mine, frozenset(names))]
+        if mine != names and behind:
+            raise MembersApart(f"{', '.join(behind)} have not taken over the change before this one")
+
     # ---- beats ----
 
     def _beat(self, name: str) -> None:
@@ -308,6 +327,10 @@
             self._heard(sender, incarnation, body)
             return self._own_beat()
         if isinstance(body, Ask):
+            apart = self.members.apart(sender)
+            if len(apart) > 1:
+                # Danger: a majority of its list, with this member, and one of ours, without, could hold one right.
+                raise MembersApart(f"{sender!r} has another list than {self.name!r}, by {', '.join(sorted(apart))}")
             return self._answer_ask(body)
         if isinstance(body, Tables):
             return self.grantor.table()
@@ -828,3 +851,9 @@
     code = "CW743"
     remedy = "give the sender an entry in `[[fleet.member]]` under the name that the platform's configuration has"
 
+
+class MembersApart(Trouble):
+    """Two lists of members differ by more than one, so a majority of each could grant one right twice."""
+
+    code = "CW744"
+    remedy = "change one member at a time: in all files, SIGHUP to all senders, then the next one"
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -15,9 +15,9 @@
 from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, decode_facts, encode_facts
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
 from cedarwick.fleet.members import Standing
-from cedarwick.fleet.messages import Beat, Body, Grant, Offer, Piece, Table, Taken, Told, digest_of
+from cedarwick.fleet.messages import Ask, Beat, Body, Grant, Offer, Piece, Table, Taken, Told, digest_of
 from cedarwick.fleet.messages import Held as Right
-from cedarwick.fleet.node import Node
+from cedarwick.fleet.node import MembersApart, Node
 from cedarwick.fleet.shipping import EVERYTHING
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -166,6 +166,31 @@
         assert node.ownership is not None
         self.assertIn("d", node.ownership.names)
 
+    def test_members_change_one_at_a_time_and_not_before_the_others_have_followed(self) -> None:
+        node = self.member()
+
+        def reload(*names: str) -> set[str]:
+            node.replace(msgspec.structs.replace(node.told, ack="own", member=[
+                Member(name=name, address=f"127.0.0.1:{index + 1}", hall=name) for index, name in enumerate(names)]))
+            return set(node.halls)
+
+        def ask(heard: str) -> None:
+            node._heard("b", 7, Beat(False, dict.fromkeys(heard, 0)))
+            node._answer("b", 7, Ask(right_of(BOOK), 1, "b", SPAN))
+
+        with mock.patch("cedarwick.fleet.node.gevent.spawn"):
+            self.assertEqual(reload("a", "b", "c", "d", "e"), {"a", "b", "c"})  # {a, b} and {c, d, e}: two majorities
+            self.assertEqual(reload("a", "b", "d"), {"a", "b", "c"})
+            ask("ac")
+            self.assertEqual(reload("a", "b", "c", "d"), {"a", "b", "c", "d"})
+            self.assertEqual(reload("a", "b", "c", "d", "e"), {"a", "b", "c", "d"})  # b knows nothing of d yet
+            ask("ac")
+            ask("acd")
+            self.assertEqual(reload("a", "b", "c", "d", "e"), {"a", "b", "c", "d", "e"})
+            self.assertEqual(node.told.ack, "copy")
+        with self.assertRaises(MembersApart):
+            ask("ac")
+
     def test_what_nobody_else_can_answer_is_answered_late(self) -> None:
         late, ours, others = [number(1)], True, False
         for granted, serving, offered, few, ack, answered in (
