What only this member has is not forgotten for want of room, at the end, or for a body

A book that is another's for good is given up by `_drop`; what no copy was sent goes on under new numbers in the open book (`_rekey`). Seen by reading, and in a test with a folder that takes one of three envelopes: - `_rekey` swallowed `NoRoom`, and `_drop` went on to `forget` the book: envelopes that were answered `+OK` under `ack = "own"` and lie nowhere else were struck from the folder without a final answer. - those that had found room before that one were in the folder and never told to the desk: nobody decided on them until the next restart. - in the 0.4 s of `leave()` at SIGTERM `not self.leaving` let the same book be forgotten, though the next process could have offered it. - a body that cannot be read raised `Lost` out of `look`; `program.broken` ends the process then, after each start anew. - the mark of an envelope on the move was taken away before its new record stood.

Now `rekey` yields each number as it is kept; what is left stays and is tried again at the next look (and answered when late, as before); at the end nothing is dropped; what cannot be read ends as failed. The test fails at the old code at its first assertion (`adopt` called 0 times).

--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 from typing import Any
 
@@ -372,27 +372,31 @@
                         (mine if index >= holding.sent else perhaps).append(fact.number)
         return mine, perhaps
 
-    def rekey(self, numbers: Iterable[int], failed: bool = False) -> list[int]:
+    def rekey(self, numbers: Iterable[int], failed: bool = False) -> Iterator[int]:
         """Envelopes that nobody else has become ones of the open book; their new numbers. `NoRoom` stops on the way.
 
-        `failed`: they end so, since somebody else may have had them.
+        `failed`: they end so, since somebody else may have had them. So does one whose body cannot be read.
         """
-        made = []
         for number in numbers:
             old = self.kept[number]
-            new = replace(old, number=self.next_number, home=0, at=0, weight=0, noted=[], body=self.body(number)
-                          if old.end is None else b"", end=(False, 0) if failed and old.end is None else old.end)
+            end, body = old.end, b""
+            if end is None:
+                try:
+                    end, body = ((False, 0), b"") if failed else (None, self.body(number))
+                except Lost:
+                    end = False, 0
+            new = replace(old, number=self.next_number, home=0, at=0, weight=0, noted=[], body=body, end=end)
             if not self.has_room(new):
                 raise NoRoom("an envelope cannot be taken over into the open book")
             self.next_number += 1
             if number in self.inert:
                 self.marking(self.inert | {new.number: self.inert[number]})
-                self.stage(new, *self.inert.pop(number))
+                self.stage(new, *self.inert[number])
+                del self.inert[number]  # Danger: before the new one is kept, it would be live under its old number
             else:
                 self.keep(new)
+            yield new.number
             super().over(number)
-            made.append(new.number)
-        return made
 
     def forget(self, book: int) -> None:
         """Give up what the folder has of a book that somebody else answers for; nothing is told."""
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -778,13 +778,15 @@
         holding = self.store.holdings.get(book)
         if holding is not None:
             mine, perhaps = self.store.only_here(holding) if not holding.offered else ([], [])
-            if (mine or perhaps) and not self.leaving:
-                if not self.store.taking():
-                    return  # they are moved to the open book once there is one; till then they are answered when late
+            if mine or perhaps:
+                if self.leaving or not self.store.taking():
+                    # They are moved to the open book once there is one, of the next process if need be; till then they
+                    # are answered when late.
+                    return
                 if any(self.store.kept[number].out_at for number in mine + perhaps):
                     return  # Danger: under its new number a second shot would go out beside the one that is out
-                self._rekey(mine)
-                self._rekey(perhaps, failed=True)
+                if not (self._rekey(mine) and self._rekey(perhaps, failed=True)):
+                    return  # Danger: what has found no room is nowhere else; it is tried again at the next look
         adoption = self.adoptions.pop(book)
         self.doubted.discard(book)
         if holding is not None:
@@ -807,17 +809,22 @@
         self.served.pop(book, None)
         self.claimed.pop(book, None)
 
-    def _rekey(self, numbers: list[int], failed: bool = False) -> None:
-        """Envelopes that only this member has go on in the open book."""
+    def _rekey(self, numbers: list[int], failed: bool = False) -> bool:
+        """Envelopes that only this member has go on in the open book; whether all of them do."""
         self.desk.park(numbers)
+        made: list[int] = []
         try:
-            made = self.store.rekey(numbers, failed)
-        except NoRoom as error:
+            for number in self.store.rekey(numbers, failed):
+                made.append(number)
+        except (OSError, NoRoom) as error:
             self.counters.trouble("envelopes cannot be taken over into the open book", error)
-            return
-        if made:
-            logger.info("{} envelopes go on in book {}", len(made), made[0] >> 32)
-            self.desk.adopt(made)
+            return False
+        finally:
+            # Danger: those that found room before one that did not are nobody's else.
+            if made:
+                logger.info("{} envelopes go on in book {}", len(made), made[0] >> 32)
+                self.desk.adopt(made)
+        return True
 
     def _answer_late(self, now: int, few: bool) -> None:
         """Without a majority nobody can be asked who has the right: what ends is answered, as one that may have run.
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -22,7 +22,7 @@
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.notices import Notices
-from cedarwick.store.journal import NoRoom
+from cedarwick.store.journal import Lost, NoRoom
 from cedarwick.store.records import Kept
 from tests.build import free_port
 
@@ -273,6 +273,40 @@
             rekey.assert_not_called()
             self.assertIn(BOOK, node.adoptions)
 
+    def test_what_only_this_member_has_is_never_forgotten_for_want_of_room_or_at_the_end(self) -> None:
+        node = self.member("own")
+        holding = self.holding(node)
+        holding.serving, node.store.current = True, holding
+        holding.adoption.holder.name(boot_time(), ())
+        for index in (1, 2, 3):
+            node.store.keep(kept(index))
+        node.store.body = lambda number: b"" if number % 4 != 3 else self.fail_to_read()  # type: ignore[method-assign]
+        opened = Adoption(BOOK + 1, "a", NAMES, resume=True)
+        node.adoptions[BOOK + 1] = opened
+        fresh = node._hold(BOOK + 1)
+        fresh.serving, opened.holder.may_fire = True, lambda now: True  # type: ignore[method-assign]
+        node.store.current, node.store.next_number, fresh.reserved = fresh, (BOOK + 1 << 32) + 1, (BOOK + 1 << 32) + 99
+        keep = node.store.keep
+        with mock.patch.object(node.store, "keep") as full:
+            full.side_effect = lambda each: keep(each) if full.call_count == 1 else self.fail_to_write()
+            node._drop(BOOK)
+        node.desk.adopt.assert_called_once_with([(BOOK + 1 << 32) + 1])  # type: ignore[attr-defined]
+        self.assertEqual(node.store.numbers(BOOK), [number(2), number(3)])
+        node.leaving = True
+        node._drop(BOOK)
+        self.assertEqual(node.store.numbers(BOOK), [number(2), number(3)])
+        node.leaving = False
+        node._drop(BOOK)
+        self.assertNotIn(BOOK, node.adoptions)
+        ends = {each.id: each.end for each in node.store.kept.values()}
+        self.assertEqual(ends, {"id-1": None, "id-2": None, "id-3": (False, 0)})  # the third could not be read
+
+    def fail_to_read(self) -> bytes:
+        raise Lost("cut")
+
+    def fail_to_write(self) -> None:
+        raise NoRoom("full")
+
     def test_a_copy_counts_once_a_majority_knows_its_heir(self) -> None:
         node = self.member()
         holding = self.holding(node)
