One book that cannot be written or read holds up no other: each part of a look is guarded

`Node.look` went through all books in one go, and an error of one ended the look: an OSError (a full disk as an adopted book is written down in `fleet/held`, or a mark in `fleet/moves`) came again at each look, 50 times a second, so the books behind it were never renewed and were lost to their heirs, sessions stood still, and `_answer_late` never ran: what was near its outer limit got no answer. Any other error ended the process by `program.broken`, and again after each start with the same folder.

Each part of the look, and each book, is guarded now, as the desk's rounds are. A book that fails is not renewed (its ask comes after what failed), so somebody else may adopt it. The test sets an OSError and a ValueError before a third book; at the old code the look raises.

--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Protocol
 
 import gevent
@@ -188,10 +188,7 @@
     def run(self) -> None:
         """Never returns: looks at everything, again and again."""
         while True:
-            try:
-                self.look(boot_time())
-            except (OSError, NoRoom) as error:
-                self.counters.trouble("the fleet's folder cannot be used", error)
+            self.look(boot_time())
             gevent.sleep(TURN)
 
     def leave(self) -> None:
@@ -391,18 +388,28 @@
         self.alive = [name for name in self.halls if self.members.state(now, name) is Standing.ALIVE]
         # Counted from the look that saw it: a process that slept has heard nobody, and is answered in a moment.
         self.few_since = 0 if len(self.alive) >= self.members.majority else self.few_since or now
-        self.sharing.look(now, self.alive, self.members.majority)
-        self.exchange.look(now, self.alive, self.members.majority)
-        self._learn(now)
-        self._own(now)
-        for book in list(self.adoptions):
-            self._look_at(now, self.adoptions[book])
+        few = self.few_since > 0 and now - self.few_since >= ALONE
+        self._guarded(self.sharing.look, now, self.alive, self.members.majority)
+        self._guarded(self.exchange.look, now, self.alive, self.members.majority)
+        self._guarded(self._learn, now)
+        self._guarded(self._own, now)
+        for adoption in list(self.adoptions.values()):
+            self._guarded(self._look_at, now, adoption)
         if self.traffic is not None:
-            self.traffic.look(now)
-        self.copies.step()
+            self._guarded(self.traffic.look, now)
+        self._guarded(self.copies.step)
         if time.monotonic() - self.looked_late >= LOOK_LATE:
             self.looked_late = time.monotonic()
-            self._answer_late(now, self.few_since > 0 and now - self.few_since >= ALONE)
+            self._guarded(self._answer_late, now, few)
+
+    def _guarded(self, call: Callable[..., object], *told: object) -> None:
+        """Danger: one book that cannot be written would keep all others from being renewed, and from their answers."""
+        try:
+            call(*told)
+        except (OSError, NoRoom) as error:
+            self.counters.trouble("the fleet's folder cannot be used", error)
+        except Exception:  # the process would end, and again after each start for as long as the folder is the same
+            self.counters.failed(f"the fleet failed in {call.__name__}")
 
     def _learn(self, now: int) -> None:
         for name in self.grantor.wants(now):
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -10,7 +10,7 @@
 
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.fleet import node as module
-from cedarwick.fleet.adoption import Adoption, Stage
+from cedarwick.fleet.adoption import NOTHING, Adoption, Stage
 from cedarwick.fleet.book import Holding, Shared, boot_time
 from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, decode_facts, encode_facts
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
@@ -307,6 +307,18 @@
     def fail_to_write(self) -> None:
         raise NoRoom("full")
 
+    def test_a_book_that_cannot_be_looked_at_holds_up_neither_the_others_nor_the_late_answers(self) -> None:
+        node = self.member()
+        node.ownership = mock.Mock(**{"step.return_value": None})
+        for index, error in enumerate((OSError("full"), ValueError("spoilt"), None)):
+            adoption = node.adoptions[BOOK + index] = Adoption(BOOK + index, "a", NAMES)
+            adoption.step = mock.Mock(side_effect=error, return_value=NOTHING)  # type: ignore[method-assign]
+        with mock.patch.object(node, "_answer_late") as late:
+            node.look(boot_time())
+            late.assert_called_once()
+        for adoption in node.adoptions.values():
+            adoption.step.assert_called_once()  # type: ignore[attr-defined]
+
     def test_a_copy_counts_once_a_majority_knows_its_heir(self) -> None:
         node = self.member()
         holding = self.holding(node)
