A vote on a move that could not be written is not granted when it is asked again

`Transfers.vote` abstained where its row could not be written (a full disk), but the acceptor had changed its row in memory. A proposer asks the silent once more after 100 ms: the same question changes nothing, so there was nothing to write, and the vote was granted with nothing on the disk. After a restart the member votes on the same move again, and one decree can have two values: both the giver's and the taker's envelopes are live. Measured in a test with a file that refuses: of promise, promise again, accept, accept again the answers were refused, granted, refused, granted.

Moves with a vote that is not on the disk are remembered, and written before the next answer; until then the member abstains.

--- a/cedarwick/fleet/transfers.py
+++ b/cedarwick/fleet/transfers.py
@@ -97,6 +97,7 @@
         self.clock = node.clock
         table = self.files.decrees()
         self.acceptor = Acceptor(boot_time(), table is None, table)
+        self.unwritten: set[str] = set()  # moves with a vote of this member that is not on the disk
         self.stamp = node.incarnation  # of the next move
         self.acceptor.learned(self.name, self.stamp)
         self.files.write_decrees(self.acceptor.table())
@@ -455,8 +456,13 @@
         now = boot_time()
         answer = (self.acceptor.prepare(move, ballot, now) if value is None
                   else self.acceptor.accept(move, ballot, value, now))
-        if answer.write is not None and not self._guarded(self.files.add_decree, answer.write):
-            return ABSTAINS
+        row = answer.write or (self.acceptor.rows[move] if move in self.unwritten else None)
+        if row is not None:
+            # Danger: the same question asked again changes nothing, and would be granted with nothing on the disk.
+            self.unwritten.add(move)
+            if not self._guarded(self.files.add_decree, row):
+                return ABSTAINS
+            self.unwritten.discard(move)
         return answer
 
     def _ask(self, ask: Ask) -> None:
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -230,6 +230,16 @@
         late = b.heard("a", 1, Stage("8/a/b", KEY, 2, b"", 0x2D06800538D394C2))
         self.assertEqual((isinstance(late, Staged) and late.kept, b.store.kept), (False, {}))
 
+    def test_a_vote_that_was_not_written_is_not_granted_when_it_is_asked_again(self) -> None:
+        transfers, move = self.traffic["b"].transfers, name_move(self.traffic["a"].transfers.stamp, "a", "b")
+        with mock.patch.object(transfers.files, "add_decree", side_effect=OSError("full")):
+            asked = [transfers.vote(move, (2, "c#1"), value) for value in (None, None, "off", "off")]
+        self.assertEqual([each.granted for each in asked], [False] * 4)
+        self.assertTrue(transfers.vote(move, (2, "c#1"), "off").granted)
+        table = transfers.files.decrees()
+        assert table is not None
+        self.assertEqual([(row.move, row.value) for row in table.rows], [(move, "off")])
+
     def test_who_is_cut_off_takes_nothing_of_its_sessions(self) -> None:
         a = self.traffic["a"]
         a.hand_in(envelope("1"))
