Small files of the fleet longer than a record are read again, and decrees row by row

`Lasting.write` put everything into one frame, and frames over 1 MiB (`records.LONGEST`) count as damage when they are read: the write succeeded, the next start said CW740 and took the file for gone.

A long payload goes into several frames now, a file that holds one is read as before; the table of decrees is its floors and a frame for each row, which is how later rows were appended all along. At the old code the test reads {} instead of 40,000 marks. Reading is bounded at 64 MiB instead of 4.

--- a/cedarwick/fleet/lasting.py
+++ b/cedarwick/fleet/lasting.py
@@ -1,10 +1,11 @@
 """The small files of `$RELAY_STATE/fleet`: what this member has granted, and the books that it holds.
 
-Each is one frame of the folder's (`store/records.py`) around MessagePack, replaced whole: a crash leaves the old one or
-the new one. Copies of other members' books lie beside them, in `copies/` (`copies.py`).
+Each is MessagePack in frames of the folder's (`store/records.py`), one unless it is long, and replaced whole: a crash
+leaves the old one or the new one. Copies of other members' books lie beside them, in `copies/` (`copies.py`).
 """
 
 import os
+from collections.abc import Iterable
 
 import msgspec
 from loguru import logger
@@ -12,7 +13,7 @@
 from cedarwick.errors import Trouble
 from cedarwick.fleet.marks import Saved
 from cedarwick.fleet.messages import Table
-from cedarwick.store.records import Damage, framed, scan
+from cedarwick.store.records import LONGEST, Damage, framed, scan
 
 FOLDER = "fleet"
 COPIES = "copies"
@@ -20,7 +21,7 @@
 HELD = "held"
 BOOT = "boot"
 MARKS = "marks"
-LARGEST = 1 << 22
+LARGEST = 1 << 26  # bytes of a file that are read
 
 
 class FleetFileSpoilt(Trouble):
@@ -110,22 +111,33 @@
         return incarnation
 
     def read(self, name: str) -> bytes | None:
-        """What the file's one frame holds; None where there is no such file, or no good frame."""
+        """What the file's frames hold together; None where there is no such file, or anything but good frames."""
         path = os.path.join(self.path, name)
         try:
             with open(path, "rb") as file:
                 data = file.read(LARGEST + 1)
         except FileNotFoundError:
             return None
-        found = list(scan(data, 0, whole=True))
-        if len(found) != 1 or isinstance(found[0], Damage):
-            logger.error(FleetFileSpoilt(f"{path}: {len(data)} bytes that are not one whole record").line)
+        payloads = []
+        for found in scan(data, 0, whole=True):
+            if isinstance(found, Damage):
+                payloads.clear()
+                break
+            payloads.append(found.payload)
+        if not payloads:
+            logger.error(FleetFileSpoilt(f"{path}: {len(data)} bytes that are not whole records").line)
             return None
-        return found[0].payload
+        return b"".join(payloads)
 
     def write(self, name: str, payload: bytes) -> None:
-        """Replace a file by one with one frame."""
+        """Replace a file."""
+        # Danger: a longer frame is written without a word, and counts as damage when it is read.
+        self.replace(name, (payload[at:at + LONGEST] for at in range(0, len(payload), LONGEST)))
+
+    def replace(self, name: str, payloads: Iterable[bytes]) -> None:
+        """Replace a file by these frames."""
         path = os.path.join(self.path, name)
         with open(f"{path}.new", "wb") as file:
-            file.write(framed(payload))
+            for payload in payloads:
+                file.write(framed(payload))
         os.replace(f"{path}.new", path)
--- a/cedarwick/fleet/session_files.py
+++ b/cedarwick/fleet/session_files.py
@@ -97,7 +97,8 @@
             return None
 
     def write_decrees(self, table: Decrees) -> None:
-        self.lasting.write(DECREES, ENCODER.encode(table))
+        rows = (ENCODER.encode(row) for row in table.rows)
+        self.lasting.replace(DECREES, [ENCODER.encode(Decrees([], table.floors)), *rows])
 
     def add_decree(self, row: Row) -> None:
         """One row, behind the table that was written whole at the start."""
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -12,7 +12,7 @@
 
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.fleet.book import Holding, Shared, boot_time
-from cedarwick.fleet.decrees import Acceptor, name_move
+from cedarwick.fleet.decrees import Acceptor, Row, Table, name_move
 from cedarwick.fleet.facts import Ledger
 from cedarwick.fleet.lasting import Lasting
 from cedarwick.fleet.link import Unreachable
@@ -233,8 +233,9 @@
     def test_a_vote_that_was_not_written_is_not_granted_when_it_is_asked_again(self) -> None:
         transfers, move = self.traffic["b"].transfers, name_move(self.traffic["a"].transfers.stamp, "a", "b")
         with mock.patch.object(transfers.files, "add_decree", side_effect=OSError("full")):
-            asked = [transfers.vote(move, (2, "c#1"), value) for value in (None, None, "off", "off")]
-        self.assertEqual([each.granted for each in asked], [False] * 4)
+            asked = [transfers.vote(move, (2, "c#1"), None).granted for _ in range(2)]
+            asked += [transfers.vote(move, (2, "c#1"), "off").granted for _ in range(2)]
+        self.assertEqual(asked, [False] * 4)
         self.assertTrue(transfers.vote(move, (2, "c#1"), "off").granted)
         table = transfers.files.decrees()
         assert table is not None
@@ -269,6 +270,17 @@
         self.assertIsNone(SessionFiles(Lasting(folder)).decrees())
 
 
+    def test_files_longer_than_a_record_are_read_again(self) -> None:
+        files = SessionFiles(Lasting(self.enterContext(tempfile.TemporaryDirectory())))
+        marks = {number: (1, "<1790000000000000/n0/n1") for number in range(40_000)}  # as many as 20 long sessions have
+        files.write_inert(marks)
+        self.assertEqual(files.inert(), marks)
+        rows = [Row(f"{stamp}/n0/n1", (2, "n0#1790000000000000"), (1, "n1"), "taker", True) for stamp in range(20_000)]
+        files.write_decrees(Table(rows, {"n0": 7}))
+        files.add_decree(Row("20001/n0/n1"))
+        self.assertEqual(files.decrees(), Table([*rows, Row("20001/n0/n1")], {"n0": 7}))
+
+
 class Frozen(test_net.AtTheDesk):
     """The desk's side; what the base class tests holds as before."""
 
