What waits for a first grant, or for one after a restart, gets its answer in time

A sender of which a fleet's member is made keeps what it owed in book 0, and takes it over into its first book once that is granted. The takeover was also tried once only, as the book began to be served: what found no room then stayed for ever. Likewise a restarted owner whose members live and grant nothing (their `grants` cannot be written, or they learn): `_answer_late` asked for a book that was held (stage "holding"), and this one is "asking".

Now each late look takes over what it can, tells notices owed, and ends what is within 300 ms of its limit as failed; a book that lies here, is asked for and is known to be nobody's after this sender counts as unheld after 1 s. Who has heard of a newer holder answers nothing, as before. Both tests fail at the old code (no call of `answer_late`).

--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -639,8 +639,6 @@
         holding.serving = may
         numbers = self.store.numbers(holding.book)
         if may:
-            if holding is self.store.current and (before := self.store.numbers(0)):
-                self._rekey(before)
             logger.info("book {}: fired for from now on, {} envelopes, heirs {}", holding.book, len(numbers),
                         ", ".join(holder.heirs[1:]) or "none")
             self.desk.adopt(numbers)
@@ -841,11 +839,14 @@
         beside it would be a second, and perhaps another one.
         """
         soon = self.clock.now() + LATE
+        self._before_the_fleet(soon)
         for holding in list(self.store.holdings.values()):
             stage = holding.adoption.stage
             held = stage is Stage.HOLDING and holding.imported
             ours = held and holding.adoption.holder.may_fire(now)
-            holding.unheld_since = (holding.unheld_since or now) if held and not ours else 0
+            # Danger: after a restart a book that no majority grants to anybody would end unanswered.
+            unheld = held and not ours or self._nobodys(holding.adoption)
+            holding.unheld_since = (holding.unheld_since or now) if unheld else 0
             if holding.serving or stage is Stage.OFFERING or self.leaving:
                 continue
             # No majority has answered for so long, though its members may be heard.
@@ -859,6 +860,24 @@
                 self.desk.answer_late(late)
 
 
+    def _nobodys(self, adoption: Adoption) -> bool:
+        """Whether a book that lies here is asked for, or to be, and nobody else is known to have had it after us."""
+        grant = self.grantor.grant(right_of(adoption.book))
+        _, holder = max((grant.term, grant.holder), adoption.holder.newer)
+        return adoption.stage in (Stage.FOLLOWING, Stage.WAITING, Stage.ASKING) and holder in ("", self.name)
+
+    def _before_the_fleet(self, soon: int) -> None:
+        """Envelopes that were taken before this sender was a member: nobody else has heard of them."""
+        numbers = self.store.numbers(0)
+        owed = [number for number in numbers if self.store.kept[number].end is None]
+        if owed and self.store.taking():
+            self._rekey(owed)
+        late = [number for number in numbers if number in self.store.kept
+                and (number not in owed or self.store.kept[number].outer_limit <= soon)]
+        if late:
+            self.desk.answer_late(late)
+
+
 class NotAMember(Trouble):
     """The operator file has a fleet of which this sender is no member."""
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -2,6 +2,7 @@
 
 import tempfile
 import unittest
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
@@ -22,7 +23,7 @@
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.notices import Notices
-from cedarwick.store.journal import Lost, NoRoom
+from cedarwick.store.journal import Lost, NoRoom, Store
 from cedarwick.store.records import Kept
 from tests.build import free_port
 
@@ -222,6 +223,34 @@
             node._answer_late(2_000_000_000, few=False)
         self.assertEqual(holding.unheld_since, 0)  # what follows is another loss
 
+    def test_a_book_that_is_asked_for_in_vain_after_a_restart_is_answered_in_time(self) -> None:
+        for newer, calls in (((0, ""), 1), ((1, "a"), 1), ((2, "b"), 0)):
+            node = self.member()
+            adoption = self.holding(node, granted=False).adoption
+            adoption.stage, adoption.holder.newer = Stage.ASKING, newer
+            node.store.keep(kept(1, life=100_000))
+            for after in (0, module.ALONE):
+                node._answer_late(1_000_000_000 + after, few=False)
+            self.assertEqual(len(node.desk.answer_late.mock_calls), calls)  # type: ignore[attr-defined]
+
+    def test_what_was_taken_before_the_fleet_goes_on_in_the_first_book_or_is_answered_in_time(self) -> None:
+        node = self.member()
+        node.ownership = mock.Mock(**{"step.return_value": None})
+        desk: Any = node.desk
+        for index, life in ((1, 100_000), (2, 60_000_000), (3, 60_000_000)):
+            Store.keep(node.store, replace(kept(index, life), number=index))
+        Store.ended(node.store, 3, True, 0)
+        node.look(boot_time())
+        desk.answer_late.assert_called_once_with([1, 3])  # no majority grants a book: one ends, one has its notice owed
+        holding = self.holding(node)
+        holding.serving, node.store.current = True, holding
+        node.store.next_number, holding.reserved = number(1), number(9)
+        with mock.patch.object(node.store, "has_room", side_effect=[True, False, True]):
+            for left in ([2, 3], [3]):
+                node._answer_late(boot_time(), few=False)
+                self.assertEqual(node.store.numbers(0), left)
+        self.assertEqual(desk.adopt.mock_calls, [mock.call([number(index)]) for index in (1, 2)])
+
     def test_who_asked_in_vain_gives_its_own_promise_back(self) -> None:
         node = self.member()
         node.grantor = Grantor("a", NAMES, 0, ())
