By copy, an heir is named only once it has all that came before it was waited for

A copy counted as whole, and was named, with records of the log still on their way to it (`place` within the window). From the naming on new records wait for it; those before had been answered on the word of the heirs before it alone. It happens where the place of a copy changes: a member comes back and is preferred, one refuses for want of room, a sender that went on alone counts on copies again.

Now a whole copy is waited for first (`Holding.joining`, counted among `heirs_of`), the index is noted, and it is named once it has acknowledged that; one that has not within 0.5 s is no place for a copy for 10 s. A sender that went on alone stops being "starving" as it begins to wait, before it was not served for a look or more if anything was on its way just then. Ruled out: to name both sets at once, either could be granted the book. The test fails at the old code ('b' bound at once with one record missing).

--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -65,6 +65,8 @@
         self.begun_at = 0  # when its log began: its copies have some time until it goes on without them
         self.imported = False  # its envelopes are in the folder, the ledger knows them
         self.serving = False  # the desk fires for it
+        # Copies that are to be heirs: once they have all below an index, and since when that is so.
+        self.joining: dict[str, tuple[int, int]] = {}
         self.starved_at = 0  # since when its copies do not follow, by the boot clock; 0: they do
         self.alone_since = 0  # it goes on without copies
         self.reserved = 0  # numbers below this one are written down as given
@@ -198,7 +200,7 @@
 
     def heirs_of(self, holding: Holding) -> frozenset[str]:
         """The copies that must have a record before it counts as told."""
-        return holding.adoption.holder.bound - {holding.adoption.me}
+        return (holding.adoption.holder.bound | holding.joining.keys()) - {holding.adoption.me}
 
     def _wait(self, until: float) -> bool:
         left = until - time.monotonic()
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -652,15 +652,37 @@
         holder = holding.adoption.holder
         wanted = self._wanted(holding)
         whole = self._whole(now, holding, wanted)
+        if holding.starving(now) and self.told.alone == "own" and not self._back(now, holding, whole):
+            holder.name(now, ())
+            holding.joining = {}
+            return
+        if self.store.by_copy:
+            whole = self._joined(now, holding, whole)
         old = [name for name in holder.heirs[1:] if name in holding.log.followers and name not in wanted]
         if len(whole) < len(wanted):
             whole += [name for name in self._whole(now, holding, old) if name not in whole]
-        if holding.starving(now) and self.told.alone == "own" and not self._back(now, holding, whole):
-            whole = []
-        elif self.store.by_copy and not whole and holder.heirs[1:] and self.told.alone == "busy":
+        if self.store.by_copy and not whole and holder.heirs[1:] and self.told.alone == "busy":
             return  # Danger: without an heir, what was promised to be on two folders would be on one
         holder.name(now, placement.order(holding.book, self.name, self.halls, whole))
 
+    def _joined(self, now: int, holding: Holding, whole: list[str]) -> list[str]:
+        """Those of some whole copies that are heirs, or may be named for ones.
+
+        Danger: an heir that was named with records on their way to it would go on without them, shots among them, if
+        this sender died in that moment. So what comes waits for it first, and it is named once it has what came before.
+        """
+        bound, log = holding.adoption.holder.bound, holding.log
+        joining = {name: holding.joining.get(name, (log.next, now)) for name in whole if name not in bound}
+        for name, (index, since) in joining.items():
+            if log.acked([name]) < index and now - since > STARVED:
+                self.full_at[name] = now  # it does not keep up: another one is asked
+        if joining.keys() - holding.joining.keys() and holding.alone_since:
+            logger.info("book {}: copies follow again", holding.book)
+            holding.starved_at = holding.alone_since = 0
+        holding.joining = {name: each for name, each in joining.items() if self.full_at.get(name) != now}
+        return [name for name in whole if name in bound
+                or name in holding.joining and log.acked([name]) >= holding.joining[name][0]]
+
     def _starved(self, holding: Holding) -> None:
         """A copy has not taken a record in time."""
         if not holding.starved_at:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -12,14 +12,14 @@
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.fleet import node as module
 from cedarwick.fleet.adoption import NOTHING, Adoption, Stage
-from cedarwick.fleet.book import Holding, Shared, boot_time
+from cedarwick.fleet.book import STARVED, Holding, Shared, boot_time
 from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, decode_facts, encode_facts
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
 from cedarwick.fleet.members import Standing
 from cedarwick.fleet.messages import Ask, Beat, Body, Grant, Offer, Piece, Table, Taken, Told, digest_of
 from cedarwick.fleet.messages import Held as Right
 from cedarwick.fleet.node import MembersApart, Node
-from cedarwick.fleet.shipping import EVERYTHING
+from cedarwick.fleet.shipping import EVERYTHING, Place
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.notices import Notices
@@ -354,6 +354,36 @@
         holding.adoption.holder.name(boot_time(), ["b"])
         self.assertFalse(node._copied(boot_time(), holding))
 
+    def test_a_copy_becomes_an_heir_once_it_has_all_that_came_before_it_was_waited_for(self) -> None:
+        node = self.member()
+        holding = self.holding(node)
+        holding.serving, node.store.current = True, holding
+        node.alive = list(NAMES)
+        name, other = node._wanted(holding)[0], ({"b", "c"} - set(node._wanted(holding))).pop()
+        follower = holding.log.follow(name, boot_time())
+        for index in (1, 2, 3):
+            node.store.keep(kept(index))
+            if index == 2:
+                follower.place = Place(1, 1, EVERYTHING)  # whole, with a record on its way
+                node._name_heirs(boot_time(), holding)
+            # Danger: named now, and granted the next term in a moment, it would know nothing of the second.
+            self.assertNotIn(name, holding.adoption.holder.bound)
+            self.assertEqual(node.store.heirs_of(holding), {name} if index > 1 else set())
+        follower.place = Place(1, 2, EVERYTHING)
+        node._name_heirs(boot_time(), holding)
+        self.assertIn(name, holding.adoption.holder.bound)  # the third waits for it already
+        node = self.member()
+        holding = self.holding(node)
+        node.alive = list(NAMES)
+        holding.log.follow(name, boot_time()).place = Place(1, 0, EVERYTHING)
+        node.store.keep(kept(1))
+        now = boot_time()
+        node._name_heirs(now, holding)
+        node._name_heirs(now + STARVED + 1, holding)
+        self.assertEqual(node.store.heirs_of(holding), set())  # it does not keep up
+        node.full_at = {each: boot_time() for each in node.full_at}
+        self.assertEqual(node._wanted(holding), [other])
+
     def test_an_owner_that_was_started_again_offers_what_lies_in_its_folder(self) -> None:
         node = self.member("own")
         self.holding(node)
