What a holder under `ack = "own"` leaves is in doubt, also where the adopter has "copy"

The adopter decided by its own file whether a copy may lack shots.

Pieces say whether the holder answers for what no copy has yet (a field at the end, with a default: an older member reads and sends letters as before), the copy's file keeps it, and the adopter doubts where either file says "own". With the adopter's own word alone the test gets doubts [0, 0] for [77, 77].

--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -293,6 +293,7 @@
     def begin_log(self, holding: Holding, term: int) -> None:
         """Ship the book under a term from now on."""
         holding.log = Log(holding.book, term, lambda number: holding.read(self, number), sorted(holding.ledger.known))
+        holding.log.behind = not self.by_copy
         holding.begun_at = boot_time()
         holding.sent = 0
 
--- a/cedarwick/fleet/messages.py
+++ b/cedarwick/fleet/messages.py
@@ -143,6 +143,7 @@
     facts: Bulk
     next: Count
     digest: Count
+    behind: bool = False  # the holder answers for what no copy has yet
 
 
 class Have(Message, frozen=True):
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -571,7 +571,8 @@
                     # Danger: a copy that follows behind may lack a shot; what it holds may have run, since the last
                     # shot that it was told of: they are told in their order.
                     heard = (head.at for fact in replica.held.values() for head in fact.known.heads.values())
-                    doubt_at = 0 if self.told.ack == "copy" else max(heard, default=1)
+                    behind = self.told.ack == "own" or replica.behind  # its holder may have been started before us
+                    doubt_at = max(heard, default=1) if behind else 0
                     mine, perhaps = self.store.only_here(holding) if not holding.offered else ([], [])
                     facts = list(replica.held.values())
                     late = self.clock.now() + LATE
--- a/cedarwick/fleet/shipping.py
+++ b/cedarwick/fleet/shipping.py
@@ -98,6 +98,7 @@
         self.oldest = 0  # the index of the window's first
         self.bytes = 0  # of the window
         self.told = 0  # bytes appended ever
+        self.behind = False  # nothing that is answered waits for a copy
         self.followers: dict[str, Follower] = {}
 
     @property
@@ -169,7 +170,7 @@
             taken.append(data)
             last = number
         facts = together(taken)
-        return Piece(self.book, self.term, after, upto, facts, self.next, digest(facts))
+        return Piece(self.book, self.term, after, upto, facts, self.next, digest(facts), self.behind)
 
     def spans(self, after: int) -> tuple[Span, ...]:
         """Ranges from a number on, with what they hold; the last one of all ends at `EVERYTHING`."""
@@ -373,6 +374,7 @@
     after: int  # what is held in this range and not among the facts is over; an empty range: the tail
     upto: int
     facts: bytes
+    behind: bool = False  # as in `Piece`
 
 
 class Step(NamedTuple):
@@ -391,6 +393,7 @@
         self.place = Place(0, 0, 0)
         self.held: dict[int, Fact] = {}  # what is owed, with bases
         self.live = 0  # about the bytes of that
+        self.behind = False  # its holder has answered for more than it was told
 
     @property
     def whole(self) -> bool:
@@ -411,7 +414,7 @@
         if not fresh:
             return Step(self.have())
         data = message.facts if len(fresh) == len(read) else encode_facts(fresh)
-        return self._step(place._replace(next=place.next + len(fresh)), 0, 0, data, fresh)
+        return self._step(place._replace(next=place.next + len(fresh)), 0, 0, data, fresh, self.behind)
 
     def piece(self, message: Piece) -> Step:
         """All that is owed in a range."""
@@ -426,7 +429,8 @@
             return self._no(read)
         covered = message.upto if jumps else max(place.covered, message.upto)
         index = message.next if jumps else place.next
-        return self._step(Place(message.term, index, covered), message.after, message.upto, message.facts, read)
+        return self._step(Place(message.term, index, covered), message.after, message.upto, message.facts, read,
+                          message.behind)
 
     def digests(self, message: Digests) -> Digests:
         """The copy's own ranges, where it is at the same place."""
@@ -456,7 +460,7 @@
             if not over(joined.known):
                 self.held[fact.number] = joined
                 self.live += weight(joined)
-        self.place = Place(entry.term, entry.next, entry.covered)
+        self.place, self.behind = Place(entry.term, entry.next, entry.covered), entry.behind
 
     def doubt(self, since: int) -> None:
         """A part of its file is lost: news may be missing from a wall time on, and it must be walked anew."""
@@ -473,7 +477,7 @@
                 break
             taken.append(self.held[number])
             left -= weight(taken[-1])
-        return Entry(*self.place, after, upto, encode_facts(taken))
+        return Entry(*self.place, after, upto, encode_facts(taken), self.behind)
 
     def _drop(self, number: int) -> None:
         before = self.held.pop(number, None)
@@ -483,8 +487,8 @@
     def _no(self, problem: str) -> Step:
         return Step(self.have(problem))
 
-    def _step(self, place: Place, after: int, upto: int, data: bytes, facts: list[Fact]) -> Step:
-        entry = Entry(*place, after, upto, data)
+    def _step(self, place: Place, after: int, upto: int, data: bytes, facts: list[Fact], behind: bool) -> Step:
+        entry = Entry(*place, after, upto, data, behind)
         return Step(Have(self.book, place.term, place.next, NO_PROBLEM, place.covered), entry, facts)
 
     def _read(self, message: Facts | Piece, after: int, upto: int) -> list[Fact] | str:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -16,7 +16,7 @@
 from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, decode_facts, encode_facts
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
 from cedarwick.fleet.members import Standing
-from cedarwick.fleet.messages import Ask, Beat, Body, Grant, Offer, Piece, Table, Taken, Told, digest_of
+from cedarwick.fleet.messages import Ask, Beat, Body, Facts, Grant, Offer, Piece, Table, Taken, Told, digest_of
 from cedarwick.fleet.messages import Held as Right
 from cedarwick.fleet.node import MembersApart, Node
 from cedarwick.fleet.shipping import EVERYTHING, Place
@@ -408,15 +408,20 @@
         self.assertEqual((offer.term, adoption.stage), (1, Stage.GONE))
 
     def test_a_copy_that_followed_behind_is_in_doubt_since_the_last_shot_it_heard_of(self) -> None:
-        node = self.member("own")
-        adoption = node.adoptions[BOOK] = Adoption(BOOK, "a", NAMES)
         shot = Fact(number(1), fact(1).base, Known({1: Head(1, True, 77, 0)}))
-        data = encode_facts([shot, fact(2)])
-        node.copies.piece(Piece(BOOK, 1, 0, EVERYTHING, data, 0, digest_of(data)))
-        adoption.holder.term = 2
-        with mock.patch("cedarwick.fleet.node.gevent.spawn"):
-            node._import(boot_time(), adoption)
-        self.assertEqual([node.store.kept[number(index)].doubt_at for index in (1, 2)], [77, 77])
+        for ack, behind, doubt in (("own", True, 77), ("copy", True, 77), ("own", False, 77), ("copy", False, 0)):
+            node = self.member(ack)
+            adoption = node.adoptions[BOOK] = Adoption(BOOK, "a", NAMES)
+            data, tail = encode_facts([shot]), encode_facts([fact(2)])
+            node.copies.piece(Piece(BOOK, 1, 0, EVERYTHING, data, 0, digest_of(data), behind))
+            node.copies.facts(Facts(BOOK, 1, 0, tail, digest_of(tail)))
+            node.copies.close()
+            node.copies.load()  # the file tells it as well
+            adoption.holder.term = 2
+            with mock.patch("cedarwick.fleet.node.gevent.spawn"):
+                node._import(boot_time(), adoption)
+            self.assertEqual([node.store.kept[number(index)].doubt_at for index in (1, 2)], [doubt, doubt])
+            self.assertEqual(node.store.holdings[BOOK].log.piece(0, EVERYTHING).behind, ack == "own")
 
     def test_an_owner_that_comes_back_after_others_waits_for_what_they_may_offer(self) -> None:
         for term, from_term in ((2, 0), (3, 1)):
