Terms, sets, sequences and stamps of letters have bounds; so has a fact's destination

A count in a letter may have 64 bits, and each member goes one beyond what it hears: one spoilt `Told` or `Ask` (they carry no digest) with a term near 2^64 makes the next ask 2^64, which is put into the grantor's table before it is written; from then on `write_table` raises OverflowError, and that member grants no right of any book. Terms from 2^44 on overflow in the number of the set of heirs (`term << 20`), sequences and stamps of sessions in their news and in the acceptor's floors. A fact with a destination over 32 bits cannot be written into a folder's record, at each try of the adoption.

Terms are below 2^40 now, sets, sequences, stamps and rounds below 2^62, destinations below 2^32; what is beyond is no letter (CW701), no fact (CW720), no move (CW755).

--- a/cedarwick/fleet/decrees.py
+++ b/cedarwick/fleet/decrees.py
@@ -30,7 +30,7 @@
 def parts(move: str) -> tuple[int, str, str]:
     """Stamp, giver and taker of a move's name; ValueError if it isn't one."""
     found = move.split("/")
-    if len(found) != 3 or not found[0].isdecimal() or not all(found):
+    if len(found) != 3 or not found[0].isdecimal() or not all(found) or int(found[0]) >> 62:
         raise ValueError(f"not the name of a move: {move!r}")
     return int(found[0]), found[1], found[2]
 
--- a/cedarwick/fleet/facts.py
+++ b/cedarwick/fleet/facts.py
@@ -79,7 +79,7 @@
     turn: Annotated[int, msgspec.Meta(ge=0)]  # 0 for none; the whole of 64 bits
     band: Text
     tenant: Text
-    destination: Count
+    destination: Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]  # what the folder's record holds
     outer_limit: Count  # wall microseconds
     body: Body
 
--- a/cedarwick/fleet/messages.py
+++ b/cedarwick/fleet/messages.py
@@ -27,6 +27,9 @@
 Move = Annotated[str, Meta(max_length=200)]  # the name of a move: a stamp and two members
 Id = Annotated[str, Meta(max_length=200)]  # of an envelope, as a client may give it
 Count = Annotated[int, Meta(ge=0)]  # numbers, terms, microseconds
+# Danger: whoever goes one further, or packs it with others, would have a number that no letter and no file can hold.
+Term = Annotated[int, Meta(ge=0, lt=1 << 40)]  # one a second for 30,000 years
+Order = Annotated[int, Meta(ge=0, lt=1 << 62)]  # of sets of heirs, of a session's holders, of moves
 Place = Annotated[int, Meta(ge=-1)]  # the number of an event that was reached; -1: none
 Bulk = Annotated[bytes, Meta(max_length=LARGEST - (1 << 14))]  # leaves room for the rest of the letter
 Request = Annotated[bytes, Meta(max_length=1 << 18)]  # one request of a client, or its answer
@@ -55,7 +58,7 @@
     """A book that the sender of the beat holds."""
 
     book: Count
-    term: Count
+    term: Term
 
 
 class Lodging(Part, frozen=True):
@@ -63,7 +66,7 @@
 
     key: Count
     holder: Name
-    sequence: Count
+    sequence: Order
     age: Count  # microseconds since its last use
 
 
@@ -79,11 +82,11 @@
     """Grant me this right for a span of microseconds. Answered by `Told`."""
 
     right: Word
-    term: Count
+    term: Term
     holder: Name
     span: Count
     heirs: Names = ()
-    set: Count = 0  # the larger number is the newer list of heirs
+    set: Order = 0  # the larger number is the newer list of heirs
     closed: bool = False
 
 
@@ -91,10 +94,10 @@
     """What the grantor's table says of the right, and whether it was granted."""
 
     granted: bool
-    term: Count
+    term: Term
     holder: Name
     heirs: Names = ()
-    set: Count = 0
+    set: Order = 0
     closed: bool = False
 
 
@@ -106,10 +109,10 @@
     """A line of a grantor's table."""
 
     right: Word
-    term: Count
+    term: Term
     holder: Name
     heirs: Names = ()
-    set: Count = 0
+    set: Order = 0
     closed: bool = False
 
 
@@ -127,7 +130,7 @@
     """The tail of a book's log from index `first` on. Answered by `Have`."""
 
     book: Count
-    term: Count
+    term: Term
     first: Count
     facts: Bulk
     digest: Count
@@ -137,7 +140,7 @@
     """All that is owed with numbers over `after` up to `upto`; `next`: the log goes on there. Answered by `Have`."""
 
     book: Count
-    term: Count
+    term: Term
     after: Count
     upto: Count
     facts: Bulk
@@ -150,7 +153,7 @@
     """A copy's position; a problem says why the message was dropped whole."""
 
     book: Count
-    term: Count
+    term: Term
     next: Count
     problem: Text = ""
     covered: Count = 0  # up to this number the walk of this term has told it everything
@@ -169,7 +172,7 @@
     """Ranges of a book as the holder has them. Answered by the `Digests` of the copy's own, over the same ranges."""
 
     book: Count
-    term: Count
+    term: Term
     ranges: Annotated[tuple[Span, ...], Meta(max_length=4096)]
     next: Count = 0  # the index at which they were taken; a copy at another one answers with no ranges
 
@@ -182,7 +185,7 @@
     last: bool
     facts: Bulk
     digest: Count
-    term: Count = 0  # the newest in which the one that offers has held the book
+    term: Term = 0  # the newest in which the one that offers has held the book
 
 
 class Taken(Message, frozen=True):
@@ -202,7 +205,7 @@
     news: Annotated[tuple[Lodging, ...], Meta(max_length=4096)] = ()
     held: Count = 0  # sessions
     takes: bool = False  # more of them
-    stamp: Count = 0  # of the next move that the sender begins
+    stamp: Order = 0  # of the next move that the sender begins
     first: bool = False  # as far as the sender knows, neither it nor the other has run before
 
 
@@ -219,7 +222,7 @@
 
     move: Move
     key: Count
-    sequence: Count  # since the move began
+    sequence: Order  # since the move began
     facts: Bulk
     digest: Count
     ids: Annotated[tuple[Recent, ...], Meta(max_length=1 << 14)] = ()
@@ -237,7 +240,7 @@
 class Vote(Part, frozen=True):
     """A ballot: its round, and the text of one proposer of one boot."""
 
-    round: Count
+    round: Order
     mark: Word
 
 
@@ -279,8 +282,8 @@
     """May I open the session of a key? Answered by `Claimed`."""
 
     key: Count
-    sequence: Count
-    over: Count  # sequence and holder of the entry that is void
+    sequence: Order
+    over: Order  # sequence and holder of the entry that is void
     over_holder: Name
     at: Count
 
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -61,6 +61,10 @@
         bad(["Beat", False, {"x" * 65: 1}], "$[6][2]")
         bad(["Beat", False, {f"n{n}": n for n in range(65)}], "$[6][2]")
         bad(["Beat", False, {}, [[1, 1]] * 4097], "$[6][3]")
+        # One that is taken is gone beyond: the next term, the number of its set, the next holder's sequence.
+        bad(["Ask", "book:1", 1 << 40, "a", 1], "$[6][2]")
+        bad(["Told", True, 1, "a", [], 1 << 62], "$[6][5]")
+        bad(["Lodgings", [[1, "a", 1 << 62, 0]]], "$[6][1][0][2]")
         bad(["Noted"], "$[3]", sender="x" * 65)
         bad(["Noted"], "$[4]", incarnation=-1)
         with self.assertRaisesRegex(Unreadable, "the most"):
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -13,7 +13,8 @@
 from cedarwick.fleet import node as module
 from cedarwick.fleet.adoption import NOTHING, Adoption, Stage
 from cedarwick.fleet.book import STARVED, Holding, Shared, boot_time
-from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, decode_facts, encode_facts
+from cedarwick.fleet.decrees import parts
+from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, Spoilt, decode_facts, encode_facts, kept_of
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
 from cedarwick.fleet.members import Standing
 from cedarwick.fleet.messages import Ask, Beat, Body, Facts, Grant, Offer, Piece, Table, Taken, Told, digest_of
@@ -24,7 +25,7 @@
 from cedarwick.net.counters import Counters
 from cedarwick.net.notices import Notices
 from cedarwick.store.journal import Lost, NoRoom, Store
-from cedarwick.store.records import Kept
+from cedarwick.store.records import Kept, envelope
 from tests.build import free_port
 
 NAMES = ("a", "b", "c")
@@ -477,6 +478,17 @@
                          (True, 0, True))
 
 
+class Numbers(unittest.TestCase):
+    def test_no_number_that_a_member_tells_is_beyond_what_the_folder_holds(self) -> None:
+        for destination, fits in (((1 << 32) - 1, True), (1 << 32, False)):
+            data = encode_facts([Fact(number(1), Base("id", "k", 0, "free", "", destination, 1, b""), Known())])
+            if fits:
+                envelope(kept_of(decode_facts(data)[0]), b"")
+            else:
+                self.assertRaises(Spoilt, decode_facts, data)
+        self.assertRaises(ValueError, parts, f"{1 << 62}/a/b")
+
+
 class Posts(unittest.TestCase):
     def test_a_notice_that_was_given_up_during_its_post_does_no_harm(self) -> None:
         for status in (204, 500):
