--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 from typing import Any
 
@@ -65,6 +65,8 @@
         self.begun_at = 0  # when its log began: its copies have some time until it goes on without them
         self.imported = False  # its envelopes are in the folder, the ledger knows them
         self.serving = False  # the desk fires for it
+        # Copies that are to be heirs: once they have all below an index, and since when that is so.
+        self.joining: dict[str, tuple[int, int]] = {}
         self.starved_at = 0  # since when its copies do not follow, by the boot clock; 0: they do
         self.alone_since = 0  # it goes on without copies
         self.reserved = 0  # numbers below this one are written down as given
@@ -203,7 +205,7 @@
 
     def heirs_of(self, holding: Holding) -> frozenset[str]:
         """The copies that must have a record before it counts as told."""
-        return holding.adoption.holder.bound - {holding.adoption.me}
+        return (holding.adoption.holder.bound | holding.joining.keys()) - {holding.adoption.me}
 
     def _wait(self, until: float) -> bool:
         left = until - time.monotonic()
@@ -296,6 +298,7 @@
     def begin_log(self, holding: Holding, term: int) -> None:
         """Ship the book under a term from now on."""
         holding.log = Log(holding.book, term, lambda number: holding.read(self, number), sorted(holding.ledger.known))
+        holding.log.behind = not self.by_copy
         holding.begun_at = boot_time()
         holding.sent = 0
 
@@ -377,27 +380,31 @@
                         (mine if index >= holding.sent else perhaps).append(fact.number)
         return mine, perhaps
 
-    def rekey(self, numbers: Iterable[int], failed: bool = False) -> list[int]:
+    def rekey(self, numbers: Iterable[int], failed: bool = False) -> Iterator[int]:
         """Envelopes that nobody else has become ones of the open book; their new numbers. `NoRoom` stops on the way.
 
-        `failed`: they end so, since somebody else may have had them.
+        `failed`: they end so, since somebody else may have had them. So does one whose body cannot be read.
         """
-        made = []
         for number in numbers:
             old = self.kept[number]
-            new = replace(old, number=self.next_number, home=0, at=0, weight=0, noted=[], body=self.body(number)
-                          if old.end is None else b"", end=(False, 0) if failed and old.end is None else old.end)
+            end, body = old.end, b""
+            if end is None:
+                try:
+                    end, body = ((False, 0), b"") if failed else (None, self.body(number))
+                except Lost:
+                    end = False, 0
+            new = replace(old, number=self.next_number, home=0, at=0, weight=0, noted=[], body=body, end=end)
             if not self.has_room(new):
                 raise NoRoom("an envelope cannot be taken over into the open book")
             self.next_number += 1
             if number in self.inert:
                 self.marking(self.inert | {new.number: self.inert[number]})
-                self.stage(new, *self.inert.pop(number))
+                self.stage(new, *self.inert[number])
+                del self.inert[number]  # Danger: before the new one is kept, it would be live under its old number
             else:
                 self.keep(new)
+            yield new.number
             super().over(number)
-            made.append(new.number)
-        return made
 
     def forget(self, book: int) -> None:
         """Give up what the folder has of a book that somebody else answers for; nothing is told."""
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -6,11 +6,12 @@
 """
 
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Protocol
 
 import gevent
 import gevent.event
+import msgspec
 from loguru import logger
 
 from cedarwick.config.operator import Fleet
@@ -114,7 +115,7 @@
         if name not in self.halls:
             raise NotAMember(f"fleet.member: no entry has the name of this sender, {name!r}")
         self.where = {member.name: address(member.address) for member in told.member}
-        self.lasting = Lasting(state)
+        self.lasting = Lasting(state, store.durable)
         self.incarnation = self.lasting.boot(time.time_ns() // 1000)
         self.gate = Gate(told.group, name, self.incarnation, self.where)
         self.peers = Peers(self.gate, self.where)
@@ -187,10 +188,7 @@
     def run(self) -> None:
         """Never returns: looks at everything, again and again."""
         while True:
-            try:
-                self.look(boot_time())
-            except (OSError, NoRoom) as error:
-                self.counters.trouble("the fleet's folder cannot be used", error)
+            self.look(boot_time())
             gevent.sleep(TURN)
 
     def leave(self) -> None:
@@ -226,8 +224,16 @@
             self.counters.trouble("the members stay as they were",
                                   NotAMember(f"fleet.member: no entry has the name of this sender, {self.name!r}"))
             return
+        try:
+            self._one_at_a_time({member.name for member in told.member})
+        except MembersApart as error:
+            self.counters.trouble("the members stay as they were", error)
+            return
         before, now = set(self.halls), boot_time()
-        self.told = told
+        kept = msgspec.structs.replace(self.told, member=told.member)
+        if kept != told:
+            logger.warning("the fleet's table is taken over at a start only, but for the members")
+        self.told = kept
         self.halls = {member.name: member.hall for member in told.member}
         self.where = {member.name: address(member.address) for member in told.member}
         self.peers.replace(self.where)
@@ -243,6 +249,16 @@
             gevent.spawn(self._beat, name)
         logger.info("members of {}: {}", told.group, ", ".join(sorted(self.halls)))
 
+    def _one_at_a_time(self, names: set[str]) -> None:
+        """`MembersApart` where majorities of a list in use and of the next one might share no member."""
+        mine = self.members.names
+        if len(mine ^ names) > 1:
+            raise MembersApart(f"the file changes {', '.join(sorted(mine ^ names))} at once")
+        # Danger: two changes in turn here are two at once for a member that has taken over neither.
+        behind = [name for name in sorted(mine) if self.members.list_of(name) not in (None, mine, frozenset(names))]
+        if mine != names and behind:
+            raise MembersApart(f"{', '.join(behind)} have not taken over the change before this one")
+
     # ---- beats ----
 
     def _beat(self, name: str) -> None:
@@ -308,6 +324,10 @@
             self._heard(sender, incarnation, body)
             return self._own_beat()
         if isinstance(body, Ask):
+            apart = self.members.apart(sender)
+            if len(apart) > 1:
+                # Danger: a majority of its list, with this member, and one of ours, without, could hold one right.
+                raise MembersApart(f"{sender!r} has another list than {self.name!r}, by {', '.join(sorted(apart))}")
             return self._answer_ask(body)
         if isinstance(body, Tables):
             return self.grantor.table()
@@ -368,18 +388,28 @@
         self.alive = [name for name in self.halls if self.members.state(now, name) is Standing.ALIVE]
         # Counted from the look that saw it: a process that slept has heard nobody, and is answered in a moment.
         self.few_since = 0 if len(self.alive) >= self.members.majority else self.few_since or now
-        self.sharing.look(now, self.alive, self.members.majority)
-        self.exchange.look(now, self.alive, self.members.majority)
-        self._learn(now)
-        self._own(now)
-        for book in list(self.adoptions):
-            self._look_at(now, self.adoptions[book])
+        few = self.few_since > 0 and now - self.few_since >= ALONE
+        self._guarded(self.sharing.look, now, self.alive, self.members.majority)
+        self._guarded(self.exchange.look, now, self.alive, self.members.majority)
+        self._guarded(self._learn, now)
+        self._guarded(self._own, now)
+        for adoption in list(self.adoptions.values()):
+            self._guarded(self._look_at, now, adoption)
         if self.traffic is not None:
-            self.traffic.look(now)
-        self.copies.step()
+            self._guarded(self.traffic.look, now)
+        self._guarded(self.copies.step)
         if time.monotonic() - self.looked_late >= LOOK_LATE:
             self.looked_late = time.monotonic()
-            self._answer_late(now, self.few_since > 0 and now - self.few_since >= ALONE)
+            self._guarded(self._answer_late, now, few)
+
+    def _guarded(self, call: Callable[..., object], *told: object) -> None:
+        """Danger: one book that cannot be written would keep all others from being renewed, and from their answers."""
+        try:
+            call(*told)
+        except (OSError, NoRoom) as error:
+            self.counters.trouble("the fleet's folder cannot be used", error)
+        except Exception:  # the process would end, and again after each start for as long as the folder is the same
+            self.counters.failed(f"the fleet failed in {call.__name__}")
 
     def _learn(self, now: int) -> None:
         for name in self.grantor.wants(now):
@@ -541,7 +571,8 @@
                     # Danger: a copy that follows behind may lack a shot; what it holds may have run, since the last
                     # shot that it was told of: they are told in their order.
                     heard = (head.at for fact in replica.held.values() for head in fact.known.heads.values())
-                    doubt_at = 0 if self.told.ack == "copy" else max(heard, default=1)
+                    behind = self.told.ack == "own" or replica.behind  # its holder may have been started before us
+                    doubt_at = max(heard, default=1) if behind else 0
                     mine, perhaps = self.store.only_here(holding) if not holding.offered else ([], [])
                     facts = list(replica.held.values())
                     late = self.clock.now() + LATE
@@ -609,8 +640,6 @@
         holding.serving = may
         numbers = self.store.numbers(holding.book)
         if may:
-            if holding is self.store.current and (before := self.store.numbers(0)):
-                self._rekey(before)
             logger.info("book {}: fired for from now on, {} envelopes, heirs {}", holding.book, len(numbers),
                         ", ".join(holder.heirs[1:]) or "none")
             self.desk.adopt(numbers)
@@ -624,15 +653,37 @@
         holder = holding.adoption.holder
         wanted = self._wanted(holding)
         whole = self._whole(now, holding, wanted)
+        if holding.starving(now) and self.told.alone == "own" and not self._back(now, holding, whole):
+            holder.name(now, ())
+            holding.joining = {}
+            return
+        if self.store.by_copy:
+            whole = self._joined(now, holding, whole)
         old = [name for name in holder.heirs[1:] if name in holding.log.followers and name not in wanted]
         if len(whole) < len(wanted):
             whole += [name for name in self._whole(now, holding, old) if name not in whole]
-        if holding.starving(now) and self.told.alone == "own" and not self._back(now, holding, whole):
-            whole = []
-        elif self.store.by_copy and not whole and holder.heirs[1:] and self.told.alone == "busy":
+        if self.store.by_copy and not whole and holder.heirs[1:] and self.told.alone == "busy":
             return  # Danger: without an heir, what was promised to be on two folders would be on one
         holder.name(now, placement.order(holding.book, self.name, self.halls, whole))
 
+    def _joined(self, now: int, holding: Holding, whole: list[str]) -> list[str]:
+        """Those of some whole copies that are heirs, or may be named for ones.
+
+        Danger: an heir that was named with records on their way to it would go on without them, shots among them, if
+        this sender died in that moment. So what comes waits for it first, and it is named once it has what came before.
+        """
+        bound, log = holding.adoption.holder.bound, holding.log
+        joining = {name: holding.joining.get(name, (log.next, now)) for name in whole if name not in bound}
+        for name, (index, since) in joining.items():
+            if log.acked([name]) < index and now - since > STARVED:
+                self.full_at[name] = now  # it does not keep up: another one is asked
+        if joining.keys() - holding.joining.keys() and holding.alone_since:
+            logger.info("book {}: copies follow again", holding.book)
+            holding.starved_at = holding.alone_since = 0
+        holding.joining = {name: each for name, each in joining.items() if self.full_at.get(name) != now}
+        return [name for name in whole if name in bound
+                or name in holding.joining and log.acked([name]) >= holding.joining[name][0]]
+
     def _starved(self, holding: Holding) -> None:
         """A copy has not taken a record in time."""
         if not holding.starved_at:
@@ -755,13 +806,15 @@
         holding = self.store.holdings.get(book)
         if holding is not None:
             mine, perhaps = self.store.only_here(holding) if not holding.offered else ([], [])
-            if (mine or perhaps) and not self.leaving:
-                if not self.store.taking():
-                    return  # they are moved to the open book once there is one; till then they are answered when late
+            if mine or perhaps:
+                if self.leaving or not self.store.taking():
+                    # They are moved to the open book once there is one, of the next process if need be; till then they
+                    # are answered when late.
+                    return
                 if any(self.store.kept[number].out_at for number in mine + perhaps):
                     return  # Danger: under its new number a second shot would go out beside the one that is out
-                self._rekey(mine)
-                self._rekey(perhaps, failed=True)
+                if not (self._rekey(mine) and self._rekey(perhaps, failed=True)):
+                    return  # Danger: what has found no room is nowhere else; it is tried again at the next look
         adoption = self.adoptions.pop(book)
         self.doubted.discard(book)
         if holding is not None:
@@ -784,17 +837,22 @@
         self.served.pop(book, None)
         self.claimed.pop(book, None)
 
-    def _rekey(self, numbers: list[int], failed: bool = False) -> None:
-        """Envelopes that only this member has go on in the open book."""
+    def _rekey(self, numbers: list[int], failed: bool = False) -> bool:
+        """Envelopes that only this member has go on in the open book; whether all of them do."""
         self.desk.park(numbers)
+        made: list[int] = []
         try:
-            made = self.store.rekey(numbers, failed)
-        except NoRoom as error:
+            for number in self.store.rekey(numbers, failed):
+                made.append(number)
+        except (OSError, NoRoom) as error:
             self.counters.trouble("envelopes cannot be taken over into the open book", error)
-            return
-        if made:
-            logger.info("{} envelopes go on in book {}", len(made), made[0] >> 32)
-            self.desk.adopt(made)
+            return False
+        finally:
+            # Danger: those that found room before one that did not are nobody's else.
+            if made:
+                logger.info("{} envelopes go on in book {}", len(made), made[0] >> 32)
+                self.desk.adopt(made)
+        return True
 
     def _answer_late(self, now: int, few: bool) -> None:
         """Without a majority nobody can be asked who has the right: what ends is answered, as one that may have run.
@@ -804,11 +862,14 @@
         beside it would be a second, and perhaps another one.
         """
         soon = self.clock.now() + LATE
+        self._before_the_fleet(soon)
         for holding in list(self.store.holdings.values()):
             stage = holding.adoption.stage
             held = stage is Stage.HOLDING and holding.imported
             ours = held and holding.adoption.holder.may_fire(now)
-            holding.unheld_since = (holding.unheld_since or now) if held and not ours else 0
+            # Danger: after a restart a book that no majority grants to anybody would end unanswered.
+            unheld = held and not ours or self._nobodys(holding.adoption)
+            holding.unheld_since = (holding.unheld_since or now) if unheld else 0
             if holding.serving or stage is Stage.OFFERING or self.leaving:
                 continue
             # No majority has answered for so long, though its members may be heard.
@@ -822,9 +883,33 @@
                 self.desk.answer_late(late)
 
 
+    def _nobodys(self, adoption: Adoption) -> bool:
+        """Whether a book that lies here is asked for, or to be, and nobody else is known to have had it after us."""
+        grant = self.grantor.grant(right_of(adoption.book))
+        _, holder = max((grant.term, grant.holder), adoption.holder.newer)
+        return adoption.stage in (Stage.FOLLOWING, Stage.WAITING, Stage.ASKING) and holder in ("", self.name)
+
+    def _before_the_fleet(self, soon: int) -> None:
+        """Envelopes that were taken before this sender was a member: nobody else has heard of them."""
+        numbers = self.store.numbers(0)
+        owed = [number for number in numbers if self.store.kept[number].end is None]
+        if owed and self.store.taking():
+            self._rekey(owed)
+        late = [number for number in numbers if number in self.store.kept
+                and (number not in owed or self.store.kept[number].outer_limit <= soon)]
+        if late:
+            self.desk.answer_late(late)
+
+
 class NotAMember(Trouble):
     """The operator file has a fleet of which this sender is no member."""
 
     code = "CW743"
     remedy = "give the sender an entry in `[[fleet.member]]` under the name that the platform's configuration has"
 
+
+class MembersApart(Trouble):
+    """Two lists of members differ by more than one, so a majority of each could grant one right twice."""
+
+    code = "CW744"
+    remedy = "change one member at a time: in all files, SIGHUP to all senders, then the next one"
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -3,6 +3,7 @@
 import tempfile
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
@@ -11,21 +12,22 @@
 
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.fleet import node as module
-from cedarwick.fleet.adoption import Adoption, Stage
-from cedarwick.fleet.book import Holding, Shared, boot_time
-from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, decode_facts, encode_facts
+from cedarwick.fleet.adoption import NOTHING, Adoption, Stage
+from cedarwick.fleet.book import STARVED, Holding, Shared, boot_time
+from cedarwick.fleet.decrees import parts
+from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, Spoilt, decode_facts, encode_facts, kept_of
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
 from cedarwick.fleet.members import Standing
-from cedarwick.fleet.messages import Beat, Body, Grant, Offer, Piece, Table, Taken, Told, digest_of
+from cedarwick.fleet.messages import Ask, Beat, Body, Facts, Grant, Offer, Piece, Table, Taken, Told, digest_of
 from cedarwick.fleet.messages import Held as Right
-from cedarwick.fleet.node import Node
-from cedarwick.fleet.shipping import EVERYTHING
+from cedarwick.fleet.node import MembersApart, Node
+from cedarwick.fleet.shipping import EVERYTHING, Place
 from cedarwick.interface import Outcome
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.notices import Notices
-from cedarwick.store.journal import NoRoom
-from cedarwick.store.records import Kept
+from cedarwick.store.journal import Lost, NoRoom, Store
+from cedarwick.store.records import Kept, envelope
 from tests.build import free_port
 
 NAMES = ("a", "b", "c")
@@ -168,6 +170,31 @@
         assert node.ownership is not None
         self.assertIn("d", node.ownership.names)
 
+    def test_members_change_one_at_a_time_and_not_before_the_others_have_followed(self) -> None:
+        node = self.member()
+
+        def reload(*names: str) -> set[str]:
+            node.replace(msgspec.structs.replace(node.told, ack="own", member=[
+                Member(name=name, address=f"127.0.0.1:{index + 1}", hall=name) for index, name in enumerate(names)]))
+            return set(node.halls)
+
+        def ask(heard: str) -> None:
+            node._heard("b", 7, Beat(False, dict.fromkeys(heard, 0)))
+            node._answer("b", 7, Ask(right_of(BOOK), 1, "b", SPAN))
+
+        with mock.patch("cedarwick.fleet.node.gevent.spawn"):
+            self.assertEqual(reload("a", "b", "c", "d", "e"), {"a", "b", "c"})  # {a, b} and {c, d, e}: two majorities
+            self.assertEqual(reload("a", "b", "d"), {"a", "b", "c"})
+            ask("ac")
+            self.assertEqual(reload("a", "b", "c", "d"), {"a", "b", "c", "d"})
+            self.assertEqual(reload("a", "b", "c", "d", "e"), {"a", "b", "c", "d"})  # b knows nothing of d yet
+            ask("ac")
+            ask("acd")
+            self.assertEqual(reload("a", "b", "c", "d", "e"), {"a", "b", "c", "d", "e"})
+            self.assertEqual(node.told.ack, "copy")
+        with self.assertRaises(MembersApart):
+            ask("ac")
+
     def test_what_nobody_else_can_answer_is_answered_late(self) -> None:
         late, ours, others = [number(1)], True, False
         for granted, serving, offered, few, ack, answered in (
@@ -199,6 +226,34 @@
             node._answer_late(2_000_000_000, few=False)
         self.assertEqual(holding.unheld_since, 0)  # what follows is another loss
 
+    def test_a_book_that_is_asked_for_in_vain_after_a_restart_is_answered_in_time(self) -> None:
+        for newer, calls in (((0, ""), 1), ((1, "a"), 1), ((2, "b"), 0)):
+            node = self.member()
+            adoption = self.holding(node, granted=False).adoption
+            adoption.stage, adoption.holder.newer = Stage.ASKING, newer
+            node.store.keep(kept(1, life=100_000))
+            for after in (0, module.ALONE):
+                node._answer_late(1_000_000_000 + after, few=False)
+            self.assertEqual(len(node.desk.answer_late.mock_calls), calls)  # type: ignore[attr-defined]
+
+    def test_what_was_taken_before_the_fleet_goes_on_in_the_first_book_or_is_answered_in_time(self) -> None:
+        node = self.member()
+        node.ownership = mock.Mock(**{"step.return_value": None})
+        desk: Any = node.desk
+        for index, life in ((1, 100_000), (2, 60_000_000), (3, 60_000_000)):
+            Store.keep(node.store, replace(kept(index, life), number=index))
+        Store.ended(node.store, 3, True, 0)
+        node.look(boot_time())
+        desk.answer_late.assert_called_once_with([1, 3])  # no majority grants a book: one ends, one has its notice owed
+        holding = self.holding(node)
+        holding.serving, node.store.current = True, holding
+        node.store.next_number, holding.reserved = number(1), number(9)
+        with mock.patch.object(node.store, "has_room", side_effect=[True, False, True]):
+            for left in ([2, 3], [3]):
+                node._answer_late(boot_time(), few=False)
+                self.assertEqual(node.store.numbers(0), left)
+        self.assertEqual(desk.adopt.mock_calls, [mock.call([number(index)]) for index in (1, 2)])
+
     def test_who_asked_in_vain_gives_its_own_promise_back(self) -> None:
         node = self.member()
         node.grantor = Grantor("a", NAMES, 0, ())
@@ -272,12 +327,88 @@
                                  [("taken", "id-1"), ("shot", "id-1"), (kind, "id-1")])
                 self.assertEqual(store.out, {})
 
+    def test_what_only_this_member_has_is_never_forgotten_for_want_of_room_or_at_the_end(self) -> None:
+        node = self.member("own")
+        holding = self.holding(node)
+        holding.serving, node.store.current = True, holding
+        holding.adoption.holder.name(boot_time(), ())
+        for index in (1, 2, 3):
+            node.store.keep(kept(index))
+        node.store.body = lambda number: b"" if number % 4 != 3 else self.fail_to_read()  # type: ignore[method-assign]
+        opened = Adoption(BOOK + 1, "a", NAMES, resume=True)
+        node.adoptions[BOOK + 1] = opened
+        fresh = node._hold(BOOK + 1)
+        fresh.serving, opened.holder.may_fire = True, lambda now: True  # type: ignore[method-assign]
+        node.store.current, node.store.next_number, fresh.reserved = fresh, (BOOK + 1 << 32) + 1, (BOOK + 1 << 32) + 99
+        keep = node.store.keep
+        with mock.patch.object(node.store, "keep") as full:
+            full.side_effect = lambda each: keep(each) if full.call_count == 1 else self.fail_to_write()
+            node._drop(BOOK)
+        node.desk.adopt.assert_called_once_with([(BOOK + 1 << 32) + 1])  # type: ignore[attr-defined]
+        self.assertEqual(node.store.numbers(BOOK), [number(2), number(3)])
+        node.leaving = True
+        node._drop(BOOK)
+        self.assertEqual(node.store.numbers(BOOK), [number(2), number(3)])
+        node.leaving = False
+        node._drop(BOOK)
+        self.assertNotIn(BOOK, node.adoptions)
+        ends = {each.id: each.end for each in node.store.kept.values()}
+        self.assertEqual(ends, {"id-1": None, "id-2": None, "id-3": (False, 0)})  # the third could not be read
+
+    def fail_to_read(self) -> bytes:
+        raise Lost("cut")
+
+    def fail_to_write(self) -> None:
+        raise NoRoom("full")
+
+    def test_a_book_that_cannot_be_looked_at_holds_up_neither_the_others_nor_the_late_answers(self) -> None:
+        node = self.member()
+        node.ownership = mock.Mock(**{"step.return_value": None})
+        for index, error in enumerate((OSError("full"), ValueError("spoilt"), None)):
+            adoption = node.adoptions[BOOK + index] = Adoption(BOOK + index, "a", NAMES)
+            adoption.step = mock.Mock(side_effect=error, return_value=NOTHING)  # type: ignore[method-assign]
+        with mock.patch.object(node, "_answer_late") as late:
+            node.look(boot_time())
+            late.assert_called_once()
+        for adoption in node.adoptions.values():
+            adoption.step.assert_called_once()  # type: ignore[attr-defined]
+
     def test_a_copy_counts_once_a_majority_knows_its_heir(self) -> None:
         node = self.member()
         holding = self.holding(node)
         holding.adoption.holder.name(boot_time(), ["b"])
         self.assertFalse(node._copied(boot_time(), holding))
 
+    def test_a_copy_becomes_an_heir_once_it_has_all_that_came_before_it_was_waited_for(self) -> None:
+        node = self.member()
+        holding = self.holding(node)
+        holding.serving, node.store.current = True, holding
+        node.alive = list(NAMES)
+        name, other = node._wanted(holding)[0], ({"b", "c"} - set(node._wanted(holding))).pop()
+        follower = holding.log.follow(name, boot_time())
+        for index in (1, 2, 3):
+            node.store.keep(kept(index))
+            if index == 2:
+                follower.place = Place(1, 1, EVERYTHING)  # whole, with a record on its way
+                node._name_heirs(boot_time(), holding)
+            # Danger: named now, and granted the next term in a moment, it would know nothing of the second.
+            self.assertNotIn(name, holding.adoption.holder.bound)
+            self.assertEqual(node.store.heirs_of(holding), {name} if index > 1 else set())
+        follower.place = Place(1, 2, EVERYTHING)
+        node._name_heirs(boot_time(), holding)
+        self.assertIn(name, holding.adoption.holder.bound)  # the third waits for it already
+        node = self.member()
+        holding = self.holding(node)
+        node.alive = list(NAMES)
+        holding.log.follow(name, boot_time()).place = Place(1, 0, EVERYTHING)
+        node.store.keep(kept(1))
+        now = boot_time()
+        node._name_heirs(now, holding)
+        node._name_heirs(now + STARVED + 1, holding)
+        self.assertEqual(node.store.heirs_of(holding), set())  # it does not keep up
+        node.full_at = {each: boot_time() for each in node.full_at}
+        self.assertEqual(node._wanted(holding), [other])
+
     def test_an_owner_that_was_started_again_offers_what_lies_in_its_folder(self) -> None:
         node = self.member("own")
         self.holding(node)
@@ -302,15 +433,20 @@
         self.assertEqual((offer.term, adoption.stage), (1, Stage.GONE))
 
     def test_a_copy_that_followed_behind_is_in_doubt_since_the_last_shot_it_heard_of(self) -> None:
-        node = self.member("own")
-        adoption = node.adoptions[BOOK] = Adoption(BOOK, "a", NAMES)
         shot = Fact(number(1), fact(1).base, Known({1: Head(1, True, 77, 0)}))
-        data = encode_facts([shot, fact(2)])
-        node.copies.piece(Piece(BOOK, 1, 0, EVERYTHING, data, 0, digest_of(data)))
-        adoption.holder.term = 2
-        with mock.patch("cedarwick.fleet.node.gevent.spawn"):
-            node._import(boot_time(), adoption)
-        self.assertEqual([node.store.kept[number(index)].doubt_at for index in (1, 2)], [77, 77])
+        for ack, behind, doubt in (("own", True, 77), ("copy", True, 77), ("own", False, 77), ("copy", False, 0)):
+            node = self.member(ack)
+            adoption = node.adoptions[BOOK] = Adoption(BOOK, "a", NAMES)
+            data, tail = encode_facts([shot]), encode_facts([fact(2)])
+            node.copies.piece(Piece(BOOK, 1, 0, EVERYTHING, data, 0, digest_of(data), behind))
+            node.copies.facts(Facts(BOOK, 1, 0, tail, digest_of(tail)))
+            node.copies.close()
+            node.copies.load()  # the file tells it as well
+            adoption.holder.term = 2
+            with mock.patch("cedarwick.fleet.node.gevent.spawn"):
+                node._import(boot_time(), adoption)
+            self.assertEqual([node.store.kept[number(index)].doubt_at for index in (1, 2)], [doubt, doubt])
+            self.assertEqual(node.store.holdings[BOOK].log.piece(0, EVERYTHING).behind, ack == "own")
 
     def test_an_owner_that_comes_back_after_others_waits_for_what_they_may_offer(self) -> None:
         for term, from_term in ((2, 0), (3, 1)):
@@ -366,6 +502,17 @@
                          (True, 0, True))
 
 
+class Numbers(unittest.TestCase):
+    def test_no_number_that_a_member_tells_is_beyond_what_the_folder_holds(self) -> None:
+        for destination, fits in (((1 << 32) - 1, True), (1 << 32, False)):
+            data = encode_facts([Fact(number(1), Base("id", "k", 0, "free", "", destination, 1, b""), Known())])
+            if fits:
+                envelope(kept_of(decode_facts(data)[0]), b"")
+            else:
+                self.assertRaises(Spoilt, decode_facts, data)
+        self.assertRaises(ValueError, parts, f"{1 << 62}/a/b")
+
+
 class Posts(unittest.TestCase):
     def test_a_notice_that_was_given_up_during_its_post_does_no_harm(self) -> None:
         for status in (204, 500):
