A member that was started again may ask for its book first, however long it has held it

The design gives a member under a newer incarnation 0.6 s to ask. Ruled out: the lease (nobody fired twice), the offer (it came 0.2 s after the adoption), the audit (one sender said both). To blame: `Node._standing`. The first beats after a boot name no book, so `_heard` drops `served`, and the holder then counted as idle since it was first said to hold the book, long ago (IDLE, 1.8 s): gone at once, before REBORN. Change: idle is counted from the newer boot at the earliest. The new test fails without it (DEAD instead of ALIVE).

--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -498,7 +498,9 @@
         if name == holder and state is Standing.ALIVE:
             who, at = self.served.get(book, ("", 0))
             reborn = self.reborn.get(name, 0)
-            idle_since = max(self.claimed[book][1], at if who == name else 0)
+            # Danger: its first beats after a boot name no book; without that boot it would be idle at once, and lose
+            # the book before it can ask, with ends that no copy was told.
+            idle_since = max(self.claimed[book][1], at if who == name else 0, reborn)
             # Alive under another incarnation, it would have asked for the book by now; or it has asked in vain.
             if at < reborn <= now - REBORN or idle_since <= now - IDLE:
                 return Standing.DEAD
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -124,6 +124,16 @@
             node._look_at(boot_time() + module.REBORN, adoption)
             self.assertIs(step.call_args.args[3]("b"), Standing.DEAD)
 
+    def test_who_was_started_again_may_ask_for_its_book_however_long_it_has_held_it(self) -> None:
+        node = self.member()
+        adoption = node.adoptions[BOOK] = Adoption(BOOK, "a", NAMES)
+        node.claimed[BOOK] = "b", 1
+        for boot, rights in ((7, (Right(BOOK, 3),)), (8, ())):
+            node._heard("b", boot, Beat(False, {}, rights))
+        now = boot_time()
+        self.assertIs(node._standing(now, "b", adoption), Standing.ALIVE)
+        self.assertIs(node._standing(now + module.REBORN, "b", adoption), Standing.DEAD)
+
     def test_who_asked_in_vain_is_taken_for_the_holder_only_for_a_while(self) -> None:
         node = self.member()
         adoption = node.adoptions[BOOK] = Adoption(BOOK, "a", NAMES)
