--- /dev/null
+++ b/cedarwick/lab/virtualwatch.py
@@ -0,0 +1,196 @@
+"""Subscribers of a virtual day: each follows at one member after another, and what it was told is kept for the audit.
+
+Whether an event meets a filter is settled here by `naive.py`, at the source, before the source's own part looks at it.
+"""
+
+import json
+from typing import TYPE_CHECKING
+
+from cedarwick.errors import Trouble as Refusing
+from cedarwick.events import naive
+from cedarwick.events.exchange import Exchange
+from cedarwick.events.kinds import Event, Value
+from cedarwick.events.language import read
+from cedarwick.lab import claims
+from cedarwick.ops.calls import Call
+
+if TYPE_CHECKING:
+    from cedarwick.lab.virtualday import Day, Sender
+
+FILTERS = (
+    'kind = "completed" and destination = 1', "has sender", 'kind in ("nacked", "written-off")',
+    'kind = "shot" and shots > 1', 'kind = "taken" and not band = "free"', 'kind = "moved" or kind = "adopted"',
+    "has member", 'kind = "outcome" and wait > 0s', 'sender = "n1" and age > 50ms', "sample(1/3)")
+STAYS = 3.0  # seconds that a subscriber stays at one member, on the average
+ENDS = 0.25  # how many of its leavings end the subscription
+LOOK = 0.02  # seconds between two looks at a state that is awaited
+AGAIN = 0.1  # seconds until a connection that ended is followed by another
+SETTLED = 8_000_000  # microseconds in which everybody is told all: places, then what waited, then tries again
+PROBED = 1.0  # seconds in which what rises again would have an event
+FOREVER = (1 << 62) - 1
+
+
+class Cable:
+    """Stands in for a subscriber's connection: what is written comes a moment later, unless the subscriber has gone."""
+
+    def __init__(self, follower: "Follower") -> None:
+        self.follower = follower
+        self.kernel = follower.day.kernel
+        self.late = follower.day.chance.uniform(0.0002, 0.005)
+        self.left = False  # the subscriber has closed it
+        self.over = False  # the member has
+
+    def settimeout(self, seconds: float) -> None:
+        """As a socket's."""
+
+    def setsockopt(self, *told: int) -> None:
+        """As a socket's."""
+
+    def sendall(self, data: bytes) -> None:
+        if self.left:
+            raise ConnectionResetError("the subscriber has gone")
+        self.kernel.spawn_as(None, self._arrive, data)
+
+    def _arrive(self, data: bytes) -> None:
+        self.kernel.sleep(self.late)
+        for line in data.decode().splitlines():
+            if not self.left and line:
+                self.follower.told(self, line)
+
+
+class Follower:
+    """One subscriber. It begins subscriptions one after another, each under a name of its own."""
+
+    def __init__(self, day: "Day", number: int, begun: int = 1) -> None:
+        self.day = day
+        self.number = number
+        self.watched = day.watched
+        self.begun = begun
+        self.name = f"s{number}-{begun}"
+        self.cursors: dict[str, int] = {}
+        self.filter = day.chance.choice(FILTERS)
+        self.term = read(self.filter).term
+
+    def meets(self, event: Event) -> bool:
+        return naive.matches(self.term, event)
+
+    def run(self) -> None:
+        """Follow here and there, for as long as the day lasts."""
+        day = self.day
+        while True:
+            usable = [each for each in day.senders if each.node is not None]
+            if not usable:
+                day.kernel.sleep(AGAIN)
+                continue
+            sender = day.chance.choice(usable)
+            owner, cable = sender.owner, Cable(self)
+            words = [self.name, *(f"{source}:{at}" for source, at in self.cursors.items()), "WHERE", self.filter]
+            day.kernel.spawn_as(owner, talk, sender, cable, " ".join(words))
+            leaves = day.now() + round(day.chance.expovariate(1 / STAYS) * 1_000_000)
+            while not owner.dead and not cable.over and (day.now() < leaves or day.resting):
+                day.kernel.sleep(LOOK)
+            cable.left = True
+            if not day.resting and not cable.over and day.chance.random() < ENDS:
+                if self._ended(day.chance.choice(usable)):
+                    day.followers[self.number] = after = Follower(day, self.number, self.begun + 1)
+                    return after.run()
+            day.kernel.sleep(AGAIN)
+
+    def _ended(self, sender: "Sender") -> bool:
+        """Whether the subscription could be ended at a member."""
+        answer = unfollowed(sender, self.name)
+        if not answer:
+            return False
+        self.day.ended[self.name] = self
+        if "not yet told" not in answer:
+            self.watched.ended.append(claims.Ended(self.name, self.day.now()))
+        for source, at in self.cursors.items():  # it has gone, and is owed nothing more
+            self.watched.gaps.append(claims.Gap(self.name, source, at + 1, FOREVER, self.day.now()))
+        return True
+
+    def told(self, cable: Cable, line: str) -> None:
+        """A line came."""
+        if not line.startswith("{"):
+            cable.over = cable.over or line.startswith("NO")
+            return
+        told, at, watched = json.loads(line), self.day.now(), self.watched
+        if told["type"] == "match":
+            event = told["event"]
+            watched.matched.append(claims.Matched(self.name, event["source"], event["number"], at))
+            self.cursors[event["source"]] = event["number"]
+        elif told["type"] == "gap":
+            watched.gaps.append(claims.Gap(self.name, told["source"], told["first"], told["last"], at))
+            self.cursors[told["source"]] = told["last"]
+        elif told["type"] == "from":
+            source, number = told["source"], told["number"]
+            if source in self.cursors:  # what lies between is kept no more
+                watched.gaps.append(claims.Gap(self.name, source, self.cursors[source] + 1, number - 1, at))
+            watched.evaluates.append(claims.Evaluates(self.name, source, number, at))
+            self.cursors[source] = number - 1
+        else:  # the source has ended, and what it had not handed over is lost
+            watched.gaps.append(claims.Gap(self.name, told["source"], told["after"] + 1, FOREVER, at))
+            self.cursors.pop(told["source"], None)
+
+
+def talk(sender: "Sender", cable: Cable, words: str) -> None:
+    """In the member's process: a call of `FOLLOW`, as the management address answers it."""
+    try:
+        answer = sender.staff.follows(Call("FOLLOW", words))
+        if not isinstance(answer, str):
+            answer(cable)
+    except Refusing as error:
+        cable.sendall(f"NO {error.line}\n".encode("ascii", "replace"))
+    finally:
+        cable.over = True
+
+
+def unfollowed(sender: "Sender", name: str) -> str:
+    """What a member answers to `UNFOLLOW`; empty where it refuses, or does not answer."""
+    told: list[str] = []
+
+    def ask() -> None:
+        try:
+            told.append(str(sender.staff.follows(Call("UNFOLLOW", name))))
+        except Refusing:
+            told.append("")
+
+    kernel, owner = sender.day.kernel, sender.owner
+    kernel.spawn_as(owner, ask)
+    while not told and not owner.dead:
+        kernel.sleep(LOOK)
+    return told[0] if told else ""
+
+
+def probe(day: "Day") -> None:
+    """At the end: an ended subscription can't be followed by its name alone, and gets nothing."""
+    watched = day.watched
+    known = {each.subscription for each in watched.ended}
+    for name, follower in day.ended.items():
+        if name not in known:
+            watched.ended.append(claims.Ended(name, day.now()))
+        for sender in day.senders:
+            if sender.node is not None:
+                cable = Cable(follower)
+                follower.cursors = {}
+                day.kernel.spawn_as(sender.owner, talk, sender, cable, name)
+                day.kernel.sleep(PROBED / len(day.senders))
+                cable.left = True
+
+
+class Seen(Exchange):
+    """An exchange whose events are known to the day."""
+
+    day: "Day"
+
+    def _happened(self, kind: str, fields: dict[str, Value]) -> None:
+        assert self.serving is not None
+        source, number = self.serving.source.name, self.serving.source.next
+        event = Event(source, number, 0, kind, fields)
+        meets = tuple(each.name for each in (*self.day.followers, *self.day.ended.values()) if each.meets(event))
+        self.day.watched.occurred.append(claims.Occurred(source, number, self.day.now(), meets))
+        super()._happened(kind, fields)
+
+
+def seen_by(day: "Day") -> type[Exchange]:
+    """The class whose events that day is told of."""
+    return type("Seen", (Seen,), {"day": day})
