Desk: what reaches its limit while a call holds up the end of a member is written off there

To blame: `Desk._turn_away`, the whole round while fire is held. In a fleet it now also writes off what has 50 ms left and no shot out, as 'failed', which is true of anything. Without a fleet the next process answers, as before. The new test fails without it.

--- a/cedarwick/lab/virtualday.py
+++ b/cedarwick/lab/virtualday.py
@@ -292,7 +292,7 @@
             if traffic is not None:
                 traffic.leave()
             kernel.sleep(STAY)
-            self.desk.hold_fire()
+            self.desk.hold_fire(ending=True)
             end = kernel.now + DRAIN
             while kernel.now < end and not (self.desk.idle() and not self.desk.notices.owed
                                             and (traffic is None or traffic.left())):
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -26,6 +26,7 @@
 
 REMEMBERED = 15_000_000  # for so long after it was handed in, an id is not taken once more
 NO_RIGHT = 20_000  # until the next look whether this sender may decide, or its copies follow
+NEAR = 50_000  # before its outer limit an envelope is written off at the end of a process that others take over from
 AFTER_ERROR = 100_000  # until the next round: an error that comes again must not fill the core
 
 
@@ -91,6 +92,7 @@
         self.after_flush: list[tuple[Callable[[], None], Callable[[], None]]] = []  # once on the disk; if it fails
         self.wake_at: int | None = None
         self.holding_fire = False
+        self.ending = False  # while holding fire: what reaches its outer limit ends here
         self.keeping = False  # while holding fire: envelopes that come are still kept, for the next process
         self.parked: dict[int, Handle] = {}  # given up while a shot was out: it still ends
         self.to_adopt: set[int] = set()  # of these: to be gone on with once it has ended
@@ -127,10 +129,11 @@
     def acknowledged(self, numbers: list[int]) -> None:
         self.queue.put((self._acknowledged, (numbers,)))
 
-    def hold_fire(self, keeping: bool = False) -> None:
+    def hold_fire(self, keeping: bool = False, ending: bool = False) -> None:
         """The end of the process is near: no shot begins any more, what is out goes on; envelopes that come
-        are kept where `keeping` says so, else turned away."""
-        self.queue.put((self._hold_fire, (keeping,)))
+        are kept where `keeping` says so, else turned away. `ending`: other senders go on with what is kept; what
+        reaches its outer limit before they can is written off."""
+        self.queue.put((self._hold_fire, (keeping, ending)))
 
     def adopt(self, numbers: list[int], quietly: bool = False) -> None:
         """Go on with envelopes that are kept in the folder, as after a restart: this sender has the right to.
@@ -437,8 +440,8 @@
         for receiver, until in waits:
             self.sender.heed(now, receiver, until)
 
-    def _hold_fire(self, keeping: bool = False) -> None:
-        self.holding_fire, self.keeping = True, keeping
+    def _hold_fire(self, keeping: bool = False, ending: bool = False) -> None:
+        self.holding_fire, self.keeping, self.ending = True, keeping, ending
         self.wake_at = None
 
     def _acknowledged(self, numbers: list[int]) -> None:
@@ -514,6 +517,19 @@
             self.numbers.pop(submission.kept.id, None)
             submission.answered(Answered.BUSY)
         self.fresh.clear()
+        if self.ending:
+            self._end_near()
+
+    def _end_near(self) -> None:
+        """Danger: a call that hangs holds up the end of the process, and with it the ends of all else that is kept."""
+        now = self.clock.now()
+        limits = {number: self.store.kept[number].outer_limit - NEAR for number, handle in self.handles.items()
+                  if not handle.out and number in self.store.kept}
+        for number, limit in limits.items():
+            if limit <= now:
+                self.handles[number].withdrawn(now)
+                self._final(number, False, 0)
+        self.wake_at = min((limit for limit in limits.values() if limit > now), default=None)
 
     def _take_none(self, now: int) -> None:
         """What came in this round is turned away, and the decisions forget it."""
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -211,7 +211,7 @@
         node.traffic.leave()
     intake.stop()
     gevent.sleep(STAY)
-    desk.hold_fire()
+    desk.hold_fire(ending=node is not None)
     with gevent.Timeout(DRAIN - STAY, False):
         while not (desk.idle() and not notices.owed and not intake.clients
                    and (node is None or node.traffic is None or node.traffic.left())):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,7 +19,7 @@
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
-from cedarwick.net.desk import Answered, Desk, Submission
+from cedarwick.net.desk import NEAR, Answered, Desk, Submission
 from cedarwick.net.directory import Directory
 from cedarwick.net.http import Answer, Unreadable
 from cedarwick.net.links import Descriptors, NoDescriptor
@@ -154,6 +154,17 @@
         self.assertIs(cleared.get(block=False), True)
         self.assertEqual(self.store.kept[1].shots, 1)
 
+    def test_what_reaches_its_limit_while_calls_hold_up_the_end_is_written_off(self) -> None:
+        for name, life in (("out", 8_000_000), ("near", 40_000), ("later", 8_000_000)):
+            self.taken(name=name, life=life)
+        for number, handle in self.desk.handles.items():
+            handle.out = number == 1
+        for ending in (False, True):
+            self.desk._hold_fire(ending=ending)
+            self.desk._turn_away()
+            self.assertEqual(sorted(self.desk.notices.owed), [2] * ending)
+        self.assertEqual(self.desk.wake_at, self.store.kept[3].outer_limit - NEAR)
+
     def test_no_shot_begins_when_the_end_is_near(self) -> None:
         self.taken()
         self.desk._hold_fire()
