What was parked with its shot out goes on before the later envelopes of its key

The park gives all up; what has a shot out stays in its key's line until that ends (5.274 s). To blame: Desk._shot_ended, which adopts a parked envelope alone, and Node._offered, which parks and adopts those of which there is news. What is adopted now stands before those of its key that were taken after it in its book, unless the shot of one of them is out.

--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -26,6 +26,7 @@
 
 REMEMBERED = 15_000_000  # for so long after it was handed in, an id is not taken once more
 NO_RIGHT = 20_000  # until the next look whether this sender may decide, or its copies follow
+BOOK = 32  # bits of a number within its book: below them numbers grow as envelopes are taken
 AFTER_ERROR = 100_000  # until the next round: an error that comes again must not fill the core
 
 
@@ -257,7 +258,23 @@
                  and number not in self.store.inert and self.store.kept[number].turn not in self.frozen]
         # Danger: a shot of before the envelope was parked may still be out, and a second would run beside it.
         self.to_adopt.update(number for number in known if number in self.parked)
-        self._take_up([number for number in known if number not in self.parked], quietly)
+        taken_up = [number for number in known if number not in self.parked]
+        self._take_up(taken_up, quietly)
+        for handle in [self.handles[number] for number in taken_up if number in self.handles]:
+            if handle.band.in_turn and handle.key:
+                self._line_up(handle)
+
+    def _line_up(self, handle: Handle) -> None:
+        """An envelope that is gone on with stands before those of its key that were taken after it in its book."""
+        line = self.sender.turns.lines[handle.key]
+        for index, each in enumerate(line):
+            if each is handle:
+                return
+            if each.id > handle.id and each.id >> BOOK == handle.id >> BOOK and not each.out:
+                # Danger: one whose shot was out when its book was parked comes back after all others of its key.
+                line.remove(handle)
+                line.insert(index, handle)
+                return
 
     def _park(self, numbers: list[int]) -> None:
         now, given_up = self.clock.now(), set(numbers)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -52,9 +52,9 @@
         self.desk._listed(ListChange.SAVED, [Listing(1, 0, 0, 0, Phase.READY, 0.0)])
 
     def taken(self, band: str = "free", size: int = 1, name: str = "a", destination: int = 0,
-              life: int = 8_000_000) -> Submission:
+              life: int = 8_000_000, key: int = 0) -> Submission:
         limit = self.desk.clock.now() + life
-        submission = Submission(Kept(0, name, "", 0, band, "second", destination, limit, bytes(size)))
+        submission = Submission(Kept(0, name, "", key, band, "second", destination, limit, bytes(size)))
         self.desk._take(submission)
         self.desk._decide()
         return submission
@@ -80,6 +80,23 @@
         self.desk._flush()
         self.assertEqual(len(self.desk.notices.owed), 3)  # the right was back in a moment
 
+    def test_what_is_adopted_alone_stands_before_those_of_its_key_that_were_taken_after_it(self) -> None:
+        self.desk.sender.bands[0].in_turn = True
+        for name in "abc":
+            self.taken(name=name, key=5)
+        self.desk._park([1, 2, 3])  # while the shot of the first is out
+        self.desk._adopt([1, 2, 3])
+        self.desk._shot_ended(self.calls[0], Ending(Outcome.TIME_OUT))
+        line = self.desk.sender.turns.lines[5]
+        self.assertEqual([handle.id for handle in line], [1, 2, 3])
+        self.desk._park([2])  # somebody has told news of it
+        self.desk._adopt([2])
+        self.assertEqual([handle.id for handle in line], [1, 2, 3])
+        line[2].out = True
+        self.desk._park([2])
+        self.desk._adopt([2])
+        self.assertEqual([handle.id for handle in line], [1, 3, 2])  # nothing begins while a shot of the key is out
+
     def test_an_envelope_is_kept_before_its_shot_starts(self) -> None:
         self.assertEqual(self.taken().answer.get(block=False), (Answered.KEPT, 0))
         self.assertEqual((list(self.store.kept), self.calls[0].kept), ([1], self.store.kept[1]))
