Keys owed elsewhere from before a trouble rest where their clients go meanwhile

Each member now tells the others the keys (64 bits, 4096 at most, in-turn bands only) of what it has owed since the last member came back or its right did (its backlog), and of what lies in a copy here while its holder is silent: `Owed`, at once and each 250 ms while there are any, to members of level 3. What is taken of such a key elsewhere rests by the module's own `rests`, 300 ms at a time, as long as it is told (a silent teller counts for 1 s), for 5 s at most and never in the last second of the first envelope's time. Who has a backlog of the key itself does not wait (two would wait for each other). The holder that is thought silent is not told. Adopted envelopes stand before those held back for them. Lost or late letters leave the behaviour as it was. This covers a sender whose book was adopted while it slept, too: the adopter tells it.

Ruled out: resting all keys while a member is silent (stops all keyed traffic for two seconds at each death).

--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -73,6 +73,7 @@
         self.unheld_since = 0  # since when the right has run out and no majority says more; 0: it is held, or lost
         self.heard_out = 0  # of an adopted book: when its last holder has offered all that it knew
         self.sent = 0  # facts below this index were sent to some copy
+        self.backlog: dict[int, int] = {}  # owed since before the last change among the members: their order keys
         self.finished: set[int] = set()  # of an adopted book: ended here, so that old news does not bring them back
 
     def starving(self, now: int) -> bool:
--- a/cedarwick/fleet/messages.py
+++ b/cedarwick/fleet/messages.py
@@ -16,10 +16,12 @@
 from cedarwick.events.registry import Entry
 
 VERSION = 1  # of the wire; another one is refused
-LEVEL = 2  # of what a member can do; told, and looked at where a feature needs it
+LEVEL = 3  # of what a member can do; told, and looked at where a feature needs it
+OWING = 3  # from this level on a member reads `Owed`
 LARGEST = 1 << 20  # bytes of a letter
 SLOT_BITS = 18
 MEMBERS = 64  # at most in a group
+MOST_KEYS = 4096  # of a letter that tells what is owed
 
 Name = Annotated[str, Meta(max_length=64)]  # of a member, a group, a subscription; empty: nobody
 Text = Annotated[str, Meta(max_length=512)]  # for a person
@@ -369,7 +371,13 @@
     cursors: Annotated[tuple[Cursor, ...], Meta(max_length=1 << 12)]
 
 
-# ---- hints, suspensions, and what answers anything ----
+# ---- keys, hints, suspensions, and what answers anything ----
+
+
+class Owed(Message, frozen=True):
+    """Keys of which the sender of the letter owes something from before a trouble: all of them. Answered by `Noted`."""
+
+    keys: Annotated[tuple[Count, ...], Meta(max_length=MOST_KEYS)] = ()
 
 
 class Wait(Part, frozen=True):
@@ -417,7 +425,7 @@
     Beat | Ask | Told | Tables | Table
     | Facts | Piece | Have | Digests | Offer | Taken
     | Lodgings | Stage | Staged | Prepare | Accept | Voted | Settled | Claims | Claimed | Pass | Passed | Recall
-    | Subscribe | Matches | Cursors | Hint | Marks | Noted | Refused
+    | Subscribe | Matches | Cursors | Owed | Hint | Marks | Noted | Refused
 )  # fmt: skip
 
 
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Iterable
+from itertools import islice
 from typing import TYPE_CHECKING, Protocol
 
 import gevent
@@ -21,12 +22,14 @@
 from cedarwick.fleet.adoption import Adoption, BooksUsedUp, Do, Ownership, Stage
 from cedarwick.fleet.book import BLOCK, STARVED, Holding, Shared, boot_time
 from cedarwick.fleet.copies import Copies, CopyFolder
+from cedarwick.fleet.facts import Rank
 from cedarwick.fleet.gate import Gate
 from cedarwick.fleet.lasting import Held, Lasting
 from cedarwick.fleet.leases import SPAN, Grantor, Tenure, right_of
 from cedarwick.fleet.link import Peers, Refusal, Server, Unreachable
 from cedarwick.fleet.members import Members, Standing
 from cedarwick.fleet.messages import (
+    OWING,
     Ask,
     Beat,
     Body,
@@ -38,7 +41,9 @@
     Letter,
     Marks,
     Matches,
+    Noted,
     Offer,
+    Owed,
     Piece,
     Subscribe,
     Table,
@@ -51,6 +56,7 @@
 from cedarwick.fleet.messages import (
     Held as Right,
 )
+from cedarwick.fleet.owing import Owing
 from cedarwick.fleet.sharing import Sharing
 from cedarwick.fleet.shipping import NO_ROOM, OTHER, TERM, Follower
 from cedarwick.net.assignment import address
@@ -78,6 +84,7 @@
 EXPECTED = 60_000_000  # so long an adopted book is kept for what its last holder may still offer
 UNWANTED = 30_000_000  # a copy that its holder has not written to for so long, and names no heir, is dropped
 OFFER_PART = 1 << 17  # bytes of facts in one part of an offer
+MOST_OWED = 1 << 14  # envelopes of a book that are looked at for keys that others let rest
 LAG_FACTS = 2048  # an heir that lacks more, or for longer than `LAG`, is an heir no more under `ack = "own"`
 LAG = 2_000_000
 CLOSED = "closed"  # the problem of an offer for a book of which nothing is owed any more
@@ -92,6 +99,12 @@
 
     def answer_late(self, numbers: list[int]) -> None: ...
 
+    def in_turn(self, band: str) -> bool: ...
+
+    def rest(self, keys: frozenset[int]) -> None: ...
+
+    def rest_of(self, key: int) -> int: ...
+
 
 class UnknownLetter(Trouble):
     """A letter whose kind this member does not answer."""
@@ -144,6 +157,8 @@
         self.few_since = 0  # since when too few members are alive to grant anything; 0: enough are
         self.leaving = False
         self.sharing = Sharing(name, self.lasting, clock, counters, self._call)
+        self.owing = Owing()
+        self.lying: dict[int, frozenset[int]] = {}  # by book: keys in a copy here whose holder is silent
         self.exchange = Exchange(name, self.gate, counters, self._call)
         store.seen = self.exchange.seen
         store.reserve, store.starved = self._reserve, self._starved
@@ -315,6 +330,9 @@
             return self._copy(body)
         if isinstance(body, Offer):
             return self._offered(sender, body)
+        if isinstance(body, Owed):
+            self.owing.heard(boot_time(), sender, body.keys)
+            return Noted()
         if isinstance(body, Hint | Marks):
             return self.sharing.heard(sender, body)
         if isinstance(body, Subscribe | Matches | Cursors):
@@ -362,7 +380,7 @@
     # ---- everything, again and again ----
 
     def look(self, now: int) -> None:
-        for change in self.members.changes(now):
+        for change in (changes := self.members.changes(now)):
             logger.info("member {} is {} (was {})", change.name, change.now.value, change.before.value)
             self.exchange.member(change, self.members.beat_ages(now).get(change.name, 0))
         self.alive = [name for name in self.halls if self.members.state(now, name) is Standing.ALIVE]
@@ -377,10 +395,57 @@
         if self.traffic is not None:
             self.traffic.look(now)
         self.copies.step()
+        if any(change.now is Standing.ALIVE for change in changes):  # whoever it is may get back its clients
+            for holding in self.store.holdings.values():
+                self._backlog(holding)
+        if changes or time.monotonic() - self.looked_late >= LOOK_LATE:
+            self._owe(now)
         if time.monotonic() - self.looked_late >= LOOK_LATE:
             self.looked_late = time.monotonic()
             self._answer_late(now, self.few_since > 0 and now - self.few_since >= ALONE)
 
+    def _owe(self, now: int) -> None:
+        """Tell the others which keys are owed here from before a trouble, and let those rest that they have told."""
+        here: set[int] = set()
+        for holding in self.store.holdings.values():
+            if holding.backlog:
+                known = holding.ledger.known
+                holding.backlog = {number: key for number, key in holding.backlog.items() if number in known}
+                if holding.adoption.stage is Stage.HOLDING:
+                    here.update(holding.backlog.values())
+        lying = set().union(*(self._lying(now, adoption) for adoption in self.adoptions.values()))
+        # A shot of a key that has ended may still run.
+        here |= {key for key in self.owing.told - here - lying - self.owing.elsewhere if self.desk.rest_of(key) > 0}
+        others = [name for name in self.alive if self.gate.levels.get(name, 0) >= OWING and name != self.name]
+        if (keys := self.owing.tell(now, here | lying, others)) is not None:
+            for name in others:
+                gevent.spawn(self._call, name, Owed(keys), ANSWER_IN)
+        before = self.owing.elsewhere
+        if self.owing.rests(now, here, lying) or before:
+            self.desk.rest(self.owing.elsewhere)
+
+    def _lying(self, now: int, adoption: Adoption) -> frozenset[int]:
+        """Keys that are owed in a copy here, if its holder is silent."""
+        book, grant = adoption.book, self.grantor.grant(right_of(adoption.book))
+        replica = self.copies.replica(book)
+        if (replica is None or book in self.store.holdings or self.name not in grant.heirs[1:]
+                or self._standing(now, grant.holder, adoption) is Standing.ALIVE):
+            self.lying.pop(book, None)
+            return frozenset()
+        if book not in self.lying:  # a silent holder tells nothing new
+            facts = [fact for fact in replica.held.values() if fact.base is not None and fact.base.turn]
+            self.lying[book] = frozenset([fact.base.turn for fact in facts[:MOST_OWED] if fact.base is not None
+                                          and fact.known.end[0] is Rank.NONE and self.desk.in_turn(fact.base.band)])
+        return self.lying[book]
+
+    def _backlog(self, holding: Holding) -> None:
+        """What is owed in a book now is from before a trouble, but for what rests for others."""
+        for number in islice(holding.ledger.known, MOST_OWED):
+            kept = self.store.kept.get(number)
+            if kept is not None and kept.turn and kept.end is None and self.desk.in_turn(kept.band):
+                if kept.turn not in self.owing.elsewhere:
+                    holding.backlog[number] = kept.turn
+
     def _learn(self, now: int) -> None:
         for name in self.grantor.wants(now):
             if name not in self.asking:
@@ -557,6 +622,7 @@
                 return
             self._note(book, term, 0)
             self.store.begin_log(holding, term)
+            self._backlog(holding)
             self.copies.drop(book)
             logger.info("book {}: held under term {}, {} envelopes owed", book, term, len(holding.ledger.known))
         self._ship(now, holding)
@@ -607,6 +673,7 @@
         if may == holding.serving:
             return
         holding.serving = may
+        self._backlog(holding)
         numbers = self.store.numbers(holding.book)
         if may:
             if holding is self.store.current and (before := self.store.numbers(0)):
@@ -780,6 +847,7 @@
             self._follow(book)  # Danger: the newer holder counts on this copy by now, it is none of ours
             return
         self.copies.drop(book)
+        self.lying.pop(book, None)
         self.shipped_at.pop(book, None)
         self.served.pop(book, None)
         self.claimed.pop(book, None)
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -1,5 +1,6 @@
 """One greenlet owns the decisions: one queue in, verdicts out to the stages."""
 
+from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -27,6 +28,8 @@
 REMEMBERED = 15_000_000  # for so long after it was handed in, an id is not taken once more
 NO_RIGHT = 20_000  # until the next look whether this sender may decide, or its copies follow
 BOOK = 32  # bits of a number within its book: below them numbers grow as envelopes are taken
+RESTED = 300_000  # for so long a key rests that is owed elsewhere, unless it is told again
+LEAVES = 1_000_000  # of an envelope's time a rest leaves so much
 AFTER_ERROR = 100_000  # until the next round: an error that comes again must not fill the core
 
 
@@ -96,6 +99,8 @@
         self.parked: dict[int, Handle] = {}  # given up while a shot was out: it still ends
         self.to_adopt: set[int] = set()  # of these: to be gone on with once it has ended
         self.frozen: dict[int, Frozen] = {}  # sessions on the move, by key
+        self.elsewhere: frozenset[int] = frozenset()  # keys of which another sender has earlier envelopes
+        self.held_back: set[int] = set()  # envelopes that had no shot while their key was among these
         self.untold: set[int] = set()  # an end was chosen, and is told once the copies have it
         self.shots: Shots
         self.notices: Notices
@@ -145,6 +150,14 @@
         turns = self.sender.turns
         return max(0, turns.all_rest - self.clock.now(), turns.rests.get(key, 0) - self.clock.now())
 
+    def in_turn(self, band: str) -> bool:
+        """Whether envelopes of a band go one after another within a key."""
+        return band in self.bands and self.sender.bands[self.bands[band]].in_turn
+
+    def rest(self, keys: frozenset[int]) -> None:
+        """Earlier envelopes of these keys are owed elsewhere: later ones rest here until this is told no more."""
+        self.queue.put((self._rest, (keys,)))
+
     def park(self, numbers: list[int]) -> None:
         """Leave envelopes alone from now on, without an answer: this sender has no right to fire for them."""
         self.queue.put((self._park, (numbers,)))
@@ -260,21 +273,40 @@
         self.to_adopt.update(number for number in known if number in self.parked)
         taken_up = [number for number in known if number not in self.parked]
         self._take_up(taken_up, quietly)
+        joined: dict[int, list[Handle]] = {}
         for handle in [self.handles[number] for number in taken_up if number in self.handles]:
             if handle.band.in_turn and handle.key:
-                self._line_up(handle)
-
-    def _line_up(self, handle: Handle) -> None:
-        """An envelope that is gone on with stands before those of its key that were taken after it in its book."""
-        line = self.sender.turns.lines[handle.key]
-        for index, each in enumerate(line):
-            if each is handle:
-                return
-            if each.id > handle.id and each.id >> BOOK == handle.id >> BOOK and not each.out:
+                joined.setdefault(handle.key, []).append(handle)
+        for key, handles in joined.items():
+            self._line_up(self.sender.turns.lines[key], handles)
+
+    def _line_up(self, line: deque[Handle], joined: Sequence[Handle]) -> None:
+        """Envelopes that are gone on with, the last of their line, stand before those of their key that were taken
+        after them in their book, and before those that were held back for them."""
+        for _ in joined:
+            line.pop()
+        for handle in joined:
+            index = len(line)
+            while index and not line[index - 1].out:
+                before = line[index - 1].id
+                if before not in self.held_back and (before < handle.id or before >> BOOK != handle.id >> BOOK):
+                    break
                 # Danger: one whose shot was out when its book was parked comes back after all others of its key.
-                line.remove(handle)
-                line.insert(index, handle)
-                return
+                index -= 1
+            line.insert(index, handle)
+
+    def _rest(self, keys: frozenset[int]) -> None:
+        self.elsewhere = keys
+        self.held_back &= self.handles.keys()
+        for key in keys & self.sender.turns.lines.keys():
+            self._let_rest(key)
+
+    def _let_rest(self, key: int) -> None:
+        turns = self.sender.turns
+        if line := turns.lines[key]:
+            self.held_back.update(each.id for each in line if not each.shots)
+            until = min(self.clock.now() + RESTED, line[0].outer_limit - LEAVES)
+            turns.rests[key] = max(until, turns.rests.get(key, 0))
 
     def _park(self, numbers: list[int]) -> None:
         now, given_up = self.clock.now(), set(numbers)
@@ -366,6 +398,9 @@
         self.handles[number] = self.sender.take(
             now, number, kept.destination, band, kept.outer_limit,
             place(self.tenants, kept.tenant), kept.turn)
+        if kept.turn in self.elsewhere and self.sender.bands[band].in_turn:
+            self.counters.add("envelopes that waited for others of their key elsewhere")
+            self._let_rest(kept.turn)
 
     def _withdraw(self, kept: Kept) -> None:
         if kept.number in self.store.inert:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -2,6 +2,7 @@
 
 import tempfile
 import unittest
+from dataclasses import replace
 from typing import Any
 from unittest import mock
 
@@ -15,9 +16,23 @@
 from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, decode_facts, encode_facts
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
 from cedarwick.fleet.members import Standing
-from cedarwick.fleet.messages import Beat, Body, Grant, Offer, Piece, Table, Taken, Told, digest_of
+from cedarwick.fleet.messages import (
+    OWING,
+    Beat,
+    Body,
+    Grant,
+    Noted,
+    Offer,
+    Owed,
+    Piece,
+    Table,
+    Taken,
+    Told,
+    digest_of,
+)
 from cedarwick.fleet.messages import Held as Right
 from cedarwick.fleet.node import Node
+from cedarwick.fleet.owing import EVERY, LASTS
 from cedarwick.fleet.shipping import EVERYTHING
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -288,6 +303,41 @@
             node._import(boot_time(), adoption)
         self.assertEqual([node.store.kept[number(index)].doubt_at for index in (1, 2)], [77, 77])
 
+    def test_keys_of_before_a_trouble_are_told_and_those_told_by_others_rest(self) -> None:
+        node, now = self.member(), boot_time()
+        node.desk.rest_of.return_value = 0  # type: ignore[attr-defined]
+        node.desk.in_turn = lambda band: band == "free"  # type: ignore[method-assign]
+        node.alive, node.gate.levels = list(NAMES), {"a": OWING, "b": OWING - 1, "c": OWING}
+        data = encode_facts([Fact(each.number, msgspec.structs.replace(each.base, turn=turn, band=band), each.known)
+                             for each, turn, band in ((fact(1), 8, "free"), (fact(2), 9, "marked")) if each.base])
+        node.copies.piece(Piece(BOOK, 2, 0, EVERYTHING, data, 0, digest_of(data)))
+        node._follow(BOOK)
+        node.grantor = Grantor("a", NAMES, now, (Grant(right_of(BOOK), 2, "b", ("b", "a"), 1),))
+        with mock.patch("cedarwick.fleet.node.gevent.spawn") as spawn:
+            with mock.patch.object(node, "_standing", return_value=Standing.ALIVE):
+                node._owe(now)
+            self.assertEqual((spawn.call_args, node.owing.elsewhere), (None, frozenset()))
+            node._owe(now)  # b is silent: what a copy here says is owed is told, and rests here, too
+            self.assertEqual([call.args[1:3] for call in spawn.call_args_list], [("c", Owed((8,)))])
+            node.desk.rest.assert_called_once_with({8})  # type: ignore[attr-defined]
+            self.assertIsInstance(node._answer("c", 1, Owed((5, 6))), Noted)
+            node.copies.drop(BOOK)
+            node.adoptions.clear()
+            node._owe(now)
+            self.assertEqual(node.owing.elsewhere, {5, 6})
+            holding = self.holding(node)
+            for index, turn in enumerate((5, 7), 1):
+                holding.ledger.kept(replace(kept(index), turn=turn), b"")
+                node.store.kept[number(index)] = replace(kept(index), turn=turn)
+            node._backlog(holding)
+            node._owe(now)
+            self.assertEqual(node.owing.told, {7})  # 5 waits for c by itself
+            del holding.ledger.known[number(2)]
+            node._owe(now + EVERY)
+            self.assertEqual(spawn.call_args.args[1:3], ("c", Owed()))
+            node._owe(now + LASTS + SPAN)
+            self.assertEqual(node.desk.rest.call_args.args, (frozenset(),))  # type: ignore[attr-defined]
+
     def test_an_owner_that_comes_back_after_others_waits_for_what_they_may_offer(self) -> None:
         for term, from_term in ((2, 0), (3, 1)):
             node = self.member()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,7 +19,7 @@
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
-from cedarwick.net.desk import Answered, Desk, Submission
+from cedarwick.net.desk import BOOK, Answered, Desk, Submission
 from cedarwick.net.directory import Directory
 from cedarwick.net.http import Answer, Unreadable
 from cedarwick.net.links import Descriptors, NoDescriptor
@@ -97,6 +97,24 @@
         self.desk._adopt([2])
         self.assertEqual([handle.id for handle in line], [1, 3, 2])  # nothing begins while a shot of the key is out
 
+    def test_what_is_owed_elsewhere_goes_first_as_long_as_there_is_time(self) -> None:
+        self.desk.sender.bands[0].in_turn = True
+        self.taken(name="held", key=5)  # number 1: its shot is out
+        self.desk._shot_ended(self.calls[0], Ending(Outcome.MOOT))
+        self.desk._rest(frozenset([5, 6, 7]))
+        for name, key, life in (("b", 5, 8_000_000), ("c", 6, 8_000_000), ("d", 7, 900_000), ("e", 8, 8_000_000)):
+            self.taken(name=name, key=key, life=life)
+        self.desk._decide()
+        self.assertEqual([call.kept.id for call in self.calls], ["held", "d", "e"])  # d has no second to spare
+        self.assertLess(0, self.desk.rest_of(6))
+        other = 9 << BOOK
+        for number in (other + 1, other + 2):  # what a dead sender owed of the key, adopted here
+            self.store.keep(Kept(number, f"id-{number}", "", 6, "free", "second", 0, self.desk.clock.now() + 8_000_000,
+                                 b""))
+        self.desk._adopt([other + 1, other + 2])
+        self.assertEqual([each.id for each in self.desk.sender.turns.lines[6]], [other + 1, other + 2, 3])
+        self.assertEqual(self.desk.sender.turns.rests.get(9), None)  # nothing is kept for keys without an envelope
+
     def test_an_envelope_is_kept_before_its_shot_starts(self) -> None:
         self.assertEqual(self.taken().answer.get(block=False), (Answered.KEPT, 0))
         self.assertEqual((list(self.store.kept), self.calls[0].kept), ([1], self.store.kept[1]))
