Subscriptions outlive a restart of all members, in the folder; how long one lasts is fleet.follow_s

Seen: the registry began empty at every start (Registry(name, wall())), so a restart of all members at once lost all subscriptions, and an end that not all had heard was forgotten with them: CW822 after the restart, or a subscription that a sleeper brought back.

Change: events/kept.py keeps entries and tombstones in $RELAY_STATE/fleet/subscriptions: frames of the folder's, joined as they are read, one appended for each change and the whole replaced (beside, renamed) once what was added outweighs what lives. A version is written before anybody is answered that knows of it; 'last followed' and the epoch at most twice a minute. What is read counts as this member at an earlier time, so a restart is a sleep that the epochs already judge: the epoch read is the one written, not the clock's. Damage is CW740 and the member begins with nothing; a failed write is CW840 and made again whole. A tombstone is kept by who was away for too long (thrown away before with all else): the one that knew of an end may come last.

Wall clocks: a jump in service is no time that has passed (stepped); what is read later than the clock lives on as a version that gives way to any other; what lived when last written has a quarter of its time left after a start, once.

An entry tells how long it lasts, by the member where it was followed last: so all agree without asking, and the default is left out on the wire and in digests as before.

--- a/cedarwick/config/operator.py
+++ b/cedarwick/config/operator.py
@@ -160,6 +160,16 @@
             "another; the same in every member's file."
         ),
     ] = False
+    follow_s: Annotated[
+        float,
+        Meta(
+            ge=60,
+            le=43200,
+            description="A subscription that nobody has followed for so long has ended. Of members that differ, the "
+            "one where it was followed last decides, for all.",
+            extra={"unit": "seconds"},
+        ),
+    ] = 3600.0
 
 
 class Operator(Table, frozen=True, kw_only=True):
--- a/cedarwick/events/exchange.py
+++ b/cedarwick/events/exchange.py
@@ -1,7 +1,7 @@
 """A member's part in what subscribers are told: the registry among the members, `FOLLOW`, and the events here.
 
 Made with the fleet, and costs next to nothing until somebody follows: then `serving.py` is loaded, and with it lark.
-The registry is told as in `spreading.py`; what its entries mean is settled in `registry.py`.
+The registry is told as in `spreading.py` and kept as in `kept.py`; what its entries mean is settled in `registry.py`.
 """
 
 import importlib
@@ -15,8 +15,9 @@
 from loguru import logger
 
 from cedarwick.errors import Trouble
+from cedarwick.events.kept import Keeper
 from cedarwick.events.kinds import BadEvent, Value
-from cedarwick.events.registry import FORGET, NotFollowed, Registry, Verdict
+from cedarwick.events.registry import FORGET, SECOND, NotFollowed, Registry, Verdict
 from cedarwick.events.sources import Sources
 from cedarwick.events.spreading import Spread
 from cedarwick.events.witness import Witness
@@ -39,6 +40,7 @@
 AGAIN = 5_000_000  # between two comparisons with a member with which nothing is new
 RETRY = 1_000_000  # until one that failed, or left something over, is made again
 TICK = 1_000_000
+JUMP = 10_000_000  # by which the wall clock goes astray of the one that counts on, until that counts as a jump
 EXPIRY = 30_000_000  # between two looks for subscriptions that nobody follows any more
 ANSWER_IN = 0.4  # seconds
 MOST_READERS = 128  # subscribers that are connected here
@@ -95,13 +97,15 @@
     """Nothing is told or taken before `attach`."""
 
     def __init__(self, name: str, gate: Gate, counters: Counters,
-                 call: Callable[[str, Body, float], Body | None]) -> None:
+                 call: Callable[[str, Body, float], Body | None], state: str = "", lasts: int = FORGET) -> None:
+        """`state`: the folder, nothing is kept without one; `lasts`: microseconds, of what is followed here."""
         self.name = name
         self.gate = gate
         self.counters = counters
         self.call = call
         self.sources = Sources(gate)
-        self.spread = Spread(Registry(name, wall()))
+        self.spread = Spread(Registry(name, wall(), lasts))
+        self.keeper = Keeper(state, self.registry, counters) if state else None
         self.serving: Serving | None = None
         self.loading = False
         self.first = 1  # the number of the next event, while nothing is served
@@ -115,12 +119,20 @@
         self.failed_until: dict[str, int] = {}  # by member that has not answered
         self.talking: set[str] = set()
         self.witness: Witness | None = None
+        self.offset: int | None = None  # of the wall clock to the one that counts on
+        if self.keeper is not None:
+            self.keeper.load(wall())
+            self.dirty = bool(self.registry.entries)
 
     @property
     def registry(self) -> Registry:
         """All subscriptions, as this member knows them."""
         return self.spread.registry
 
+    def replace(self, lasts: int) -> None:
+        """Another word of how long what is followed here lasts without a follower: for all who are connected, too."""
+        self.registry.lasts = lasts
+
     def attach(self, staff: Staff, directory: Directory, desk: Desk, hall: str) -> None:
         """Once the shots are made, after everybody else who listens to them."""
         self.witness = Witness(self.name, hall, desk, directory)
@@ -235,12 +247,19 @@
         return Noted()
 
     def stop(self) -> None:
-        """The sender ends."""
+        """The sender ends; what is kept in the folder is another process's from now on."""
+        if self.keeper is not None:
+            self.keeper.close(wall())
         if self.serving is not None:
             self.serving.summary()
 
     def _tick(self, now: int, with_majority: bool) -> None:
         count, at = len(self.registry.entries), wall()
+        offset = self.offset = at - now if self.offset is None else self.offset
+        if abs(at - now - offset) > JUMP:
+            logger.warning("the wall clock has jumped by {} s", (at - now - offset) / SECOND)
+            self.registry.stepped(at - now - offset)
+            self.offset = at - now
         lost = self.registry.tick(at, with_majority)
         for name in lost:
             self._end(name, Forgotten(f"{name}: this member was cut off for too long"))
@@ -248,13 +267,14 @@
             self._changed()
         if self.serving is not None:
             for name in list(self.serving.connections):
-                entry = self.registry.entries.get(name)
-                if entry is not None and entry.lives(at) and at - entry.followed_at > FORGET // 4:
+                if self.registry.lives(at, name) and self.registry.due(at, name):
                     self.registry.followed(at, name)
                     self._changed(name)
         if now >= self.expiry_at:
             self.expiry_at = now + EXPIRY
             self.dirty = bool(self.registry.entries) or self.dirty
+        if self.keeper is not None:
+            self.keeper.look(at, now)
 
     def _evaluate(self) -> None:
         living = self.registry.living(wall())
@@ -280,7 +300,11 @@
     # ---- the registry ----
 
     def _changed(self, *names: str, but: str = "") -> None:
-        """Entries have changed: told to the others at the next look, and acted on here."""
+        """Entries have changed: kept before anybody is told, told to the others at the next look, acted on here."""
+        at = wall()
+        if self.keeper is not None:
+            # Danger: who answers that it knows of an end, and forgets it in a restart, would bring back what was ended.
+            self.keeper.changed(at, names)
         self.spread.changed()
         self.dirty = True
         self.turn_at = 0
@@ -288,10 +312,9 @@
             self.lacks.setdefault(member, set()).update(names)
         if self.serving is None:
             return
-        at = wall()
         for name in list(self.serving.connections):
             entry = self.registry.entries.get(name)
-            if entry is None or not entry.lives(at):
+            if entry is None or not self.registry.lives(at, name):
                 self._end(name, Unfollowed(f"{name} has ended"))
             elif entry.member != self.name:
                 self._end(name, MovedAway(f"{name} is followed at {entry.member}"))
@@ -379,10 +402,9 @@
                                  if member in self.gate.levels})
             text = found.text
         else:
-            held = self.registry.entries.get(name)
-            if held is None or not held.lives(at):
+            if not self.registry.lives(at, name):
                 raise NotFollowed(f"no subscription is called '{name}' here")
-            text = held.filter
+            text = self.registry.entries[name].filter
         self.registry.follow(at, name, text)
         self.began = max(self.began + 1, at)
         connection = serving.connect(Reader(name, self.began, cursors), self.alive)
--- a/cedarwick/events/registry.py
+++ b/cedarwick/events/registry.py
@@ -8,7 +8,11 @@
 An entry that was ended stays as a tombstone for KEEP epochs. A member that was away for longer could bring back what
 it still holds alive, so every registry carries an epoch: the slice of time in which its member last was with a
 majority, or began with nothing. One that is more than MOST_AWAY behind is refused; its member throws away what it
-holds once it is with a majority again, and takes the others' entries from there.
+holds alive once it is with a majority again, and takes the others' entries from there. What a member reads from its
+folder at a start (`kept.py`) is what it was at an earlier time: a restart is a sleep since then, and no more is needed.
+
+Whether a subscription that nobody follows has ended is seen from its entry alone, which says how long it lasts without
+a follower. Its age is counted by the wall clock, but for what that has jumped since the entry came here.
 """
 
 import re
@@ -20,7 +24,9 @@
 from cedarwick.errors import Trouble
 
 SECOND = 1_000_000
-FORGET = 3600 * SECOND  # a subscription that nobody has followed for so long has ended, everywhere
+FORGET = 3600 * SECOND  # a subscription that nobody has followed for so long has ended, where nothing else is told
+LEAST_FORGET = 60 * SECOND  # what may be told
+MOST_FORGET = 12 * 3600 * SECOND  # Danger: who holds one for longer than MOST_AWAY would lose it by being away alone
 SLICE = 3600 * SECOND  # an epoch
 KEEP = 24  # epochs for which tombstones are kept
 MOST_AWAY = 12  # epochs; a member that was away for longer starts anew. The rest of KEEP is for it to be heard
@@ -41,7 +47,7 @@
     """No subscription has the name."""
 
     code = "CW822"
-    remedy = "follow it with its filter first; one that nobody followed for an hour has ended"
+    remedy = "follow it with its filter first; one that nobody followed for fleet.follow_s has ended"
 
 
 class TooManyFollowed(Trouble):
@@ -51,7 +57,7 @@
     remedy = "end subscriptions that are not needed, or follow again once those ended a day ago are forgotten"
 
 
-class Entry(msgspec.Struct, frozen=True, order=True):
+class Entry(msgspec.Struct, frozen=True, order=True, omit_defaults=True):
     """A subscription. Order decides which of two is the newer, field by field."""
 
     counter: int  # of its version; microseconds, or one more than the version before
@@ -59,15 +65,18 @@
     ended: bool
     filter: str
     followed_at: int  # microseconds of the wall clock
+    lasts: int = FORGET  # microseconds without a follower; by the word of the member where it was followed last
 
-    def lives(self, now: int) -> bool:
-        """Whether it is followed, or was not long ago."""
-        return not self.ended and now - self.followed_at <= FORGET
+    @property
+    def version(self) -> tuple[int, str, bool, str, int]:
+        """All but when it was followed."""
+        return self.counter, self.member, self.ended, self.filter, self.lasts
 
     @property
     def sound(self) -> bool:
         """Whether its sizes are what a member may send."""
-        return len(self.filter.encode(errors="replace")) <= LONGEST and NAME.fullmatch(self.member) is not None
+        return (len(self.filter.encode(errors="replace")) <= LONGEST and NAME.fullmatch(self.member) is not None
+                and LEAST_FORGET <= self.lasts <= MOST_FORGET)
 
 
 def join(held: Entry | None, other: Entry) -> Entry:
@@ -85,12 +94,37 @@
 
 
 class Registry:
-    """All subscriptions by name, at one member."""
+    """All subscriptions by name, at one member. `lasts`: of those that are followed here, without a follower."""
 
-    def __init__(self, member: str, now: int) -> None:
+    def __init__(self, member: str, now: int, lasts: int = FORGET) -> None:
         self.member = member
+        self.lasts = lasts
         self.entries: dict[str, Entry] = {}
         self.epoch = now // SLICE
+        self.jumped: dict[str, int] = {}  # by name: microseconds that are no part of its age, as the clock has jumped
+
+    def restore(self, now: int, written_at: int, epoch: int, entries: Iterable[tuple[str, Entry]]) -> None:
+        """Begin with what this member was at an earlier time: it has slept since `written_at` of the wall clock then.
+
+        What lived then is left a quarter of its time at least, for its subscriber to come back; what the clock says
+        was away for too long is left out, but for what has ended.
+        """
+        away = now // SLICE - epoch > MOST_AWAY
+        self.epoch = now // SLICE if away else min(epoch, now // SLICE)
+        for name, entry in entries:
+            if not entry.sound or not NAME.fullmatch(name) or away and not entry.ended or len(self.entries) >= MOST:
+                continue
+            age = max(now, written_at) - entry.followed_at
+            if max(entry.counter, entry.followed_at) > now + SKEW:
+                # Danger: the others refuse all that is later than their clocks, and what it lasts would be as long as
+                # the clock was off. What lived then gives way to any other version, an end to none that is older.
+                age = max(0, written_at - entry.followed_at)
+                entry = msgspec.structs.replace(entry, counter=now if entry.ended else 0, followed_at=now - age)
+            if not entry.ended and age <= entry.lasts + max(0, now - written_at):
+                # Danger: while all are down nobody can follow; a clock that was set meanwhile would end all at once.
+                age = min(age, entry.lasts - entry.lasts // 4)
+            self.entries[name] = entry
+            self.jumped[name] = now - entry.followed_at - age
 
     def follow(self, now: int, name: str, text: str) -> Entry:
         """A subscriber is here with a filter's canonical text. Raises BadName and TooManyFollowed."""
@@ -100,25 +134,42 @@
         if held is None and len(self.entries) >= MOST:
             raise TooManyFollowed(f"{MOST} subscriptions are held, '{name}' would be one more")
         # Danger: without a version of its own, this would give way to an older following at a member not yet heard.
-        made = Entry(self._counter(now, held), self.member, False, text, now)
-        self.entries[name] = made
-        return made
+        return self._put(now, name, Entry(self._counter(now, held), self.member, False, text, now, self.lasts))
 
     def followed(self, now: int, name: str) -> Entry:
-        """The subscriber is still here: said at least once in a quarter of FORGET. Raises NotFollowed."""
+        """The subscriber is still here: said at least once in a quarter of what it lasts. Raises NotFollowed."""
         held = self._living(now, name)
-        self.entries[name] = msgspec.structs.replace(held, followed_at=max(now, held.followed_at))
-        return self.entries[name]
+        # Danger: after a clock was set back its time would stand still for the others, and end there.
+        at = max(now, held.followed_at + max(0, self.age(now, name)))
+        return self._put(now, name, msgspec.structs.replace(held, followed_at=at, lasts=self.lasts))
+
+    def due(self, now: int, name: str) -> bool:
+        """Whether it is time to say that the subscriber of one that is held is still here."""
+        lasts = self.entries[name].lasts
+        return lasts != self.lasts or self.age(now, name) > lasts // 4
 
     def end(self, now: int, name: str) -> Entry:
         """End a subscription for everyone. Raises NotFollowed."""
         held = self._living(now, name)
-        self.entries[name] = Entry(self._counter(now, held), self.member, True, held.filter, now)
-        return self.entries[name]
+        return self._put(now, name, Entry(self._counter(now, held), self.member, True, held.filter, now, held.lasts))
+
+    def age(self, now: int, name: str) -> int:
+        """For how long nobody has followed one that is held, as far as is known here; microseconds."""
+        return now - self.entries[name].followed_at - self.jumped.get(name, 0)
+
+    def lives(self, now: int, name: str) -> bool:
+        """Whether a subscription is followed, or was not long ago."""
+        entry = self.entries.get(name)
+        return entry is not None and not entry.ended and self.age(now, name) <= entry.lasts
 
     def living(self, now: int) -> dict[str, Entry]:
         """The subscriptions to evaluate."""
-        return {name: entry for name, entry in self.entries.items() if entry.lives(now)}
+        return {name: entry for name, entry in self.entries.items() if self.lives(now, name)}
+
+    def stepped(self, by: int) -> None:
+        """The wall clock has jumped by so many microseconds; no time has passed."""
+        # Danger: a clock that is set on by an hour would end all at once, one set back would keep all for ever.
+        self.jumped = {name: self.jumped.get(name, 0) + by for name in self.entries}
 
     def tick(self, now: int, with_majority: bool) -> list[str]:
         """Move the epoch on while with a majority, and forget what may be forgotten.
@@ -131,9 +182,12 @@
         if with_majority:
             if now // SLICE - self.epoch > MOST_AWAY:
                 lost = sorted(self.living(now))
-                self.entries = {}
+                # What has ended stays: it may be known here alone, and brings nothing back.
+                self.entries = {name: entry for name, entry in self.entries.items() if entry.ended}
             self.epoch = max(self.epoch, now // SLICE)
         self.entries = {name: entry for name, entry in self.entries.items() if not self._forgotten(entry)}
+        if len(self.jumped) > len(self.entries):
+            self.jumped = {name: by for name, by in self.jumped.items() if name in self.entries}
         return lost
 
     def merge(self, now: int, epoch: int, theirs: Iterable[tuple[str, Entry]]) -> Verdict:
@@ -152,14 +206,23 @@
             if not self._forgotten(entry) and entry.sound and NAME.fullmatch(name):
                 held = self.entries.get(name)
                 if held is not None or len(self.entries) < MOST:
-                    self.entries[name] = join(held, entry)
+                    self._put(now, name, join(held, entry))
         return Verdict.JOINED
 
+    def _put(self, now: int, name: str, entry: Entry) -> Entry:
+        jumped = self.jumped.pop(name, 0)
+        if jumped:
+            if self.entries.get(name) != entry:
+                # Of a jump as much counts on as the word that has come now does not speak of.
+                jumped = sorted((0, jumped, now - entry.followed_at))[1]
+            self.jumped[name] = jumped
+        self.entries[name] = entry
+        return entry
+
     def _living(self, now: int, name: str) -> Entry:
-        held = self.entries.get(name)
-        if held is None or not held.lives(now):
+        if not self.lives(now, name):
             raise NotFollowed(f"no subscription is called '{name[:80]}'")
-        return held
+        return self.entries[name]
 
     def _forgotten(self, entry: Entry) -> bool:
         """Whether an entry is too old to be kept: by the epoch, so that all who share it agree."""
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -144,7 +144,7 @@
         self.few_since = 0  # since when too few members are alive to grant anything; 0: enough are
         self.leaving = False
         self.sharing = Sharing(name, self.lasting, clock, counters, self._call)
-        self.exchange = Exchange(name, self.gate, counters, self._call)
+        self.exchange = Exchange(name, self.gate, counters, self._call, state, round(told.follow_s * 1e6))
         store.seen = self.exchange.seen
         store.reserve, store.starved = self._reserve, self._starved
         self.traffic: Traffic | None = None
@@ -233,6 +233,7 @@
         self.peers.replace(self.where)
         self.members.replace(now, self.halls)
         self.grantor.replace(self.halls)
+        self.exchange.replace(round(told.follow_s * 1e6))
         if self.traffic is not None:
             self.traffic.replace()
         for adoption in self.adoptions.values():
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -110,6 +110,8 @@
         self.bad(fleet(a, b, more='ack = "copy"\ncopies = 0'), "fleet.copies", "1 at least")
         self.bad(fleet(a, b, more='alone = "lost"'), "fleet.alone", "lost")
         self.bad(fleet(a, b, more="ack_within_ms = 401"), "fleet.ack_within_ms", "<= 400")
+        self.bad(fleet(a, b, more="follow_s = 59"), "fleet.follow_s", ">= 60")
+        self.bad(fleet(a, b, more="follow_s = 43201"), "fleet.follow_s", "<= 43200")
 
     def test_show_says_where_a_value_comes_from(self) -> None:
         said = self.run_("config", "show", self.write('[log]\nlevel = "DEBUG"\n')).output
--- /dev/null
+++ b/tests/test_subscriptions_kept.py
@@ -0,0 +1,388 @@
+"""The subscriptions in the folder: drawn histories of restarts, losses and sleeps; and what is read of the file."""
+
+import os
+import tempfile
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loguru import logger
+
+from cedarwick.events import kept, registry
+from cedarwick.events.kept import Keeper, packed, unpacked
+from cedarwick.events.registry import FORGET, KEEP, MOST_AWAY, MOST_FORGET, SECOND, SLICE, Entry, Registry, Verdict
+from cedarwick.fleet.lasting import Lasting
+from cedarwick.net.counters import Counters
+
+NOW = 500_000 * SLICE
+MINUTE = 60 * SECOND
+HOUR = 3600 * SECOND
+PLACES = st.integers(0, 2)
+SOME = st.sets(PLACES, min_size=1).map(sorted)
+STEPS = st.one_of(
+    st.tuples(st.sampled_from(["follow", "unfollow", "refresh"]), PLACES.map(lambda place: [place])),
+    st.tuples(st.sampled_from(["kill", "start", "start", "cut", "heal"]), SOME),
+    st.tuples(st.sampled_from(["lose", "spoil", "shorten"]), PLACES.map(lambda place: [place])),
+    st.tuples(st.sampled_from([MINUTE, 20 * MINUTE, HOUR, 11 * HOUR, 13 * HOUR, 30 * HOUR]).map(str), st.just([0])),
+)
+
+
+class Member:
+    """One member's registry and its folder; `registry` is None while it is down."""
+
+    def __init__(self, name: str, state: str, lasts: int) -> None:
+        self.name, self.state, self.lasts = name, state, lasts
+        self.lasting = Lasting(state)
+        self.registry: Registry | None = None
+        self.knows: set[int] = set()  # counters of the ends that it has kept, unless its file was lost since
+
+    @property
+    def path(self) -> str:
+        return os.path.join(self.lasting.path, kept.NAME)
+
+    def start(self, now: int) -> Registry:
+        self.registry = made = Registry(self.name, now, self.lasts)
+        self.keeper = Keeper(self.state, made, Counters())
+        self.keeper.load(now)
+        return made
+
+    def changed(self, now: int) -> None:
+        """As the exchange: kept before anybody is answered."""
+        assert self.registry is not None
+        self.keeper.changed(now, list(self.registry.entries))
+        self.knows |= {entry.counter for entry in self.registry.entries.values() if entry.ended}
+
+
+class History:
+    """Three members and one subscription; all that are up and not cut off speak at every step."""
+
+    def __init__(self, folder: str, test: unittest.TestCase) -> None:
+        self.test = test
+        self.now = NOW
+        self.members = [Member(f"n{place}", os.path.join(folder, f"n{place}"), lasts)
+                        for place, lasts in enumerate((FORGET, FORGET, MOST_FORGET))]
+        self.cut: set[int] = set()
+        self.followed: Entry | None = None  # the newest
+        self.holds: set[int] = set()  # members that have kept it since
+        self.ends: list[int] = []  # counters
+        for member in self.members:
+            member.start(self.now)
+
+    def up(self) -> list[Member]:
+        """Those that are with one another."""
+        return [member for place, member in enumerate(self.members) if member.registry and place not in self.cut]
+
+    def living(self, place: int) -> bool:
+        held = self.members[place].registry
+        return held is not None and held.lives(self.now, "x")
+
+    def step(self, what: str, places: list[int]) -> None:
+        self.now += 1
+        if what.isdigit():
+            end = self.now + int(what)
+            while self.now < end:
+                self.now = min(end, self.now + 10 * MINUTE)
+                self.meet()
+            return
+        for place in places:
+            getattr(self, f"do_{what}")(place, self.members[place])
+        self.meet()
+
+    def meet(self) -> None:
+        up = self.up()
+        for member in self.members:
+            if member.registry is not None:
+                member.registry.tick(self.now, member in up and len(up) >= 2)
+                member.keeper.look(self.now, self.now)
+        for one in up:
+            for other in up:
+                if one is not other and one.registry and other.registry:
+                    other.registry.merge(self.now, one.registry.epoch, list(one.registry.entries.items()))
+                    other.changed(self.now)
+        self.judge()
+
+    def judge(self) -> None:
+        """Who knows of an end does not evaluate what was ended."""
+        for place, member in enumerate(self.members):
+            if member.registry is not None and (entry := member.registry.living(self.now).get("x")) is not None:
+                self.test.assertFalse([end for end in member.knows if end >= entry.counter])
+            if member.registry is not None and self.followed is not None:
+                held = member.registry.entries.get("x")
+                if held is not None and held.counter >= self.followed.counter:
+                    self.holds.add(place)
+
+    def do_follow(self, place: int, member: Member) -> None:
+        if member.registry is not None:
+            self.followed = member.registry.follow(self.now, "x", "has id")
+            self.holds = {place}
+            member.changed(self.now)
+
+    def do_unfollow(self, place: int, member: Member) -> None:
+        if member.registry is not None and self.living(place):
+            self.ends.append(member.registry.end(self.now, "x").counter)
+            member.changed(self.now)
+
+    def do_refresh(self, place: int, member: Member) -> None:
+        if member.registry is not None and self.living(place):
+            member.registry.followed(self.now, "x")
+            member.changed(self.now)
+
+    def do_kill(self, _: int, member: Member) -> None:
+        member.registry = None
+
+    def do_start(self, _: int, member: Member) -> None:
+        if member.registry is None:
+            member.start(self.now)
+
+    def do_cut(self, place: int, _: Member) -> None:
+        self.cut.add(place)
+
+    def do_heal(self, place: int, _: Member) -> None:
+        self.cut.discard(place)
+
+    def do_lose(self, place: int, member: Member) -> None:
+        self.broken(place, member, b"")
+
+    def do_spoil(self, place: int, member: Member) -> None:
+        if os.path.exists(member.path):
+            with open(member.path, "rb") as file:
+                data = bytearray(file.read())
+            at = self.now % len(data)
+            data[at] ^= 0x55
+            self.broken(place, member, bytes(data))
+
+    def do_shorten(self, place: int, member: Member) -> None:
+        if os.path.exists(member.path):
+            with open(member.path, "rb") as file:
+                data = file.read()
+            self.broken(place, member, data[:self.now % len(data)])
+
+    def broken(self, place: int, member: Member, data: bytes) -> None:
+        member.registry = None
+        member.knows.clear()
+        self.holds.discard(place)
+        if data:
+            with open(member.path, "wb") as file:
+                file.write(data)
+        elif os.path.exists(member.path):
+            os.unlink(member.path)
+
+    def finish(self) -> None:
+        """All are up and with one another: what must be gone everywhere, and what must be there."""
+        told = [end for end in self.ends if sum(end in member.knows for member in self.members) >= 2]
+        self.cut.clear()
+        for place in (2, 0, 1):
+            self.do_start(place, self.members[place])
+        for _ in range(3):
+            self.now += 1
+            self.meet()
+        registries = [member.registry for member in self.members if member.registry is not None]
+        entries = [held.entries for held in registries]
+        self.test.assertEqual(entries[0], entries[1])
+        self.test.assertEqual(entries[0], entries[2])
+        living = entries[0].get("x")
+        if living is not None and not living.ended:
+            self.test.assertFalse([end for end in told if end >= living.counter])
+        followed = self.followed
+        if followed is not None and len(self.holds) >= 2 and not [end for end in self.ends if end > followed.counter]:
+            if self.now - followed.followed_at <= followed.lasts:
+                self.test.assertTrue(all(held.lives(self.now, "x") for held in registries))
+
+
+class Kept(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("cedarwick")
+        self.addCleanup(logger.enable, "cedarwick")
+        made = tempfile.TemporaryDirectory()
+        self.addCleanup(made.cleanup)
+        self.state = made.name
+
+    def member(self, lasts: int = FORGET) -> Member:
+        made = Member("n0", self.state, lasts)
+        made.start(NOW)
+        return made
+
+    @settings(derandomize=True, max_examples=250, deadline=None)
+    @given(st.lists(STEPS, max_size=25))
+    def test_nothing_ended_rises_and_nothing_living_is_lost(self, steps: list[tuple[str, list[int]]]) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            history = History(folder, self)
+            history.step("follow", [0])
+            for what, places in steps:
+                history.step(what, places)
+            history.finish()
+
+    def test_the_one_that_knew_of_the_end_comes_last(self) -> None:
+        for gone, back, hours in [*(("kill", "start", hours) for hours in (0, 11, 13, 23)), ("cut", "heal", 13)]:
+            with self.subTest(gone, hours=hours), tempfile.TemporaryDirectory() as folder:
+                history = History(folder, self)
+                history.step("follow", [2])
+                history.step("kill", [1, 2])
+                history.step("unfollow", [0])
+                history.step(gone, [0])
+                history.step("start", [1, 2])
+                for _ in range(3 * hours + 1):
+                    history.step("refresh", [2])
+                    history.step(str(20 * MINUTE), [0])
+                self.assertTrue(all(history.living(place) for place in (1, 2)))  # nobody there has heard
+                history.step(back, [0])
+                history.finish()
+                self.assertFalse(any(history.living(place) for place in range(3)))
+
+    def test_a_sleep_in_pieces_is_one_sleep(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            history = History(folder, self)
+            history.step("follow", [2])
+            history.step("cut", [2])
+            history.step("unfollow", [0])
+            for _ in range(3):
+                history.step("refresh", [2])
+                history.step(str(MINUTE), [0])  # until that is written
+                history.step("kill", [2])
+                history.step(str(11 * HOUR), [0])
+                history.step("start", [2])
+            history.finish()  # what the others knew of the end is forgotten
+            self.assertEqual(history.members[0].registry.entries, {})  # type: ignore[union-attr]
+
+    def test_what_a_start_finds_is_left_time_for_its_subscriber_once(self) -> None:
+        for away, lives in ((MINUTE, FORGET - MINUTE), (HOUR, FORGET // 4), (10 * HOUR, FORGET // 4),
+                            (-2 * HOUR, FORGET), (-3 * SECOND, FORGET)):  # the clock may be set back meanwhile
+            with self.subTest(away=away):
+                member = self.member()
+                assert member.registry is not None
+                member.registry.follow(NOW, "x", "has id")
+                member.changed(NOW)
+                begun = NOW + away
+                found = member.start(begun)
+                self.assertTrue(found.lives(begun + lives, "x"))
+                self.assertFalse(found.lives(begun + lives + 1, "x"))
+                member.keeper.look(begun, 0)
+                ended = begun + lives + 5 * SECOND
+                member.keeper.look(ended, FORGET)
+                self.assertFalse(member.start(ended).lives(ended, "x"))
+                os.unlink(member.path)
+
+    def test_a_jump_of_the_clock_neither_ends_nor_keeps_what_is_followed(self) -> None:
+        for by in (3 * HOUR, -3 * HOUR):
+            held = Registry("n0", NOW)
+            held.follow(NOW, "x", "has id")
+            held.stepped(by)
+            now = NOW + by
+            self.assertTrue(held.lives(now + FORGET, "x"))
+            self.assertFalse(held.lives(now + FORGET + 1, "x"))
+            before = held.followed(now + MINUTE, "x").followed_at
+            self.assertGreaterEqual(before, NOW + MINUTE)  # moves on for the others, too
+            self.assertTrue(held.lives(now + MINUTE + FORGET, "x"))
+            self.assertFalse(held.lives(now + MINUTE + FORGET + 1, "x"))
+            held.follow(now + HOUR, "x", "has id")
+            self.assertEqual(held.age(now + HOUR, "x"), 0)
+
+    def test_what_is_later_than_the_clock_gives_way_to_any_other_and_an_end_stays_one(self) -> None:
+        ahead = NOW + 40 * SLICE
+        entries = {"x": Entry(ahead, "n0", False, "has id", ahead), "y": Entry(ahead, "n0", True, "has id", ahead)}
+        found = Registry("n0", NOW)
+        found.restore(NOW, ahead + MINUTE, ahead // SLICE, entries.items())
+        self.assertEqual((found.epoch, found.age(NOW, "x")), (NOW // SLICE, MINUTE))
+        other = Registry("n1", NOW)
+        other.entries = {name: Entry(NOW - MINUTE, "n1", False, "has age", NOW - MINUTE) for name in ("x", "y")}
+        self.assertIs(other.merge(NOW, found.epoch, found.entries.items()), Verdict.JOINED)
+        self.assertEqual((other.entries["x"].filter, other.entries["y"].ended), ("has age", True))
+
+    def test_a_member_that_was_down_too_long_keeps_ends_alone(self) -> None:
+        member = self.member(MOST_FORGET)
+        assert member.registry is not None
+        for name in ("x", "y"):
+            member.registry.follow(NOW, name, "has id")
+        member.registry.end(NOW, "y")
+        member.changed(NOW)
+        found = member.start(NOW + (MOST_AWAY + 1) * SLICE)
+        self.assertEqual((list(found.entries), found.epoch), (["y"], NOW // SLICE + MOST_AWAY + 1))
+        found.tick(NOW + (KEEP + 1) * SLICE, with_majority=True)
+        self.assertEqual(found.entries, {})
+
+    def test_a_cursor_or_a_word_from_the_subscriber_costs_no_write_and_an_hour_few(self) -> None:
+        member = self.member()
+        held, keeper = member.registry, member.keeper
+        assert held is not None
+        held.follow(NOW, "x", "has id")
+        member.changed(NOW)
+        writes = keeper.writes
+        held.followed(NOW + 1, "x")
+        member.changed(NOW + 1)
+        self.assertEqual(keeper.writes, writes)
+        for second in range(3600):
+            now = NOW + second * SECOND
+            held.tick(now, with_majority=True)
+            if held.due(now, "x"):
+                held.followed(now, "x")
+            keeper.look(now, now)
+        self.assertLessEqual(keeper.writes - writes, 5)
+        self.assertEqual(unpacked(self.data(member)).entries, held.entries)  # type: ignore[union-attr]
+
+    def test_the_file_is_bounded_and_a_spoilt_one_is_one_error(self) -> None:
+        member = self.member()
+        held = member.registry
+        assert held is not None
+        for turn in range(3000):
+            held.follow(NOW + turn, "x", f'id = "{"a" * 200}"')
+            member.changed(NOW + turn)
+        self.assertLess(os.path.getsize(member.path), kept.SPARE + 2000)
+        data = self.data(member)
+        self.assertEqual(unpacked(data).entries, held.entries)  # type: ignore[union-attr]
+        with open(member.path, "wb") as file:  # broken off in its last page: nobody was told of that
+            file.write(data + packed(NOW, 0, [("y", held.entries["x"])])[:-1])
+        self.assertEqual(list(member.start(NOW).entries), ["x"])
+        self.assertEqual(len(self.data(member)), len(packed(NOW, held.epoch, held.entries.items())))
+        for place in (0, 3, 30, len(data) // 2, len(data) - 1):
+            spoilt = bytearray(data)
+            spoilt[place] ^= 0xA5
+            with open(member.path, "wb") as file:
+                file.write(spoilt)
+            with mock.patch.object(logger, "error") as error:
+                found = member.start(NOW)
+            self.assertEqual((found.entries, error.call_count), ({}, 1), place)
+            self.assertIn("CW740", error.call_args[0][0])
+            found.follow(NOW, "z", "has id")
+            member.changed(NOW)
+            self.assertEqual(list(unpacked(self.data(member)).entries), ["z"])  # type: ignore[union-attr]
+
+    def test_a_write_that_fails_is_one_trouble_and_is_made_again_whole(self) -> None:
+        member = self.member()
+        held, keeper = member.registry, member.keeper
+        assert held is not None
+        held.follow(NOW, "x", "has id")
+        member.changed(NOW)
+        with mock.patch.object(kept, "open", create=True, side_effect=OSError(28, "full")):
+            held.end(NOW + 1, "x")
+            member.changed(NOW + 1)
+            keeper.look(NOW + 1, NOW + 1)
+        self.assertEqual(keeper.counters.counts["trouble: the subscriptions are not kept"], 2)
+        keeper.look(NOW + 2 * SECOND, NOW + 2 * SECOND)
+        self.assertTrue(unpacked(self.data(member)).entries["x"].ended)  # type: ignore[union-attr]
+        keeper.close(NOW)
+        held.follow(NOW + 2, "x", "has id")  # the folder is another process's
+        member.changed(NOW + 2)
+        self.assertTrue(unpacked(self.data(member)).entries["x"].ended)  # type: ignore[union-attr]
+
+    def test_a_life_told_by_the_last_member_holds_at_all_and_a_shorter_one_at_once(self) -> None:
+        one, other = Registry("n0", NOW, MINUTE), Registry("n1", NOW, MOST_FORGET)
+        one.follow(NOW, "x", "has id")
+        other.merge(NOW, one.epoch, one.entries.items())
+        self.assertEqual([held.lives(NOW + MINUTE + 1, "x") for held in (one, other)], [False, False])
+        one.lasts = HOUR  # by SIGHUP
+        self.assertTrue(one.due(NOW, "x"))
+        one.followed(NOW + 1, "x")
+        other.merge(NOW + 1, one.epoch, one.entries.items())
+        self.assertEqual([held.lives(NOW + HOUR, "x") for held in (one, other)], [True, True])
+        for lasts in (registry.LEAST_FORGET - 1, MOST_FORGET + 1):
+            other.merge(NOW, one.epoch, [("y", Entry(NOW, "n0", False, "has id", NOW, lasts))])
+        self.assertNotIn("y", other.entries)
+
+    def data(self, member: Member) -> bytes:
+        with open(member.path, "rb") as file:
+            return file.read()
+
+
+if __name__ == "__main__":
+    unittest.main()
