--- a/cedarwick/events/exchange.py
+++ b/cedarwick/events/exchange.py
@@ -121,8 +121,7 @@
         self.witness: Witness | None = None
         self.offset: int | None = None  # of the wall clock to the one that counts on
         if self.keeper is not None:
-            self.keeper.load(wall())
-            self.dirty = bool(self.registry.entries)
+            self.keeper.load(wall())  # evaluated from the first look on
 
     @property
     def registry(self) -> Registry:
--- a/tests/processes/test_events.py
+++ b/tests/processes/test_events.py
@@ -196,6 +196,42 @@
 
         self.play(case)
 
+    def test_a_subscription_outlives_a_restart_of_all_at_once(self) -> None:
+        def case(fleet: Fleet, subscriber: Subscriber) -> None:
+            fleet.load(3, rate=90)
+            gevent.sleep(2)
+            over = Subscriber(fleet, "over").follow(1)
+            over.begin()
+            self.assertRegex(fleet.call(2, "UNFOLLOW over"), "^YES over ended")
+            before = dict(subscriber.cursors)
+            for act in (fleet.kill, fleet.start):
+                gevent.joinall([gevent.spawn(act, number) for number in range(3)], raise_error=True)
+            known = [completed(fleet, number) for number in range(3)]
+            fleet.load(6, rate=90)
+            gevent.sleep(2)
+            subscriber.follow(2)
+            fleet.until(lambda: set(subscriber.ended) == set(before), 8.0, "the ends of the old sources")
+            fleet.until(lambda: subscriber.sources() == set(NAMES), 8.0, "the new sources")
+            for number in range(3):
+                self.assertRegex(fleet.log(number), "2 subscriptions are kept")
+                self.assertRegex(fleet.call(number, "UNFOLLOW over"), "^NO no subscription")
+            while fleet.under_way:
+                gevent.sleep(0.05)
+            fleet.until(lambda: not fleet.owed(), 8.0, "the last ends")
+            # What was matched before the subscriber came again is there, too: the sources evaluate what they have kept.
+            def missing() -> set[str]:
+                return set().union(*(owed_to_subscribers(fleet, number) - known[number] - subscriber.ids(f"n{number}")
+                                     for number in range(3)))
+
+            with gevent.Timeout(9.0, False):
+                while missing():
+                    gevent.sleep(0.05)
+            late = [call for call in fleet.history.called if call.id in missing()]
+            self.assertEqual(late, [], (subscriber.watched.evaluates, fleet.history.life))
+            self.assertTrue(all(completed(fleet, number) - known[number] for number in range(3)))
+
+        self.play(case, but={0, 1, 2})
+
 
 class Costs(unittest.TestCase):
     def test_a_subscriber_that_never_reads_costs_deliveries_nothing_and_only_matches_cross(self) -> None:
--- a/tests/test_subscriptions_kept.py
+++ b/tests/test_subscriptions_kept.py
@@ -1,19 +1,26 @@
 """The subscriptions in the folder: drawn histories of restarts, losses and sleeps; and what is read of the file."""
 
+import json
 import os
 import tempfile
 import unittest
+from typing import Any
 from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from loguru import logger
 
-from cedarwick.events import kept, registry
+from cedarwick.events import exchange, kept, registry
+from cedarwick.events.exchange import Exchange
 from cedarwick.events.kept import Keeper, packed, unpacked
 from cedarwick.events.registry import FORGET, KEEP, MOST_AWAY, MOST_FORGET, SECOND, SLICE, Entry, Registry, Verdict
+from cedarwick.fleet.gate import Gate
 from cedarwick.fleet.lasting import Lasting
+from cedarwick.fleet.messages import Cursors
 from cedarwick.net.counters import Counters
+from cedarwick.ops.calls import Call
+from tests.test_exchange import NAMES, Net, Subscriber
 
 NOW = 500_000 * SLICE
 MINUTE = 60 * SECOND
@@ -384,5 +391,92 @@
             return file.read()
 
 
+class Restarted(Net):
+    """Members over folders that outlive them; the boots of all are newer than of the last."""
+
+    def __init__(self, folder: str, boot: int, but: tuple[str, ...] = ()) -> None:
+        super().__init__()
+        self.gates = {name: Gate("g", name, 100 * boot, NAMES) for name in NAMES}
+        self.members = {name: Exchange(name, gate, Counters(), self.caller(name), os.path.join(folder, name))
+                        for name, gate in self.gates.items()}
+        self.down = set(but)
+        for name, member in self.members.items():
+            Lasting(os.path.join(folder, name))
+            member._load()
+            for other in NAMES:
+                if other != name and other not in but:
+                    self.gates[name].check(self.gates[other].letter(name, Cursors("", ())))
+
+
+def lines(subscriber: Subscriber) -> list[dict[str, Any]]:
+    """All that was written to it so far, but for the answer."""
+    return [json.loads(line) for line in subscriber.written if line.startswith("{")]
+
+
+class AllAtOnce(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("cedarwick")
+        self.addCleanup(logger.enable, "cedarwick")
+        made = tempfile.TemporaryDirectory()
+        self.addCleanup(made.cleanup)
+        self.folder = made.name
+
+    def test_a_subscriber_goes_on_after_a_restart_of_all(self) -> None:
+        net = Restarted(self.folder, 1)
+        before = Subscriber(net)
+        before.follow("n0")
+        net.ready()
+        net.turn(10)
+        for name in NAMES:
+            net.happens(name)
+        net.turn(10)
+        before.take()
+        self.assertEqual(before.cursors, dict.fromkeys(("n0-100", "n1-100", "n2-100"), 1))
+        net = Restarted(self.folder, 2, but=("n2",))
+        net.turn(3)
+        self.assertTrue(net.members["n1"].watching)  # before anybody follows again
+        net.happens("n1")
+        after = Subscriber(net)
+        after.cursors = dict(before.cursors)
+        after.follow("n1")
+        net.turn(10)
+        ended = [each for each in lines(after) if each["type"] == "ended"]
+        self.assertEqual([(each["source"], each["after"]) for each in ended], [("n0-100", 1), ("n1-100", 1)])
+        net.down.clear()  # one that comes later
+        for name in ("n0", "n1"):
+            net.gates[name].check(net.gates["n2"].letter(name, Cursors("", ())))
+        net.turn(10)
+        net.happens("n2")
+        net.turn(10)
+        told = lines(after)
+        self.assertIn(("n2-100", 1), [(each["source"], each["after"]) for each in told if each["type"] == "ended"])
+        self.assertEqual({(each["source"], each["number"]) for each in told if each["type"] == "from"},
+                         {(f"{name}-200", 1) for name in NAMES})
+        self.assertEqual([(each["event"]["source"], each["event"]["number"]) for each in told
+                          if each["type"] == "match"], [("n1-200", 1), ("n2-200", 1)])
+
+    def test_an_end_that_was_answered_is_known_after_a_restart_of_all_but_who_told_it(self) -> None:
+        net = Restarted(self.folder, 1)
+        Subscriber(net).follow("n0")
+        net.ready()
+        self.assertEqual(net.members["n0"].answer(Call("UNFOLLOW", "desk")), "YES desk ended\n")
+        for but in (("n0", "n1"), ("n1", "n2"), ("n0", "n2")):
+            net = Restarted(self.folder, 2, but)
+            net.turn(20)
+            for name in NAMES:
+                self.assertRaises(registry.NotFollowed, net.members[name].answer, Call("FOLLOW", "desk"))
+
+    def test_another_follow_s_holds_for_who_is_connected(self) -> None:
+        net = Restarted(self.folder, 1)
+        Subscriber(net).follow("n0")
+        net.members["n0"].replace(MINUTE)
+        net.turn(30)
+        self.assertEqual({member.registry.entries["desk"].lasts for member in net.members.values()}, {MINUTE})
+        net.members["n0"].stop()
+        now = exchange.wall()
+        self.assertEqual(Restarted(self.folder, 2).members["n0"].registry.entries["desk"].lasts, MINUTE)
+        self.assertFalse(net.members["n2"].registry.lives(now + 2 * MINUTE, "desk"))
+
+
 if __name__ == "__main__":
     unittest.main()
