--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -160,7 +160,7 @@
         self.sharing = Sharing(name, self.lasting, clock, counters, self._call)
         self.owing = Owing()
         self.lying: dict[int, frozenset[int]] = {}  # by book: keys in a copy here whose holder is silent
-        self.exchange = Exchange(name, self.gate, counters, self._call)
+        self.exchange = Exchange(name, self.gate, counters, self._call, state, round(told.follow_s * 1e6))
         store.seen = self.exchange.seen
         store.reserve, store.starved = self._reserve, self._starved
         self.traffic: Traffic | None = None
@@ -245,15 +245,16 @@
             self.counters.trouble("the members stay as they were", error)
             return
         before, now = set(self.halls), boot_time()
-        kept = msgspec.structs.replace(self.told, member=told.member)
+        kept = msgspec.structs.replace(self.told, member=told.member, follow_s=told.follow_s)
         if kept != told:
-            logger.warning("the fleet's table is taken over at a start only, but for the members")
+            logger.warning("the fleet's table is taken over at a start only, but for the members and follow_s")
         self.told = kept
         self.halls = {member.name: member.hall for member in told.member}
         self.where = {member.name: address(member.address) for member in told.member}
         self.peers.replace(self.where)
         self.members.replace(now, self.halls)
         self.grantor.replace(self.halls)
+        self.exchange.replace(round(told.follow_s * 1e6))
         if self.traffic is not None:
             self.traffic.replace()
         for adoption in self.adoptions.values():
