The fleet's server parses by httptools on StreamServer; valid_until is kept

Seen: a third of an heir's processor time under load was gevent.pywsgi; Holder.valid_until was sorted anew at each look (2 to 3%).

The bounds stay: 1 MiB a letter refused before it is read, 8 KB of head, 2 s a body, 17 s for a head, 64 letters at once, 256 connections. Two things differ: noise is refused as soon as the parser sees it (the test of a trickling caller now trickles a head that could become one), and a second request behind the first ends the connection after the first answer; members never write one.

valid_until is reckoned where an answer or the members change.

--- a/cedarwick/fleet/leases.py
+++ b/cedarwick/fleet/leases.py
@@ -266,6 +266,7 @@
         self.newer: tuple[int, str] = (0, "")  # the newest term that somebody else was said to hold, and who
         self.known = 0  # the newest set of this term that a majority knows; 0: none yet
         self.set = 0  # the newest set
+        self.valid_until = 0  # when the right runs out unless it is renewed; 0: no majority has granted it
         self._names = frozenset(names) | {me}
         self._sets: dict[int, tuple[str, ...]] = {}  # that one, and those named since, by number
         self._heard = 0  # the newest term heard of
@@ -284,6 +285,7 @@
         self._begun = self._due = now
         self.known, self.set, self._sets = 0, grant.set, {grant.set: grant.heirs}
         self._granted, self._closed = {}, {}
+        self._count()
 
     def asks(self, now: int) -> Ask | None:
         """What is to be sent to all members now, the own grantor before any other; None: it is not due."""
@@ -309,6 +311,7 @@
         if sent_at >= self._begun and told.granted and told.term == self.term:
             # Danger: an answer that comes late, or twice, must not take away what a newer one has given.
             self._granted[grantor] = max(self._granted.get(grantor, (0, 0)), (at, told.set))
+            self._count()
         if told.closed:
             self._closed[grantor] = max(self._closed.get(grantor, 0), at)
         self._settle(now)
@@ -337,16 +340,12 @@
     def replace(self, names: Collection[str]) -> None:
         """The members from now on; see `Grantor.replace`."""
         self._names = frozenset(names) | {self.me}
+        self._count()
 
     def may_fire(self, now: int) -> bool:
         """Whether a shot's first byte may be written now: the last look before the write."""
         return self.state is Tenure.HELD and self.known > 0 and now < self.valid_until
 
-    @property
-    def valid_until(self) -> int:
-        """When the right runs out unless it is renewed; 0: no majority has granted it."""
-        return self._after_majority([sent for sent, _ in self._granted.values()], self._usable(), 0)
-
     @property
     def heirs(self) -> tuple[str, ...]:
         """The set that a majority knows, the holder first; empty while there is none of this term."""
@@ -357,6 +356,10 @@
         """All that may be granted the next term: each must have a record before it counts as on every heir."""
         return frozenset(name for heirs in self._sets.values() for name in heirs)
 
+    def _count(self) -> None:
+        """Reckon `valid_until` where an answer or the members have changed: it is looked at far more often."""
+        self.valid_until = self._after_majority([sent for sent, _ in self._granted.values()], self._usable(), 0)
+
     def _usable(self) -> int:
         """How long the right lasts from when the ask was sent."""
         return self.span - self.span // DRIFT - STOPS
--- a/cedarwick/fleet/link.py
+++ b/cedarwick/fleet/link.py
@@ -4,15 +4,16 @@
 there are too many, 500 where its handler failed. Who calls tries again by `retry.Waits`; nothing is sent twice here.
 """
 
+import contextlib
 import time
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
 
 import gevent
 import gevent.socket
+import httptools
 from gevent.lock import BoundedSemaphore
 from gevent.pool import Pool
-from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+from gevent.server import StreamServer
 
 from cedarwick.errors import Trouble
 from cedarwick.fleet.gate import Gate
@@ -34,11 +35,12 @@
 from cedarwick.net.counters import Counters
 from cedarwick.net.sockets import connected, ended
 
-PATH = "/fleet/1"
+PATH = b"/fleet/1"
 MOST_AT_ONCE = 64  # letters that are read and answered; those beyond get 503
 MOST_CONNECTIONS = 256  # further ones wait in the backlog
 BACKLOG = 256
 LONGEST_HEAD = 1 << 13  # bytes of header lines
+READ = 1 << 16  # bytes at once
 READ_WITHIN = 2.0  # seconds for a body, and for a head on top of the idle time
 SILENT = 15.0  # seconds that a connection may be idle at the server
 KEPT = 10.0  # seconds that one is kept by the client: less, so that it is not met as it closes
@@ -99,75 +101,71 @@
     refused: Refused
 
 
-STATUS: dict[type[Trouble], str] = {
-    WrongPlace: "404 Not Found",
-    TooLarge: "413 Content Too Large",
-    TooMany: "503 Service Unavailable",
-    Late: "408 Request Timeout",
-    Unreadable: "400 Bad Request",
-    AnswerFailed: "500 Internal Server Error",
+STATUS: dict[type[Trouble], bytes] = {
+    WrongPlace: b"404 Not Found",
+    TooLarge: b"413 Content Too Large",
+    TooMany: b"503 Service Unavailable",
+    Late: b"408 Request Timeout",
+    Unreadable: b"400 Bad Request",
+    AnswerFailed: b"500 Internal Server Error",
 }
-AT_FAULT = "409 Conflict"  # every other refusal
+AT_FAULT = b"409 Conflict"  # every other refusal
 
 
 # ---- the server ----
 
 
-class BoundedHead:
-    """The header lines of a request, up to a bound."""
+class Request:
+    """One request as it comes in; the parser calls the `on_` methods."""
 
-    def __init__(self, file: Any) -> None:
-        self.file = file
-        self.left = LONGEST_HEAD
+    def __init__(self) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+        self.fed = 0  # bytes, up to the end of the head at least
+        self.url = b""
+        self.method = b""  # once the head was read
+        self.size = -1  # of the body as the head tells it; -1: it does not
+        self.kept: bytearray | None = bytearray()  # the body so far; None: nobody wants it
+        self.complete = False
+        self.keep_alive = False
 
-    def readline(self, size: int) -> bytes:
-        line: bytes = self.file.readline(min(size, self.left + 1))
-        self.left -= len(line)
-        if self.left < 0:
-            raise ValueError("a head without an end")
-        return line
+    def on_message_begin(self) -> None:
+        if self.complete:
+            raise http.Unreadable("bytes after the request")
 
+    def on_url(self, part: bytes) -> None:
+        self.url += part
 
-class Handler(WSGIHandler):  # type: ignore[misc]
-    """One connection, with a limit to the time until a head is there, and to its size."""
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"content-length":
+            self.size = int(value)
 
-    limit: gevent.Timeout | None = None
+    def on_headers_complete(self) -> None:
+        self.method = self.parser.get_method()
 
-    def handle(self) -> None:
-        # Danger: the head and the body of an answer are two writes; the second would wait for the other's delayed ACK.
-        self.socket.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
-        self.socket.settimeout(SILENT)
-        try:
-            super().handle()
-        except gevent.Timeout as late:
-            if late is not self.limit:
-                raise
-            self.server.counters.add("fleet connections that were silent")
-        finally:
-            if self.limit is not None:
-                self.limit.close()
-
-    def read_requestline(self) -> Any:
-        # Danger: a caller that writes its head byte by byte would never meet the time limit of one read.
-        self.limit = gevent.Timeout.start_new(SILENT + READ_WITHIN)
-        return super().read_requestline()
-
-    def MessageClass(self, file: Any, *_: Any) -> Any:
-        return super().MessageClass(BoundedHead(file))
-
-    def get_environ(self) -> Any:
-        if self.limit is not None:
-            self.limit.close()
-        return super().get_environ()
+    def on_body(self, part: bytes) -> None:
+        if self.kept is not None:
+            self.kept += part
 
-    def handle_error(self, kind: Any, error: Any, _: Any) -> None:
-        self.close_connection = True
-        if not issubclass(kind, gevent.GreenletExit):  # the server was stopped
-            self.server.counters.trouble("a request of a member broke", f"{kind.__name__}: {error}")
+    def on_message_complete(self) -> None:
+        self.complete = True
+        self.keep_alive = self.parser.should_keep_alive()
 
-    def _handle_client_error(self, error: Any) -> Any:
-        self.server.counters.trouble("a request on the fleet's address that cannot be read", WrongPlace(str(error)))
-        return ("400", b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+    def feed(self, told: bytes) -> None:
+        """Read on; `http.Unreadable` where it is no request, or its head is too long."""
+        first = told if self.method else told[:LONGEST_HEAD - self.fed]
+        self.fed += len(first)
+        try:
+            self.parser.feed_data(first)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
+            if not self.complete:
+                raise http.Unreadable(str(error) or type(error).__name__) from None
+            self.keep_alive = False  # bytes after a whole request: members never write any
+        if not self.method and self.fed >= LONGEST_HEAD:
+            raise http.Unreadable("a head without an end")
+        if self.complete:
+            self.keep_alive &= len(first) == len(told)
+        elif len(first) < len(told):
+            self.feed(told[len(first):])
 
 
 class Server:
@@ -188,10 +186,7 @@
             listener.close()
             raise
         self.port = int(listener.getsockname()[1])
-        # Without a name of its own the server would look one up by DNS.
-        self.http = WSGIServer(listener, self._serve, spawn=Pool(MOST_CONNECTIONS), log=None, error_log=None,
-                               handler_class=Handler, environ={"SERVER_NAME": gate.me})
-        self.http.counters = counters
+        self.http = StreamServer(listener, self._connection, spawn=Pool(MOST_CONNECTIONS))
 
     def start(self) -> None:
         """Begin to accept."""
@@ -205,37 +200,70 @@
             gevent.sleep(0.005)
         self.http.stop(timeout=0)
 
-    def _serve(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
-        """The application: an answer to every request, of a handler or a refusal."""
+    def _connection(self, sock: gevent.socket.socket, caller: Address) -> None:
+        """One request after another, until the caller goes, is silent for too long or cannot be understood."""
+        try:
+            sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+            while (request := self._head(sock)) is not None:
+                status, told = self._said(request, sock, caller)
+                stays = request.complete and request.keep_alive
+                sock.settimeout(SILENT)
+                sock.sendall(b"HTTP/1.1 %s\r\nContent-Type: application/msgpack\r\nContent-Length: %d\r\n%s\r\n%s"
+                             % (status, len(told), b"" if stays else b"Connection: close\r\n", told))
+                if not stays:
+                    return  # Danger: the rest of a body that nobody wants would be read on for ever
+        except http.Unreadable as error:
+            self.counters.trouble("a request on the fleet's address that cannot be read", WrongPlace(str(error)))
+            with contextlib.suppress(OSError):
+                sock.sendall(b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+        except OSError:
+            pass  # the caller went
+        except Exception:  # one bad connection must not end the others
+            self.counters.failed("a request of a member broke")
+
+    def _head(self, sock: gevent.socket.socket) -> Request | None:
+        """A request with its whole head; None where none comes, or not in time."""
+        request = Request()
+        # Danger: a caller that writes its head byte by byte would never meet the time limit of one read.
+        end = time.monotonic() + SILENT + READ_WITHIN
+        while not request.method:
+            left = min(SILENT, end - time.monotonic())
+            try:
+                told = received(sock, left)
+            except TimeoutError:
+                if request.fed:
+                    self.counters.add("fleet connections that were silent")
+                return None
+            if not told:
+                return None
+            request.feed(told)
+        return request
+
+    def _said(self, request: Request, sock: gevent.socket.socket, caller: Address) -> tuple[bytes, bytes]:
+        """Status and body of the answer to a request: of a handler, or a refusal."""
         head: list[Head] = []  # of the letter, once it was read so far
         self.busy += 1
         try:
-            told = self._answered(environ, head)
-            status = "200 OK"
+            return b"200 OK", self._answered(request, sock, caller[0], head)
         except Trouble as error:
             self.counters.trouble("a letter was refused", error)
-            status = STATUS.get(type(error), AT_FAULT)
             refused = Refused(error.code, str(error)[:512])
             told = encode(self.gate.letter(head[0].sender if head else "", refused))
+            return STATUS.get(type(error), AT_FAULT), told
         finally:
             self.busy -= 1
-        headers = [("Content-Type", "application/msgpack"), ("Content-Length", str(len(told)))]
-        if leave_unread(environ["wsgi.input"]):
-            headers.append(("Connection", "close"))
-        start(status, headers)
-        return [told]
 
-    def _answered(self, environ: dict[str, Any], head: list[Head]) -> bytes:
+    def _answered(self, request: Request, sock: gevent.socket.socket, caller: str, head: list[Head]) -> bytes:
         """The handler's answer, encoded; every refusal is raised."""
-        if (environ["REQUEST_METHOD"], environ["PATH_INFO"]) != ("POST", PATH) or "CONTENT_LENGTH" not in environ:
-            raise WrongPlace(f"{environ['REQUEST_METHOD']} {environ['PATH_INFO'][:100]} of {environ['REMOTE_ADDR']}")
-        size = int(environ["CONTENT_LENGTH"])  # the server has read it as a number
-        if size > LARGEST:
-            raise TooLarge(f"a letter of {size} bytes from {environ['REMOTE_ADDR']}, where {LARGEST} is the most")
+        if (request.method, request.url) != (b"POST", PATH) or request.size < 0:
+            raise WrongPlace(f"{request.method.decode()} {request.url[:100].decode('latin-1')} of {caller}")
+        if request.size > LARGEST:
+            raise TooLarge(f"a letter of {request.size} bytes from {caller}, where {LARGEST} is the most")
         if self.busy > MOST_AT_ONCE:
-            read(environ["wsgi.input"], size, keep=False)
+            request.kept = None
+            read(request, sock)
             raise TooMany(f"{MOST_AT_ONCE} letters are being answered at {self.gate.me!r}")
-        told = read(environ["wsgi.input"], size)
+        told = read(request, sock)
         try:
             letter = decode(told)
         except Unreadable:
@@ -257,33 +285,29 @@
         return said
 
 
-def read(body: Input, size: int, keep: bool = True) -> bytes:
-    """A request's body, whole and in time, or read over; `Late` and `Unreadable` otherwise."""
-    limit = gevent.Timeout(READ_WITHIN)
-    try:
-        with limit:
-            if keep:
-                told: bytes = body.read(size)
-                return told
-            while body.read(1 << 14):
-                pass
-            return b""
-    except gevent.Timeout as late:
-        if late is not limit:
-            raise
-        raise Late(f"{size} bytes of a letter did not come within {READ_WITHIN:g} s") from None
-    except OSError as error:
-        raise Unreadable(f"a letter of {size} bytes was cut: {error}") from None
-
+def received(sock: gevent.socket.socket, within_s: float) -> bytes:
+    """What comes next; nothing at the end of a connection. TimeoutError, or another OSError."""
+    if within_s <= 0:
+        raise TimeoutError
+    sock.settimeout(within_s)
+    told: bytes = sock.recv(READ)
+    return told
 
-def leave_unread(body: Input) -> bool:
-    """Whether the request's body was not read whole; nobody waits for the rest then.
 
-    Danger: the server reads on to the end of a request after its answer, however long that is.
-    """
-    unread = body.chunked_input or body.position < (body.content_length or 0)
-    body.chunked_input, body.content_length = False, 0
-    return bool(unread)
+def read(request: Request, sock: gevent.socket.socket) -> bytes:
+    """A request's body, whole and in time; `Late` and `Unreadable` otherwise."""
+    end = time.monotonic() + READ_WITHIN
+    try:
+        while not request.complete:
+            told = received(sock, end - time.monotonic())
+            if not told:
+                raise Unreadable(f"a letter of {request.size} bytes was cut")
+            request.feed(told)
+    except TimeoutError:
+        raise Late(f"{request.size} bytes of a letter did not come within {READ_WITHIN:g} s") from None
+    except OSError as error:
+        raise Unreadable(f"a letter of {request.size} bytes was cut: {error}") from None
+    return bytes(request.kept or b"")
 
 
 # ---- the client ----
@@ -426,7 +450,7 @@
         kept.sock.settimeout(None)  # the time limit is the whole call's
         kept.sock.sendall(b"POST %s HTTP/1.1\r\nHost: %s:%d\r\nContent-Type: application/msgpack\r\n"
                           b"Content-Length: %d\r\n\r\n%s"
-                          % (PATH.encode(), peer.address[0].encode(), peer.address[1], len(letter), letter))
+                          % (PATH, peer.address[0].encode(), peer.address[1], len(letter), letter))
         told = bytearray()
         answer = http.Answer(told.extend)
         while not answer.complete:
