Many senders no longer push over what returns to all of them: gaps grow, mates go out together

To blame: learn(), which puts out the one receiver, and the exemption from growing gaps of what fails connections (_next_canary): a dead machine carries no load, but it returns to all that wait for it.

Change: when two receivers that share a pace are out, those that completed nothing in the last 5 s go out too; gaps between canaries grow with the age of the outage where connections fail too. Both only beyond 16 senders. Taken for granted before: that an outage is found endpoint by endpoint, and that few hold something for a dead destination. It might hurt where two of several endpoints fail for themselves; the gap then delays the others.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -399,6 +399,7 @@
             ill = ill or self.many and self._stale(envelope.sent_at, receiver)
             if ill or receiver.out_since or (len(judged) >= 3 and sum(judged) * 5 <= len(judged) * 2):
                 self._out(now, receiver, provable=outcome is Outcome.CONNECT_FAILED)
+                self._out_with(now, receiver)
 
     def _completed(self, now: int, envelope: Envelope, receiver: Receiver, took: int) -> None:
         pace = receiver.pace
@@ -465,9 +466,19 @@
         # Danger: idle connections to a dead machine swallow shots; a new one fails and so proves it.
         self.verdicts.freed_links.append(receiver.id)
 
+    def _out_with(self, now: int, receiver: Receiver) -> None:
+        """Danger: an outage mostly takes all receivers of a destination. Each of many senders would try them
+        in turn, knowing of it, and all together push over what returns."""
+        mates = self._mates(self.destinations[receiver.destination], receiver.pace)
+        if self.many and sum(mate.out_since > 0 for mate in mates) > 1:
+            for mate in mates:
+                if not mate.out_since and self._stale(now, mate):
+                    self._out(now, mate, receiver.provable)
+
     def _next_canary(self, now: int, receiver: Receiver) -> int:
         """Danger: the canaries of many senders add up and push over what comes back; gaps grow with age."""
-        dead = receiver.provable and not receiver.fulls  # nothing weighs on what takes no connection
+        # Nothing weighs on what takes no connection, until the moment of its return: then all of many do.
+        dead = receiver.provable and not receiver.fulls and not self.many
         aged = round((now - receiver.out_since) * (0.0 if dead else CANARY_AGE))
         gap = max(CANARY_SOONEST, round(SECOND / self._returning_rate(receiver, 0)))
         gap = min(gap, max(CANARY_LATEST * (1 + self.many), aged))
