--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -48,12 +48,14 @@
 
 def band_of(settings: Mapping[str, str], index: int) -> Band:
     head = f"classes.{index}."
+    halves = settings.get("family-info.late") == "by_half"
     repeat = settings.get(head + "repeat", "single_shot")
     return Band(
         importance=number(settings, head + "worth", 1.0),
         expected_time=span(settings, head + "slo-ms", 1000.0),
         outer_limit=span(settings, head + "deadline-ms", 10_000.0),
         late_share=number(settings, head + "late-worth"),
+        halves_in=span(settings, head + "slo-ms", 1000.0) if halves else 0,
         reissuable=repeat == "free",
         at_most_once=repeat not in ("free", "guarded"),
         window=span(settings, head + "dedup-window-ms"),
@@ -609,10 +611,9 @@
         if now < envelope.rank_until:
             return envelope.rank
         band = envelope.band
-        fades = max(SECOND, band.outer_limit - band.expected_time) / SECOND
-        loses = band.importance * (1 - band.late_share) / fades
+        left, loses = band.worth(now - envelope.expected_by)
         if envelope.outer_limit - now < 3 * SECOND:
-            loses += band.importance * band.late_share / 3
+            loses += (left if band.halves_in else band.importance * band.late_share) / 3
         if now < envelope.expected_by - SECOND:
             loses /= 2
         if envelope.ran_at and not band.reissuable:
@@ -621,6 +622,11 @@
             loses *= number(self.settings, "over-share-worth", 1.0)
         times = envelope.expected_by - SECOND, envelope.outer_limit - 3 * SECOND + 1  # else only a shot tells
         envelope.rank_until = min((time for time in times if time > now), default=FAR)
+        if band.halves_in:
+            envelope.rank_until = min(envelope.rank_until, now + band.halves_in // 4)
+        if band.in_turn and envelope.key:
+            loses *= len(self.turns.lines[envelope.key])  # Danger: all that wait for their turn wait with it
+        loses /= self.destinations[envelope.destination].quickest or SECOND / 2  # for a slot's time
         envelope.rank = -loses, envelope.expected_by, envelope.order
         return envelope.rank
 
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -3,6 +3,7 @@
 import heapq
 from collections import deque
 from dataclasses import dataclass, field
+from math import log
 from typing import Any
 
 FAR = 1 << 62  # later than any time
@@ -117,6 +118,17 @@
     window: int  # for numbered envelopes: how long a destination remembers the number
     one_zone: bool  # repeats only within the zone of the first shot that may have run
     in_turn: bool
+    halves_in: int = 0  # after the expected time the worth falls by half in this time; 0: evenly
+
+    def worth(self, late: int) -> tuple[float, float]:
+        """What delivery is worth so long after the expected time, and what is lost of it in a second."""
+        least, late = self.importance * self.late_share, max(late, 0)
+        if not self.halves_in:
+            fades = max(1_000_000, self.outer_limit - self.expected_time)
+            lost = (self.importance - least) / fades
+            return max(least, self.importance - lost * late), lost * 1_000_000
+        left = float(self.importance * 2.0 ** (-late / self.halves_in))
+        return (left, left * log(2) * 1_000_000 / self.halves_in) if left > least else (least, 0.0)
 
 
 @dataclass(slots=True)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -319,6 +319,39 @@
         self.assertEqual((verdicts.nacks, verdicts.write_offs), ([], [1]))
 
 
+class Urgency(unittest.TestCase):
+    def test_late_worth_falls_by_half_to_its_floor_where_told(self) -> None:
+        for late, seconds, left, lost in (("by_half", 2, 0.5, 0.173), ("by_half", 9, 0.1, 0.0),
+                                          ("by_half", -1, 1.0, 0.347), ("even", 7, 0.55, 0.064)):
+            band = sender(family_info__late=late, classes__0__late_worth="0.1").bands[FREE]
+            worth = band.worth(seconds * 1_000 * MS)
+            self.assertAlmostEqual(worth[0], left, 3, (late, seconds))
+            self.assertAlmostEqual(worth[1], lost, 3, (late, seconds))
+
+    def test_what_time_takes_no_more_worth_from_lets_the_fresh_go_first(self) -> None:
+        now = NOW + 9_000 * MS
+        for late, first in (("by_half", 2), ("even", 1)):
+            made = sender(family_info__late=late, classes__0__late_worth="0.3", family_info__max_calls="1")
+            take(made, 1)
+            take(made, 2, now=now)
+            self.assertEqual([shot[0] for shot in made.decide(now).shots], [first])
+
+    def test_a_short_slot_goes_to_the_destination_that_answers_soon(self) -> None:
+        made = sender(family_info__max_calls="1")
+        made.listed(NOW, ListChange.CHANGES, [Listing(8, 0, 0, 8, Phase.READY, 0.0)])
+        made.receivers[1].mean, made.receivers[8].mean = 2_000.0 * MS, 200.0 * MS
+        take(made, 1)
+        made.take(NOW, 2, 8, FREE, NOW + 16_000 * MS, 0, 0)
+        self.assertEqual([shot[0] for shot in made.decide(NOW).shots], [2])
+
+    def test_the_first_of_a_key_counts_for_all_that_wait_behind_it(self) -> None:
+        made = sender(family_info__max_calls="1")
+        take(made, 1)
+        for envelope in (2, 3, 4):
+            take(made, envelope, NUMBERED, key=9)
+        self.assertEqual([shot[0] for shot in made.decide(NOW).shots], [2])
+
+
 class Order(unittest.TestCase):
     def test_the_next_of_a_key_waits_for_the_first(self) -> None:
         made = sender()
