--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -48,12 +48,14 @@
 
 def band_of(settings: Mapping[str, str], index: int) -> Band:
     head = f"classes.{index}."
+    halves = settings.get("family-info.late") == "by_half"
     repeat = settings.get(head + "repeat", "single_shot")
     return Band(
         importance=number(settings, head + "worth", 1.0),
         expected_time=span(settings, head + "slo-ms", 1000.0),
         outer_limit=span(settings, head + "deadline-ms", 10_000.0),
         late_share=number(settings, head + "late-worth"),
+        halves_in=span(settings, head + "slo-ms", 1000.0) if halves else 0,
         reissuable=repeat == "free",
         at_most_once=repeat not in ("free", "guarded"),
         window=span(settings, head + "dedup-window-ms"),
@@ -399,6 +401,7 @@
             ill = ill or self.many and self._stale(envelope.sent_at, receiver)
             if ill or receiver.out_since or (len(judged) >= 3 and sum(judged) * 5 <= len(judged) * 2):
                 self._out(now, receiver, provable=outcome is Outcome.CONNECT_FAILED)
+                self._out_with(now, receiver)
 
     def _completed(self, now: int, envelope: Envelope, receiver: Receiver, took: int) -> None:
         pace = receiver.pace
@@ -465,9 +468,19 @@
         # Danger: idle connections to a dead machine swallow shots; a new one fails and so proves it.
         self.verdicts.freed_links.append(receiver.id)
 
+    def _out_with(self, now: int, receiver: Receiver) -> None:
+        """Danger: an outage mostly takes all receivers of a destination. Each of many senders would try them
+        in turn, knowing of it, and all together push over what returns."""
+        mates = self._mates(self.destinations[receiver.destination], receiver.pace)
+        if self.many and sum(mate.out_since > 0 for mate in mates) > 1:
+            for mate in mates:
+                if not mate.out_since and self._stale(now, mate):
+                    self._out(now, mate, receiver.provable)
+
     def _next_canary(self, now: int, receiver: Receiver) -> int:
         """Danger: the canaries of many senders add up and push over what comes back; gaps grow with age."""
-        dead = receiver.provable and not receiver.fulls  # nothing weighs on what takes no connection
+        # Nothing weighs on what takes no connection, until the moment of its return: then all of many do.
+        dead = receiver.provable and not receiver.fulls and not self.many
         aged = round((now - receiver.out_since) * (0.0 if dead else CANARY_AGE))
         gap = max(CANARY_SOONEST, round(SECOND / self._returning_rate(receiver, 0)))
         gap = min(gap, max(CANARY_LATEST * (1 + self.many), aged))
@@ -598,10 +611,9 @@
         if now < envelope.rank_until:
             return envelope.rank
         band = envelope.band
-        fades = max(SECOND, band.outer_limit - band.expected_time) / SECOND
-        loses = band.importance * (1 - band.late_share) / fades
+        left, loses = band.worth(now - envelope.expected_by)
         if envelope.outer_limit - now < 3 * SECOND:
-            loses += band.importance * band.late_share / 3
+            loses += (left if band.halves_in else band.importance * band.late_share) / 3
         if now < envelope.expected_by - SECOND:
             loses /= 2
         if envelope.ran_at and not band.reissuable:
@@ -610,6 +622,11 @@
             loses *= number(self.settings, "over-share-worth", 1.0)
         times = envelope.expected_by - SECOND, envelope.outer_limit - 3 * SECOND + 1  # else only a shot tells
         envelope.rank_until = min((time for time in times if time > now), default=FAR)
+        if band.halves_in:
+            envelope.rank_until = min(envelope.rank_until, now + band.halves_in // 4)
+        if band.in_turn and envelope.key:
+            loses *= len(self.turns.lines[envelope.key])  # Danger: all that wait for their turn wait with it
+        loses /= self.destinations[envelope.destination].quickest or SECOND / 2  # for a slot's time
         envelope.rank = -loses, envelope.expected_by, envelope.order
         return envelope.rank
 
