A folder of another member or group is refused, and a refused reload is told each time

A sender started on another member's folder took its books for ones of its own past and offered them to their owner: what that had ended long ago was not among its ends of late and came back as owed and 'failed', a second final answer; the table of grants bound the wrong member. `fleet/whose` names member and group from the first start on; another one does not start (CW747, exit 2; tried with two real senders). A folder without the file is taken as before.

--- a/cedarwick/fleet/lasting.py
+++ b/cedarwick/fleet/lasting.py
@@ -21,6 +21,7 @@
 GRANTS = "grants"
 HELD = "held"
 BOOT = "boot"
+WHOSE = "whose"
 MARKS = "marks"
 LARGEST = 1 << 26  # bytes of a file that are read
 
@@ -32,6 +33,13 @@
     remedy = "look at the disk; this member learns from the others before it grants or opens anything"
 
 
+class FolderOfAnother(Trouble):
+    """The folder is that of another member, or of a member of another group."""
+
+    code = "CW747"
+    remedy = "give each sender its own $RELAY_STATE, an empty one for a new name; for a new group delete fleet/whose"
+
+
 class Held(msgspec.Struct, array_like=True, frozen=True):
     """A book that this member has held."""
 
@@ -42,6 +50,7 @@
 
 HELD_FILE: msgspec.msgpack.Decoder[list[Held]] = msgspec.msgpack.Decoder(list[Held])
 TABLE: msgspec.msgpack.Decoder[Table] = msgspec.msgpack.Decoder(Table)
+OWNER: msgspec.msgpack.Decoder[tuple[str, str]] = msgspec.msgpack.Decoder(tuple[str, str])
 SAVED: msgspec.msgpack.Decoder[Saved] = msgspec.msgpack.Decoder(Saved)
 ENCODER = msgspec.msgpack.Encoder()
 
@@ -105,6 +114,20 @@
     def write_marks(self, saved: Saved) -> None:
         self.write(MARKS, ENCODER.encode(saved))
 
+    def claim(self, group: str, name: str) -> None:
+        """The folder is this member's from now on; `FolderOfAnother` where it was another one's."""
+        data = self.read(WHOSE)
+        try:
+            owner = OWNER.decode(data) if data is not None else (group, name)
+        except msgspec.MsgspecError as error:
+            logger.error(FleetFileSpoilt(f"{self.path}/{WHOSE}: {error}").line)
+            owner = group, name
+        # Danger: what another has granted binds nobody here, and what it has ended long ago would be offered as owed.
+        if owner != (group, name):
+            raise FolderOfAnother(f"{self.path} is that of {owner[1]!r} in {owner[0]!r}, not of {name!r} in {group!r}")
+        if data is None:
+            self.write(WHOSE, ENCODER.encode(owner))
+
     def boot(self, now: int) -> int:
         """The incarnation of this boot: wall microseconds, and larger than every one before."""
         data = self.read(BOOT)
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -105,7 +105,8 @@
     """This sender as a member. Made before the desk is; `serve` begins once the folder is read."""
 
     def __init__(self, name: str, told: Fleet, state: str, store: Shared, clock: Clock, counters: Counters) -> None:
-        """OSError where the folder or the address cannot be used; `NotAMember` where the file lacks this sender."""
+        """OSError where the folder or the address cannot be used; `NotAMember` where the file lacks this sender;
+        `FolderOfAnother`."""
         self.name = name
         self.told = told
         self.store = store
@@ -116,6 +117,7 @@
             raise NotAMember(f"fleet.member: no entry has the name of this sender, {name!r}")
         self.where = {member.name: address(member.address) for member in told.member}
         self.lasting = Lasting(state, store.durable)
+        self.lasting.claim(told.group, name)
         self.incarnation = self.lasting.boot(time.time_ns() // 1000)
         self.gate = Gate(told.group, name, self.incarnation, self.where)
         self.peers = Peers(self.gate, self.where)
@@ -221,13 +223,13 @@
     def replace(self, told: Fleet) -> None:
         """Take over another list of members, and what else of the table may change in service."""
         if self.name not in {member.name for member in told.member}:
-            self.counters.trouble("the members stay as they were",
-                                  NotAMember(f"fleet.member: no entry has the name of this sender, {self.name!r}"))
+            error: Trouble = NotAMember(f"fleet.member: no entry has the name of this sender, {self.name!r}")
+            logger.error("the members stay as they were: {}", error.line)
             return
         try:
             self._one_at_a_time({member.name for member in told.member})
         except MembersApart as error:
-            self.counters.trouble("the members stay as they were", error)
+            logger.error("the members stay as they were: {}", error.line)
             return
         before, now = set(self.halls), boot_time()
         kept = msgspec.structs.replace(self.told, member=told.member)
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -161,6 +161,8 @@
             obey(operated, counters)
             if node is not None and operated is not None and operated.fleet is not None:
                 node.replace(operated.fleet)
+            elif node is not None or operated is not None and operated.fleet is not None:
+                logger.error("whether this sender is a member of a fleet is taken over at a start only")
             descriptors.set_limit(told.descriptors)
             store.set_limit(told.disk_bytes)
             counters.add("configurations taken over")
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -15,6 +15,7 @@
 from cedarwick.fleet.book import STARVED, Holding, Shared, boot_time
 from cedarwick.fleet.decrees import parts
 from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, Spoilt, decode_facts, encode_facts, kept_of
+from cedarwick.fleet.lasting import FolderOfAnother, Lasting
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
 from cedarwick.fleet.members import Standing
 from cedarwick.fleet.messages import Ask, Beat, Body, Facts, Grant, Offer, Piece, Table, Taken, Told, digest_of
@@ -478,6 +479,16 @@
                          (True, 0, True))
 
 
+class Folders(unittest.TestCase):
+    def test_a_folder_of_another_member_or_group_is_refused_and_stays_as_it_is(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        Lasting(folder).claim("g", "a")
+        for group, name in (("g", "b"), ("h", "a")):
+            with self.assertRaises(FolderOfAnother):
+                Lasting(folder).claim(group, name)
+        Lasting(folder).claim("g", "a")
+
+
 class Numbers(unittest.TestCase):
     def test_no_number_that_a_member_tells_is_beyond_what_the_folder_holds(self) -> None:
         for destination, fits in (((1 << 32) - 1, True), (1 << 32, False)):
