What a member that was taken out had granted is no part of a majority any more

`Holder.replace` kept the grants of all, and `valid_until` takes the second newest of them where three members are a list.

Grants and closings of those that went are dropped at the reload; one that stays counts on as before.

--- a/cedarwick/fleet/leases.py
+++ b/cedarwick/fleet/leases.py
@@ -337,6 +337,9 @@
     def replace(self, names: Collection[str]) -> None:
         """The members from now on; see `Grantor.replace`."""
         self._names = frozenset(names) | {self.me}
+        # Danger: what one that has gone has granted is no part of a majority of those that stay.
+        self._granted = {name: each for name, each in self._granted.items() if name in self._names}
+        self._closed = {name: each for name, each in self._closed.items() if name in self._names}
 
     def may_fire(self, now: int) -> bool:
         """Whether a shot's first byte may be written now: the last look before the write."""
--- a/tests/test_fleet_leases.py
+++ b/tests/test_fleet_leases.py
@@ -149,6 +149,18 @@
         self.assertEqual((holder.state, holder.newer), (Tenure.LOST, (2, "c")))
 
 
+    def test_what_a_member_that_has_gone_had_granted_counts_no_more(self) -> None:
+        holder = Holder("r", "a", "abcd")
+        holder.begin(0, Grant("r", 0, ""))
+        for sent, names in ((0, "abd"), (1_000_000, "ad")):
+            for name in names:
+                holder.answered(sent, sent, name, Told(True, 1, "a"))
+        self.assertLess(holder.valid_until, SPAN)
+        holder.replace("abc")
+        # Danger: b and c, a majority of those that stay, may grant it to c from now on: b's promise has run out.
+        self.assertLess(holder.valid_until, SPAN)
+
+
 class Places(unittest.TestCase):
     @settings(derandomize=True, database=None, max_examples=60)
     @given(st.integers(0, 1 << 30), st.integers(2, 12), st.integers(1, 2))
