An offer that finds room for a part is taken whole when it comes again

`Shared.offered` joined all offered facts in the ledger first and wrote them into the folder one by one. `NoRoom` at one of them ended the call: the ones before it were kept and never given to the desk; it and all behind it stood in the ledger, so that the same offer, made again a moment later, brought no news and was answered as taken. The owner then gave up its records: envelopes that only it had were in no folder and had no final answer. In the test of three envelopes with room for one, the second offer was taken and the desk was told of none.

What could not be kept is taken out of the ledger again, what was kept before it goes to the desk, and the answer names the problem, so the rest is offered again. Records of news that is known already (a shot that may have run, an end) are owed as any short record and no reason to refuse.

--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -6,6 +6,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
@@ -297,8 +298,9 @@
         holding.begun_at = boot_time()
         holding.sent = 0
 
-    def offered(self, holding: Holding, facts: list[Fact], term: int) -> tuple[list[int], list[int]]:
-        """What an earlier holder knew: joined. Numbers that are over by it, and those that are new here or changed.
+    def offered(self, holding: Holding, facts: list[Fact], term: int) -> tuple[list[int], list[int], str]:
+        """What an earlier holder knew: joined. Numbers that are over by it, those that are new here or changed, and why
+        some could not be taken: they are to be offered again.
 
         `term`: the newest in which it has held the book.
         """
@@ -308,24 +310,36 @@
                 # Danger: what has ended here would come back as owed.
                 and fact.number not in holding.finished
                 and (fact.number in before or fact.base is not None and not over(fact.known))}
-        news = []
+        news: list[int] = []
         all_news = holding.ledger.adopt(told.values(), holding.ledger.term)
-        self._take_marks(all_news)
-        for joined in all_news:
-            if joined.known != before.get(joined.number):
-                if joined.number not in before and not straight:
-                    # Danger: between the two somebody else has held the book, and may have ended it: whoever took it
-                    # over from that one knows nothing of it. Only 'failed' is honest then.
-                    joined = with_end(joined, Rank.FAILED)
-                    holding.ledger.known[joined.number] = joined.known
-                self._take_news(joined, joined.number not in before)
-                self._tell(holding, joined)
-                news.append(joined.number)
         ended = [number for number in told if number not in holding.ledger.known]
         for number in ended:
             self._tell(holding, Fact(number, None, told[number].known))
-            super().over(number)
-        return ended, news
+            with suppress(NoRoom):  # it is over; the record of that is owed
+                super().over(number)
+        problem, left = "", all_news
+        try:
+            self._take_marks(all_news)
+            for place, joined in enumerate(all_news):
+                left = all_news[place:]
+                if joined.known != before.get(joined.number):
+                    if joined.number not in before and not straight:
+                        # Danger: between the two somebody else has held the book, and may have ended it: whoever took
+                        # it over from that one knows nothing of it. Only 'failed' is honest then.
+                        joined = with_end(joined, Rank.FAILED)
+                        holding.ledger.known[joined.number] = joined.known
+                    self._take_news(joined, joined.number not in before)
+                    self._tell(holding, joined)
+                    news.append(joined.number)
+        except (OSError, NoRoom) as error:
+            problem = str(error) or type(error).__name__
+            # Danger: what the ledger knows is no news when it is offered again; it would be in no folder, and no desk.
+            for fact in left:
+                if fact.number in before:
+                    holding.ledger.known[fact.number] = before[fact.number]
+                else:
+                    holding.ledger.known.pop(fact.number, None)
+        return ended, news, problem
 
     def _take_marks(self, facts: Iterable[Fact]) -> None:
         """What others knew of moves under way, before the envelopes themselves are kept."""
@@ -338,15 +352,17 @@
                 self.inert = marks
 
     def _take_news(self, fact: Fact, new: bool) -> None:
-        """Bring the folder's own record of an adopted envelope up to what is known now."""
+        """Bring the folder's own record of an adopted envelope up to what is known now; `NoRoom` for a new one."""
         if new:
             super().keep(kept_of(fact))
             return
         kept = self.kept[fact.number]
         if fact.known.ran is not None and (not kept.ran_at or fact.known.ran[0] < kept.ran_at):
-            self.may_have_run(fact.number, *fact.known.ran)
+            with suppress(NoRoom):  # it is known from here on, and its record is owed
+                self.may_have_run(fact.number, *fact.known.ran)
         if fact.known.end[0] is not Rank.NONE and kept.end is None:
-            super().ended(fact.number, fact.known.end[0] is Rank.RETURNED, fact.known.end[1])
+            with suppress(NoRoom):
+                super().ended(fact.number, fact.known.end[0] is Rank.RETURNED, fact.known.end[1])
 
     def known_here(self, holding: Holding) -> list[Fact]:
         """All that this member knows of a book that it has lost: what is owed, and what ended of late."""
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -792,16 +792,16 @@
         if digest_of(body.facts) != body.digest:
             return Taken(body.book, body.part, "spoilt")
         try:
-            ended, news = self.store.offered(holding, known_facts.decode_facts(body.facts), body.term)
-        except (known_facts.Spoilt, NoRoom) as error:
+            ended, news, problem = self.store.offered(holding, known_facts.decode_facts(body.facts), body.term)
+        except known_facts.Spoilt as error:
             return Taken(body.book, body.part, str(error)[:512])
         logger.info("book {}: {} told of {} ends and {} news", body.book, sender, len(ended), len(news))
-        holding.heard_out = boot_time() if body.last else holding.heard_out
+        holding.heard_out = boot_time() if body.last and not problem else holding.heard_out
         if holding.serving and (ended or news):
             # What was decided on less is decided anew.
             self.desk.park(ended + news)
             self.desk.adopt(news)
-        return Taken(body.book, body.part)
+        return Taken(body.book, body.part, problem[:512])
 
     def _drop(self, book: int) -> None:
         """The book is over, or somebody else's for good."""
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -425,6 +425,25 @@
             self.assertEqual([node.store.kept[number(index)].doubt_at for index in (1, 2)], [doubt, doubt])
             self.assertEqual(node.store.holdings[BOOK].log.piece(0, EVERYTHING).behind, ack == "own")
 
+    def test_an_offer_that_finds_room_for_a_part_is_taken_whole_when_it_comes_again(self) -> None:
+        node = self.member()
+        holding = self.holding(node)
+        holding.serving = True
+        desk: Any = node.desk
+        data = encode_facts([fact(1), fact(2), fact(3)])
+        keep, problems = Store.keep, []
+        for room in ((1,), (1, 2, 3)):
+            def kept_if(store: Store, each: Kept, room: tuple[int, ...] = room) -> None:
+                if each.number not in map(number, room):
+                    raise NoRoom("full")
+                keep(store, each)
+
+            with mock.patch.object(Store, "keep", kept_if):
+                problems.append(node._offered("b", Offer(BOOK, 0, True, data, digest_of(data), 1)))
+        self.assertEqual(problems, [Taken(BOOK, 0, "full"), Taken(BOOK, 0)])
+        self.assertEqual(desk.adopt.mock_calls, [mock.call([number(1)]), mock.call([number(2), number(3)])])
+        self.assertEqual(sorted(node.store.kept), sorted(holding.ledger.known))
+
     def test_an_owner_that_comes_back_after_others_waits_for_what_they_may_offer(self) -> None:
         for term, from_term in ((2, 0), (3, 1)):
             node = self.member()
