A book without numbers left is followed by the next one

An envelope's number has 32 bits within its book, and a book lives as long as its sender keeps the right, over restarts too. With the last block of 65,536 in sight `_reserve` returned without a word, and no other book is opened while the one that is open is held: the sender would have answered -BUSY to all from then on. At 1000 envelopes a second that comes after 50 days, sooner with restarts (each skips up to a block). The next book is opened now and the full one closed once nothing of it is owed; clients get -BUSY for the second until it is granted. The test begins one block before the end; before, the open book stayed the full one.

--- a/cedarwick/fleet/adoption.py
+++ b/cedarwick/fleet/adoption.py
@@ -188,6 +188,7 @@
         self.slot = slot
         self.names = names
         self.current: Adoption | None = None
+        self.full = False  # the open book has no numbers left
         self._kept = dict(kept)
         self._newest = max((book % (1 << EPOCH_BITS) for book in kept), default=-1)
 
@@ -197,7 +198,7 @@
         While the own grantor learns nothing is opened: the table may know books that this member has forgotten.
         Raises `BooksUsedUp`.
         """
-        if self.current is not None and not self._is_lost(self.current):
+        if self.current is not None and not self._is_lost(self.current) and not self.full:
             return None
         if self.current is None and self._kept:
             book = max(self._kept)
@@ -209,6 +210,7 @@
         epoch = max(grantor.newest(self.slot), self._newest) + 1
         if epoch >> EPOCH_BITS:
             raise BooksUsedUp(f"{self.me}: all {1 << EPOCH_BITS} books of its slot have been opened")
+        self.full = False
         if self.current is not None:
             self.current.open = False  # if it comes back, it is closed once nothing is owed
         self._newest = epoch
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -453,7 +453,10 @@
         """Write down that a block of numbers is given, before the first of them is."""
         upto = self.store.next_number + BLOCK
         if (upto >> 32) != holding.book:
-            return  # the book is full: nothing more is taken in it
+            # Danger: nothing more is taken in a book that is full, 2**32 numbers from its begin on; the next is opened.
+            if self.ownership is not None:
+                self.ownership.full = holding is self.store.current
+            return
         self._note(holding.book, holding.adoption.holder.term, upto)
         holding.reserved = upto
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -12,13 +12,13 @@
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.fleet import node as module
 from cedarwick.fleet.adoption import NOTHING, Adoption, Stage
-from cedarwick.fleet.book import STARVED, Holding, Shared, boot_time
+from cedarwick.fleet.book import BLOCK, STARVED, Holding, Shared, boot_time
 from cedarwick.fleet.decrees import parts
 from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, Spoilt, decode_facts, encode_facts, kept_of
 from cedarwick.fleet.lasting import FolderOfAnother, Lasting
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
 from cedarwick.fleet.members import Standing
-from cedarwick.fleet.messages import Ask, Beat, Body, Facts, Grant, Offer, Piece, Table, Taken, Told, digest_of
+from cedarwick.fleet.messages import Ask, Beat, Body, Facts, Grant, Offer, Piece, Table, Taken, Told, digest_of, slot_of
 from cedarwick.fleet.messages import Held as Right
 from cedarwick.fleet.node import MembersApart, Node
 from cedarwick.fleet.shipping import EVERYTHING, Place
@@ -194,6 +194,23 @@
         with self.assertRaises(MembersApart):
             ask("ac")
 
+    def test_a_book_without_numbers_is_followed_by_the_next(self) -> None:
+        node = self.member()
+        node.grantor = Grantor("a", NAMES, 0, ())
+        first = slot_of("a") << 12
+        node._note(first, 1, ((first + 1) << 32) - BLOCK - 1)
+        with mock.patch("cedarwick.fleet.node.gevent.spawn"):
+            node.start(mock.Mock())
+            node.look(boot_time())
+            assert node.store.current is not None
+            self.assertEqual(node.store.current.book, first)
+            node.store.current.serving = True
+            node.store.current.adoption.holder.may_fire = lambda now: True  # type: ignore[method-assign]
+            self.assertFalse(node.store.has_room(kept(1)))
+            node.look(boot_time())
+        self.assertEqual((node.store.current.book, node.adoptions[first].open), (first + 1, False))
+        self.assertEqual(node.store.next_number, (first + 1 << 32) + 1)
+
     def test_what_nobody_else_can_answer_is_answered_late(self) -> None:
         late, ours, others = [number(1)], True, False
         for granted, serving, offered, few, ack, answered in (
