--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -93,6 +93,18 @@
             return Fact(number, None, known)
 
 
+    def told(self, store: "Shared", number: int) -> Fact | None:
+        """The same for another member; what cannot be read has failed there.
+
+        Danger: without its base a copy leaves the envelope out and counts as whole; whoever adopts it then owes nobody
+        an answer.
+        """
+        fact = self.read(store, number)
+        if fact is None or fact.base is not None:
+            return fact
+        return with_end(Fact(number, base_of(store.kept[number], b""), fact.known), Rank.FAILED)
+
+
 class Shared(Store):
     """Owns the folder, as `Store` does, and tells the books what happens to their envelopes."""
 
@@ -293,7 +305,7 @@
 
     def begin_log(self, holding: Holding, term: int) -> None:
         """Ship the book under a term from now on."""
-        holding.log = Log(holding.book, term, lambda number: holding.read(self, number), sorted(holding.ledger.known))
+        holding.log = Log(holding.book, term, lambda number: holding.told(self, number), sorted(holding.ledger.known))
         holding.log.behind = not self.by_copy
         holding.begun_at = boot_time()
         holding.sent = 0
@@ -371,7 +383,7 @@
             for fact in decode_facts(together([data])):
                 facts[fact.number] = join_facts(facts[fact.number], fact) if fact.number in facts else fact
         for number in list(holding.ledger.known):
-            owed = holding.read(self, number)
+            owed = holding.told(self, number)
             if owed is not None:
                 facts[number] = join_facts(facts[number], owed) if number in facts else owed
         return [facts[number] for number in sorted(facts)]
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -21,7 +21,7 @@
 from cedarwick.fleet.messages import Ask, Beat, Body, Facts, Grant, Offer, Piece, Table, Taken, Told, digest_of, slot_of
 from cedarwick.fleet.messages import Held as Right
 from cedarwick.fleet.node import MembersApart, Node
-from cedarwick.fleet.shipping import EVERYTHING, Place
+from cedarwick.fleet.shipping import EVERYTHING, Place, Replica
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.notices import Notices
@@ -349,6 +349,19 @@
         ends = {each.id: each.end for each in node.store.kept.values()}
         self.assertEqual(ends, {"id-1": None, "id-2": None, "id-3": (False, 0)})  # the third could not be read
 
+    def test_a_body_that_cannot_be_read_leaves_no_copy_without_its_envelope(self) -> None:
+        node = self.member()
+        holding = self.holding(node)
+        node.store.keep(kept(1))
+        node.store.body = lambda number: self.fail_to_read()  # type: ignore[method-assign]
+        copy = Replica(BOOK)
+        step = copy.piece(holding.log.piece(0, EVERYTHING))
+        assert step.entry is not None
+        copy.take(step.entry, step.facts)
+        for told in (copy.held[number(1)], *node.store.known_here(holding)):
+            self.assertEqual((told.base is not None, told.known.end[0]), (True, Rank.FAILED))
+        self.assertEqual(holding.ledger.known[number(1)].end[0], Rank.NONE)  # it may yet be read here
+
     def fail_to_read(self) -> bytes:
         raise Lost("cut")
 
