A session whose move is called off on a full disk is taken up once there is room

`_release` writes `fleet/moves` before it lifts the marks; where that failed the desk answered False, which nobody looked at: the move was done with, its envelopes stayed inert until a look 60 s later, and the session stayed frozen at the desk: its key got -BUSY until the next start, since the later `found` does not know the move for its own any more (`sequences` has forgotten it). It is tried again each second until the marks are lifted. With one try alone the test finds the mark still there.

--- a/cedarwick/fleet/transfers.py
+++ b/cedarwick/fleet/transfers.py
@@ -43,6 +43,7 @@
 SETTLE_IN = 0.3  # seconds for the answer to a question about a move
 STAGE_IN = 0.45
 WHOLE = 500_000  # microseconds that the copies have to get a mark
+RELEASE_AGAIN = 1.0  # seconds until marks that could not be lifted are lifted again
 CUT = 0.1  # seconds until calls that were cut off have ended
 SESSIONS = 10_000  # that a sender bears
 LATE = 300_000  # microseconds before its outer limit an envelope on the move is answered
@@ -331,7 +332,7 @@
         self.change()
 
     def _release(self, name: str) -> None:
-        key, now = self._key(name), boot_time()
+        key, now, mine = self._key(name), boot_time(), self._mine(name)
 
         def release() -> bool:
             numbers = self._marked(name, GIVEN)
@@ -339,7 +340,7 @@
             self._save_without(numbers)
             for number in numbers:
                 self.store.mark(number, sequence, "")
-            if self._mine(name):
+            if mine:
                 session = self.directory.sessions.get(key)
                 if session is not None:
                     self.directory.hold(key, max(sequence, session.sequence), self.directory.ids(key, now), now)
@@ -349,8 +350,10 @@
             self.desk.adopt(owed, quietly=True)
             return True
 
-        self.desk.between(release).get()
-        if self._mine(name):
+        # Danger: with the file not written the envelopes would stay inert, and the session frozen, for good.
+        while not self.desk.between(release).get():
+            gevent.sleep(RELEASE_AGAIN)
+        if mine:
             self.planner.ended(key, False, boot_time())
         self.counters.add("moves called off")
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -11,6 +11,7 @@
 from gevent.event import AsyncResult
 
 from cedarwick.config.operator import Fleet, Member
+from cedarwick.fleet import transfers
 from cedarwick.fleet.book import Holding, Shared, boot_time
 from cedarwick.fleet.decrees import Acceptor, Row, Table, name_move
 from cedarwick.fleet.facts import Ledger
@@ -60,7 +61,10 @@
 
     def between(self, call: Callable[[], bool]) -> AsyncResult:
         answer: AsyncResult = AsyncResult()
-        answer.set(call())
+        try:
+            answer.set(call())
+        except OSError:
+            answer.set(False)
         return answer
 
     def freeze(self, key: int) -> AsyncResult:
@@ -230,14 +234,29 @@
         late = b.heard("a", 1, Stage("8/a/b", KEY, 2, b"", 0x2D06800538D394C2))
         self.assertEqual((isinstance(late, Staged) and late.kept, b.store.kept), (False, {}))
 
+    def test_a_session_whose_move_is_called_off_on_a_full_disk_is_taken_up_once_there_is_room(self) -> None:
+        a = self.traffic["a"]
+        a.hand_in(envelope("1"))
+        thawed = a.desk.thaw = mock.Mock()  # type: ignore[method-assign]
+        self.lose = lambda to, body: "ask" if isinstance(body, Stage) else ""
+        with mock.patch.object(transfers, "RELEASE_AGAIN", 0.05):
+            a.transfers.begin(KEY, "b", boot_time())
+            self.turn(0.3)  # marked, and the taker does not answer
+            with mock.patch.object(a.transfers, "_save_without", side_effect=OSError("full")) as save:
+                self.turn(0.6)
+                self.assertTrue(save.called)
+                self.assertEqual((len(a.store.inert), thawed.called), (1, False))
+            self.turn(0.3)
+        self.assertEqual((a.store.inert, thawed.called, len(a.desk.adopted)), ({}, True, 1))  # type: ignore[attr-defined]
+
     def test_a_vote_that_was_not_written_is_not_granted_when_it_is_asked_again(self) -> None:
-        transfers, move = self.traffic["b"].transfers, name_move(self.traffic["a"].transfers.stamp, "a", "b")
-        with mock.patch.object(transfers.files, "add_decree", side_effect=OSError("full")):
-            asked = [transfers.vote(move, (2, "c#1"), None).granted for _ in range(2)]
-            asked += [transfers.vote(move, (2, "c#1"), "off").granted for _ in range(2)]
+        made, move = self.traffic["b"].transfers, name_move(self.traffic["a"].transfers.stamp, "a", "b")
+        with mock.patch.object(made.files, "add_decree", side_effect=OSError("full")):
+            asked = [made.vote(move, (2, "c#1"), None).granted for _ in range(2)]
+            asked += [made.vote(move, (2, "c#1"), "off").granted for _ in range(2)]
         self.assertEqual(asked, [False] * 4)
-        self.assertTrue(transfers.vote(move, (2, "c#1"), "off").granted)
-        table = transfers.files.decrees()
+        self.assertTrue(made.vote(move, (2, "c#1"), "off").granted)
+        table = made.files.decrees()
         assert table is not None
         self.assertEqual([(row.move, row.value) for row in table.rows], [(move, "off")])
 
