--- a/cedarwick/fleet/leases.py
+++ b/cedarwick/fleet/leases.py
@@ -340,6 +340,9 @@
     def replace(self, names: Collection[str]) -> None:
         """The members from now on; see `Grantor.replace`."""
         self._names = frozenset(names) | {self.me}
+        # Danger: what one that has gone has granted is no part of a majority of those that stay.
+        self._granted = {name: each for name, each in self._granted.items() if name in self._names}
+        self._closed = {name: each for name, each in self._closed.items() if name in self._names}
         self._count()
 
     def may_fire(self, now: int) -> bool:
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -118,7 +118,8 @@
     """This sender as a member. Made before the desk is; `serve` begins once the folder is read."""
 
     def __init__(self, name: str, told: Fleet, state: str, store: Shared, clock: Clock, counters: Counters) -> None:
-        """OSError where the folder or the address cannot be used; `NotAMember` where the file lacks this sender."""
+        """OSError where the folder or the address cannot be used; `NotAMember` where the file lacks this sender;
+        `FolderOfAnother`."""
         self.name = name
         self.told = told
         self.store = store
@@ -129,6 +130,7 @@
             raise NotAMember(f"fleet.member: no entry has the name of this sender, {name!r}")
         self.where = {member.name: address(member.address) for member in told.member}
         self.lasting = Lasting(state, store.durable)
+        self.lasting.claim(told.group, name)
         self.incarnation = self.lasting.boot(time.time_ns() // 1000)
         self.gate = Gate(told.group, name, self.incarnation, self.where)
         self.peers = Peers(self.gate, self.where)
@@ -236,13 +238,13 @@
     def replace(self, told: Fleet) -> None:
         """Take over another list of members, and what else of the table may change in service."""
         if self.name not in {member.name for member in told.member}:
-            self.counters.trouble("the members stay as they were",
-                                  NotAMember(f"fleet.member: no entry has the name of this sender, {self.name!r}"))
+            error: Trouble = NotAMember(f"fleet.member: no entry has the name of this sender, {self.name!r}")
+            logger.error("the members stay as they were: {}", error.line)
             return
         try:
             self._one_at_a_time({member.name for member in told.member})
         except MembersApart as error:
-            self.counters.trouble("the members stay as they were", error)
+            logger.error("the members stay as they were: {}", error.line)
             return
         before, now = set(self.halls), boot_time()
         kept = msgspec.structs.replace(self.told, member=told.member, follow_s=told.follow_s)
@@ -517,7 +519,10 @@
         """Write down that a block of numbers is given, before the first of them is."""
         upto = self.store.next_number + BLOCK
         if (upto >> 32) != holding.book:
-            return  # the book is full: nothing more is taken in it
+            # Danger: nothing more is taken in a book that is full, 2**32 numbers from its begin on; the next is opened.
+            if self.ownership is not None:
+                self.ownership.full = holding is self.store.current
+            return
         self._note(holding.book, holding.adoption.holder.term, upto)
         holding.reserved = upto
 
@@ -864,16 +869,16 @@
         try:
             facts = known_facts.decode_facts(body.facts)
             facts = self.traffic.offered(holding, facts) if self.traffic is not None else facts
-            ended, news = self.store.offered(holding, facts, body.term)
-        except (known_facts.Spoilt, NoRoom) as error:
+            ended, news, problem = self.store.offered(holding, facts, body.term)
+        except known_facts.Spoilt as error:
             return Taken(body.book, body.part, str(error)[:512])
         logger.info("book {}: {} told of {} ends and {} news", body.book, sender, len(ended), len(news))
-        holding.heard_out = boot_time() if body.last else holding.heard_out
+        holding.heard_out = boot_time() if body.last and not problem else holding.heard_out
         if holding.serving and (ended or news):
             # What was decided on less is decided anew.
             self.desk.park(ended + news)
             self.desk.adopt(news)
-        return Taken(body.book, body.part)
+        return Taken(body.book, body.part, problem[:512])
 
     def _drop(self, book: int) -> None:
         """The book is over, or somebody else's for good."""
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -13,9 +13,10 @@
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.fleet import node as module
 from cedarwick.fleet.adoption import NOTHING, Adoption, Stage
-from cedarwick.fleet.book import STARVED, Holding, Shared, boot_time
+from cedarwick.fleet.book import BLOCK, STARVED, Holding, Shared, boot_time
 from cedarwick.fleet.decrees import parts
 from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank, Spoilt, decode_facts, encode_facts, kept_of
+from cedarwick.fleet.lasting import FolderOfAnother, Lasting
 from cedarwick.fleet.leases import SPAN, Grantor, right_of
 from cedarwick.fleet.members import Standing
 from cedarwick.fleet.messages import (
@@ -33,11 +34,12 @@
     Taken,
     Told,
     digest_of,
+    slot_of,
 )
 from cedarwick.fleet.messages import Held as Right
 from cedarwick.fleet.node import MembersApart, Node
 from cedarwick.fleet.owing import EVERY, LASTS
-from cedarwick.fleet.shipping import EVERYTHING, Place
+from cedarwick.fleet.shipping import EVERYTHING, Place, Replica
 from cedarwick.interface import Outcome
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -221,6 +223,23 @@
         with self.assertRaises(MembersApart):
             ask("ac")
 
+    def test_a_book_without_numbers_is_followed_by_the_next(self) -> None:
+        node = self.member()
+        node.grantor = Grantor("a", NAMES, 0, ())
+        first = slot_of("a") << 12
+        node._note(first, 1, ((first + 1) << 32) - BLOCK - 1)
+        with mock.patch("cedarwick.fleet.node.gevent.spawn"):
+            node.start(mock.Mock())
+            node.look(boot_time())
+            assert node.store.current is not None
+            self.assertEqual(node.store.current.book, first)
+            node.store.current.serving = True
+            node.store.current.adoption.holder.may_fire = lambda now: True  # type: ignore[method-assign]
+            self.assertFalse(node.store.has_room(kept(1)))
+            node.look(boot_time())
+        self.assertEqual((node.store.current.book, node.adoptions[first].open), (first + 1, False))
+        self.assertEqual(node.store.next_number, (first + 1 << 32) + 1)
+
     def test_what_nobody_else_can_answer_is_answered_late(self) -> None:
         late, ours, others = [number(1)], True, False
         for granted, serving, offered, few, ack, answered in (
@@ -381,6 +400,19 @@
         ends = {each.id: each.end for each in node.store.kept.values()}
         self.assertEqual(ends, {"id-1": None, "id-2": None, "id-3": (False, 0)})  # the third could not be read
 
+    def test_a_body_that_cannot_be_read_leaves_no_copy_without_its_envelope(self) -> None:
+        node = self.member()
+        holding = self.holding(node)
+        node.store.keep(kept(1))
+        node.store.body = lambda number: self.fail_to_read()  # type: ignore[method-assign]
+        copy = Replica(BOOK)
+        step = copy.piece(holding.log.piece(0, EVERYTHING))
+        assert step.entry is not None
+        copy.take(step.entry, step.facts)
+        for told in (copy.held[number(1)], *node.store.known_here(holding)):
+            self.assertEqual((told.base is not None, told.known.end[0]), (True, Rank.FAILED))
+        self.assertEqual(holding.ledger.known[number(1)].end[0], Rank.NONE)  # it may yet be read here
+
     def fail_to_read(self) -> bytes:
         raise Lost("cut")
 
@@ -509,6 +541,25 @@
             node._owe(now + LASTS + SPAN)
             self.assertEqual(node.desk.rest.call_args.args, (frozenset(),))  # type: ignore[attr-defined]
 
+    def test_an_offer_that_finds_room_for_a_part_is_taken_whole_when_it_comes_again(self) -> None:
+        node = self.member()
+        holding = self.holding(node)
+        holding.serving = True
+        desk: Any = node.desk
+        data = encode_facts([fact(1), fact(2), fact(3)])
+        keep, problems = Store.keep, []
+        for room in ((1,), (1, 2, 3)):
+            def kept_if(store: Store, each: Kept, room: tuple[int, ...] = room) -> None:
+                if each.number not in map(number, room):
+                    raise NoRoom("full")
+                keep(store, each)
+
+            with mock.patch.object(Store, "keep", kept_if):
+                problems.append(node._offered("b", Offer(BOOK, 0, True, data, digest_of(data), 1)))
+        self.assertEqual(problems, [Taken(BOOK, 0, "full"), Taken(BOOK, 0)])
+        self.assertEqual(desk.adopt.mock_calls, [mock.call([number(1)]), mock.call([number(2), number(3)])])
+        self.assertEqual(sorted(node.store.kept), sorted(holding.ledger.known))
+
     def test_an_owner_that_comes_back_after_others_waits_for_what_they_may_offer(self) -> None:
         for term, from_term in ((2, 0), (3, 1)):
             node = self.member()
@@ -563,6 +614,16 @@
                          (True, 0, True))
 
 
+class Folders(unittest.TestCase):
+    def test_a_folder_of_another_member_or_group_is_refused_and_stays_as_it_is(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        Lasting(folder).claim("g", "a")
+        for group, name in (("g", "b"), ("h", "a")):
+            with self.assertRaises(FolderOfAnother):
+                Lasting(folder).claim(group, name)
+        Lasting(folder).claim("g", "a")
+
+
 class Numbers(unittest.TestCase):
     def test_no_number_that_a_member_tells_is_beyond_what_the_folder_holds(self) -> None:
         for destination, fits in (((1 << 32) - 1, True), (1 << 32, False)):
