UNFOLLOW is answered though members come or go while the others are told

The subscription had ended, but its caller got no answer, and nobody was told who does not know of the end yet. Now the members that were asked are remembered.

--- a/cedarwick/events/exchange.py
+++ b/cedarwick/events/exchange.py
@@ -396,12 +396,12 @@
         self.registry.end(wall(), name)
         self._changed(name)
         letter = self.spread.letter([name])
-        others = sorted(self.gate.others)
-        calls = [gevent.spawn(self._ask, member, letter) for member in others if member in self.alive]
-        gevent.joinall(calls, timeout=ANSWER_IN)
-        told_to = {member for member, call in zip([each for each in others if each in self.alive], calls, strict=True)
-                   if call.value is not None}
-        untold = [member for member in others if member not in told_to]
+        # Danger: who is alive may change while the answers are awaited.
+        calls = {member: gevent.spawn(self._ask, member, letter) for member in sorted(self.gate.others)
+                 if member in self.alive}
+        gevent.joinall(list(calls.values()), timeout=ANSWER_IN)
+        untold = [member for member in sorted(self.gate.others)
+                  if member not in calls or calls[member].value is None]
         logger.info("{} ended; not yet told: {}", name, ", ".join(untold) or "nobody")
         return f"YES {name} ended" + (f", not yet told: {', '.join(untold)}" if untold else "") + "\n"
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -188,6 +188,20 @@
         self.assertEqual([gap["source"] for gap in gaps], ["n1-101"])
         self.judge(subscriber, {"n0": set(), "n1": set(range(1, streams.MOST_HELD + 501)), "n2": set()})
 
+    def test_a_member_that_dies_or_comes_while_an_end_is_told_changes_nothing_of_the_answer(self) -> None:
+        net = Net()
+        member = net.members["n0"]
+        member.registry.follow(exchange.wall(), "desk", MATCH)
+        net.turn(2)
+        honest = member.call
+
+        def call(to: str, body: Body, within_s: float) -> Body | None:
+            member.alive = ["n0", "n2"]
+            return honest(to, body, within_s)
+
+        with mock.patch.object(member, "call", call):
+            self.assertEqual(member.answer(Call("UNFOLLOW", "desk")), "YES desk ended\n")
+
     def test_what_was_ended_while_a_member_slept_does_not_come_back_with_it(self) -> None:
         net = Net()
         subscriber = Subscriber(net)
