--- a/tests/processes/test_moves.py
+++ b/tests/processes/test_moves.py
@@ -215,7 +215,7 @@
     def test_the_heir_goes_on_with_a_dead_sender_s_sessions_at_once(self) -> None:
         keys = [f"{number:016x}" for number in range(2001, 2013)]
 
-        def case(fleet: Fleet) -> None:
+        def case(how: str, fleet: Fleet) -> None:
             fleet.until(lambda: hand_in_all(fleet, 0, keys).count("ok") == len(keys), 8.0, "the sessions")
             gevent.sleep(REMEMBERED / 1_000_000)  # the copy is older than any id of late
             before = len(fleet.history.handed)
@@ -223,12 +223,17 @@
             taken = fleet.history.handed[before:]
             gevent.sleep(1.0)  # most have ended, so that no envelope tells of their ids
             died = fleet.day.now()
-            fleet.kill(0)
+            fleet.kill(0) if how == "killed" else fleet.stop(0)
             clients = [Client(fleet, 1 + place % 2, key) for place, key in enumerate(keys)]
             gevent.sleep(4.0)
+            if how == "stopped":  # it must not go on with them in its next book
+                fleet.cont(0)
+                fleet.until(lambda: set(hand_in_all(fleet, 0, keys)) == {"ok"}, 8.0, "an answer by who was stopped")
+                assert number_of(fleet, 0, "sessions claimed", True) == len(keys) + 1  # as before, and that of `ready`
             answers = [again(fleet, 1 + place % 2, handed) for place, handed in enumerate(taken)]
             assert answers == ["ok"] * len(keys), answers
             gevent.sleep(1.0)
+            assert sum(number_of(fleet, number, "sessions inherited", True) for number in (1, 2)) >= len(keys)
             firsts = []
             for client in clients:
                 found = [each.answered for each in client.end() if each.answer == "ok"]
@@ -236,10 +241,9 @@
             calls = [sum(call.id == handed.id and call.status == 200 for call in fleet.history.called)
                      for handed in taken]
             assert calls == [1] * len(keys), calls
-            print(f"first +OK after death: {min(firsts):.2f} to {max(firsts):.2f} s")
-            assert max(firsts) < 3.5, firsts  # 2.1 on a quiet machine, where it was 17
+            assert max(firsts) < 3.5, firsts  # 1.5 to 1.7 on a quiet machine, where it was 17.3
 
-        self.judged({"death": functools.partial(play, case)})
+        self.judged({how: functools.partial(play, functools.partial(case, how)) for how in ("killed", "stopped")})
 
     @unittest.skipUnless(rig.long(), "a day for each seed")
     def test_drawn_troubles_while_sessions_are_on(self) -> None:
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -13,14 +13,19 @@
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.fleet.book import Holding, Shared, boot_time
 from cedarwick.fleet.decrees import Acceptor, name_move
-from cedarwick.fleet.facts import Ledger
+from cedarwick.fleet.facts import Fact, Known, Ledger, Rank, base_of
 from cedarwick.fleet.lasting import Lasting
+from cedarwick.fleet.leases import right_of
 from cedarwick.fleet.link import Unreachable
 from cedarwick.fleet.members import Standing
-from cedarwick.fleet.messages import Body, Passed, Recall, Stage, Staged, slot_of
+from cedarwick.fleet.memory import Memory
+from cedarwick.fleet.messages import Body, Grant, Passed, Recall, Stage, Staged, slot_of
 from cedarwick.fleet.node import Node
 from cedarwick.fleet.session_files import SessionFiles
-from cedarwick.fleet.traffic import Traffic
+from cedarwick.fleet.sessions import REMEMBERED
+from cedarwick.fleet.shipping import EVERYTHING
+from cedarwick.fleet.shipping import Entry as Step
+from cedarwick.fleet.traffic import HEIRS, Estate, Traffic
 from cedarwick.interface import Outcome
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -239,6 +244,73 @@
                                                 left=1, within=50_000, body=b"", moved=False, entry=None))  # type: ignore[arg-type]
         self.assertEqual(passed, Passed("", 0, True, None))
 
+    def adopted(self, level: int = HEIRS) -> tuple[Traffic, Traffic, Traffic, int]:
+        """The book of a, which has taken "1" and does not answer, is held by c, whose copy was old and whole."""
+        a, b, c = (self.traffic[name] for name in NAMES)
+        a.hand_in(envelope("1"))
+        self.news()
+        book = slot_of("a") << 12
+        fact = a.store.holdings[book].read(a.store, *a.store.kept)
+        assert fact is not None
+        c.memories[book] = Memory(boot_time() - REMEMBERED)
+        c.memories[book].term, c.memories[book].next = 1, 4
+        c._copied(book, Step(1, 5, EVERYTHING, 0, 0, b""), [fact])
+        self.lose = lambda to, body: "ask" if to == "a" else ""
+        for each in (b, c):
+            each.node.gate.levels["a"] = level
+            each.node.members.state = lambda now, name: (  # type: ignore[method-assign]
+                Standing.DEAD if name == "a" else Standing.ALIVE)
+            each.node.grantor.learning = False
+            each.node.grantor._grants[right_of(book)] = Grant(right_of(book), 2, "c")
+        holder = SimpleNamespace(bound=frozenset(), may_fire=lambda now: True)
+        c.store.holdings[book] = Holding(book, SimpleNamespace(me="c", holder=holder))  # type: ignore[arg-type]
+        c.store.holdings[book].serving = True
+        c.adopted(book)
+        return a, b, c, book
+
+    def test_the_heir_of_a_dead_sender_goes_on_with_its_sessions_and_ids(self) -> None:
+        a, b, c, book = self.adopted()
+        for who in (b, c):
+            self.assertEqual([who.hand_in(envelope("1"))[0], who.hand_in(envelope("1", b"other"))[0],
+                              who.hand_in(envelope(f"2{who.name}"))[0]],
+                             [Answered.KEPT, Answered.REPEATED, Answered.KEPT])
+        self.assertEqual(sorted(kept.id for kept in c.store.kept.values()), ["2b", "2c"])
+        # It wakes, and has its next book; what it had taken and told to nobody is neither answered nor delivered.
+        self.lose = lambda to, body: ""
+        a.store.current = Holding(book + 1, a.store.holdings[book].adoption)
+        a.store.current.serving = True
+        self.assertEqual(a.hand_in(envelope("2b"))[0], Answered.KEPT)
+        self.assertEqual((a.desk.submitted, a.directory.where(KEY)), (1, "c"))  # type: ignore[attr-defined]
+        (number, kept), = a.store.kept.items()
+        holding = c.store.holdings[book]
+        fact = Fact(number, base_of(kept, b"x"), Known())
+        self.assertEqual(c.offered(holding, [fact]), [])
+        c.store.kept[number] = kept
+        holding.ledger.known[number] = Known()
+        gone = Fact(number, None, Known(end=(Rank.TOLD, 0)))
+        done = Fact(number, None, Known(end=(Rank.COMPLETED, 0)))
+        self.assertEqual(c.offered(holding, [gone, done]), [done])
+        kept.outer_limit = 0
+        self.assertEqual(c.offered(holding, [gone]), [gone])
+
+    def test_nobody_inherits_from_an_older_member_nor_what_a_vote_or_a_young_copy_speaks_against(self) -> None:
+        a, b, c, book = self.adopted(HEIRS - 1)
+        self.assertEqual(b.hand_in(envelope("2"))[0], Answered.BUSY)
+        c.estates[book] = estate = Estate("a", boot_time() + 60_000_000, {}, set())
+        self.assertEqual(b.hand_in(envelope("2"))[0], Answered.BUSY)
+        c.estates[book] = estate._replace(whole_at=0)
+        b.transfers.vote(name_move(b.transfers.stamp, "b", "a"), (1, "a"), "taker", KEY)
+        self.assertEqual(b.hand_in(envelope("2"))[0], Answered.BUSY)
+        b.transfers.acceptor.rows.clear()
+        b.transfers.acceptor.by_key.clear()
+        b.node.grantor._grants[right_of(book + 1)] = Grant(right_of(book + 1), 1, "a")
+        self.assertEqual(c.hand_in(envelope("2"))[0], Answered.BUSY)
+        del b.node.grantor._grants[right_of(book + 1)]
+        self.assertEqual(c.hand_in(envelope("2"))[0], Answered.KEPT)
+        b.transfers.acceptor.learned("a", 1)
+        self.assertEqual([b.transfers.vote(name_move(a.transfers.stamp, "a", "b"), (1, "b"), "taker", key).granted
+                          for key in (KEY, 0, KEY + 1)], [False, False, True])
+
 
 class Decrees(unittest.TestCase):
     def test_votes_outlive_a_restart_and_damage_makes_the_acceptor_abstain(self) -> None:
