--- a/cedarwick/lab/fleet.py
+++ b/cedarwick/lab/fleet.py
@@ -142,6 +142,7 @@
         self.under_way = 0  # drawn troubles and loads that have not ended
         self.failed: list[str] = []  # what could not be carried out
         self.watches: list[gevent.Greenlet] = []
+        self.loads: list[gevent.Greenlet] = []
         self.ended = 0
 
     @property
@@ -409,7 +410,10 @@
     # ---- clients ----
 
     def load(self, seconds: float, rate: float = 0.0) -> None:
-        """Clients hand in what the scenario draws for so long, at its rate or another; returns at once."""
+        """Clients hand in what the scenario draws for so long, at its rate or another; returns at once.
+
+        `end_loads` ends it before that.
+        """
         told = msgspec.structs.replace(
             self.scenario, length_s=seconds, short_s=seconds, trouble=[], drawn=type(self.scenario.drawn)(),
             load=msgspec.structs.replace(self.scenario.load, rate=rate or self.scenario.load.rate))
@@ -418,13 +422,17 @@
         arrivals = [msgspec.structs.replace(each, due=each.due + since) for each in drawn.arrivals]
         self.under_way += 1
 
-        def run() -> None:
-            try:
-                self.clients.run(arrivals)
-            finally:
-                self.under_way -= 1
+        def ended(_: gevent.Greenlet) -> None:
+            self.under_way -= 1
+
+        load = gevent.spawn(self.clients.run, arrivals)
+        load.rawlink(ended)  # also where it is ended before it has begun
+        self.loads.append(load)
 
-        gevent.spawn(run)
+    def end_loads(self) -> None:
+        """Nothing new is handed in from now on by any `load`; what was refused comes again."""
+        gevent.killall(self.loads)
+        self.loads.clear()
 
     def hand_in(
         self, number: int, count: int = 1, band: str = "", destination: int = 0, turn: str = "0" * 16, size: int = 200
--- a/tests/processes/test_events.py
+++ b/tests/processes/test_events.py
@@ -159,13 +159,15 @@
 
     def test_the_subscribers_sender_dies_and_it_goes_on_elsewhere(self) -> None:
         def case(fleet: Fleet, subscriber: Subscriber) -> None:
-            fleet.load(6, rate=120)
+            fleet.load(20, rate=120)
             heard(fleet, subscriber)
             fleet.kill(0)
             subscriber.follow(2)
             gevent.sleep(2)
             fleet.start(0)
-            fleet.until(lambda: "n0" in subscriber.sources() and subscriber.ended, 5.0, "n0's new source")
+            fleet.until(lambda: "n0" in subscriber.sources() and subscriber.ended, 10.0, "n0's new source")
+            gevent.sleep(1)
+            fleet.end_loads()
 
         self.play(case, but={0})
 
--- a/tests/processes/test_fleet.py
+++ b/tests/processes/test_fleet.py
@@ -86,7 +86,7 @@
 
     def test_a_split_with_clients_on_both_sides(self) -> None:
         def case(fleet: Fleet) -> None:
-            fleet.load(10, rate=90)
+            fleet.load(30, rate=90)
             gevent.sleep(1.0)
             broken = fleet.split({0, 1, 2}, {3, 4}, silent=True)
             gevent.sleep(5.0)
@@ -95,6 +95,8 @@
             self.assertIn("ok", {each.answer for each in fleet.hand_in(0, 4, "free")})
             fleet.heal(broken)
             fleet.until(lambda: [each.answer for each in fleet.hand_in(3, 1, "free")] == ["ok"], 15.0, "the healing")
+            gevent.sleep(1.0)
+            fleet.end_loads()
 
         self.play(case, FIVE)
 
@@ -110,12 +112,14 @@
 
     def test_all_are_restarted_in_turn_under_load(self) -> None:
         def case(fleet: Fleet) -> None:
-            fleet.load(12)
+            fleet.load(40)
             for number in range(3):
                 fleet.term(number)
                 fleet.start(number)
                 fleet.until(lambda number=number: fleet.call(number, "STATUS").startswith("YES"),  # type: ignore[misc]
                             15.0, "a sender's return")
+            gevent.sleep(1.0)
+            fleet.end_loads()
 
         self.play(case)
 
--- a/tests/processes/test_sharing.py
+++ b/tests/processes/test_sharing.py
@@ -43,7 +43,7 @@
             def out() -> set[int]:
                 return {member.number for member in fleet.members if uid in lasting.read(member.state)}
 
-            fleet.load(20, rate=120)
+            fleet.load(40, rate=120)
             self.assertEqual(callers(1.5), {0, 1, 2})
             fleet.call(0, f"SUSPEND {uid}")
             fleet.until(lambda: out() == {0, 1, 2}, 1.0, "the suspension everywhere")
@@ -59,6 +59,7 @@
             fleet.heal(broken)
             fleet.until(lambda: not out(), 2.0, "the restored receiver at n0")
             fleet.until(lambda: 0 in callers(0.5), 6.0, "n0's calls")
+            fleet.end_loads()
 
         self.play(TWO, case)
 
