Dead members may be taken out in turn; a changed address of its own is told

The check of the members' lists refused the second of two dead members: the one taken out last could not have taken over that the other one is gone. Of a removal the dead and those that have left are no hindrance now; of an addition they are, since they may come back with a list that is two apart.

--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -19,7 +19,7 @@
 from cedarwick.events.exchange import Exchange
 from cedarwick.fleet import facts as known_facts
 from cedarwick.fleet import placement
-from cedarwick.fleet.adoption import Adoption, BooksUsedUp, Do, Ownership, Stage
+from cedarwick.fleet.adoption import AWAY, Adoption, BooksUsedUp, Do, Ownership, Stage
 from cedarwick.fleet.book import BLOCK, STARVED, Holding, Shared, boot_time
 from cedarwick.fleet.copies import Copies, CopyFolder
 from cedarwick.fleet.gate import Gate
@@ -234,8 +234,9 @@
             return
         before, now = set(self.halls), boot_time()
         kept = msgspec.structs.replace(self.told, member=told.member)
-        if kept != told:
-            logger.warning("the fleet's table is taken over at a start only, but for the members")
+        moved = self.where[self.name] not in [address(each.address) for each in told.member if each.name == self.name]
+        if kept != told or moved:
+            logger.warning("the fleet's table and this member's address are taken over at a start only")
         self.told = kept
         self.halls = {member.name: member.hall for member in told.member}
         self.where = {member.name: address(member.address) for member in told.member}
@@ -259,6 +260,8 @@
             raise MembersApart(f"the file changes {', '.join(sorted(mine ^ names))} at once")
         # Danger: two changes in turn here are two at once for a member that has taken over neither.
         behind = [name for name in sorted(mine) if self.members.list_of(name) not in (None, mine, frozenset(names))]
+        if mine > names:  # who is dead takes over nothing; several of them are taken out in turn
+            behind = [name for name in behind if self.members.state(boot_time(), name) not in AWAY]
         if mine != names and behind:
             raise MembersApart(f"{', '.join(behind)} have not taken over the change before this one")
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -192,6 +192,13 @@
             ask("acd")
             self.assertEqual(reload("a", "b", "c", "d", "e"), {"a", "b", "c", "d", "e"})
             self.assertEqual(node.told.ack, "copy")
+            ask("acde")
+            self.assertEqual(reload("a", "b", "c", "e"), {"a", "b", "c", "e"})
+            self.assertEqual(reload("a", "b", "c"), {"a", "b", "c", "e"})
+            node._heard("b", 7, Beat(True, dict.fromkeys("acde", 0)))  # it has ended
+            self.assertEqual(reload("a", "b", "c"), {"a", "b", "c"})
+            self.assertEqual(reload("a", "b", "c", "f"), {"a", "b", "c"})  # it may come back with five
+        node._heard("b", 8, Beat(False, dict.fromkeys("acde", 0)))
         with self.assertRaises(MembersApart):
             ask("ac")
 
