--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -20,7 +20,7 @@
 from cedarwick.events.exchange import Exchange
 from cedarwick.fleet import facts as known_facts
 from cedarwick.fleet import placement
-from cedarwick.fleet.adoption import Adoption, BooksUsedUp, Do, Ownership, Stage
+from cedarwick.fleet.adoption import AWAY, Adoption, BooksUsedUp, Do, Ownership, Stage
 from cedarwick.fleet.book import BLOCK, STARVED, Holding, Shared, boot_time
 from cedarwick.fleet.copies import Copies, CopyFolder
 from cedarwick.fleet.facts import Rank
@@ -148,6 +148,7 @@
         self.desk: Upkeep
         self.shipped_at: dict[int, int] = {}  # by book: when its holder last wrote to the copy here
         self.begun_at = now
+        self.before = True  # whether envelopes may be left that were taken before this sender was a member
         self.doubted: set[int] = set()  # books of a folder with damage: the heirs may have more of them
         self.reborn: dict[str, int] = {}  # when a member was first heard under a newer incarnation than before
         self.served: dict[int, tuple[str, int]] = {}  # by book: who has said that it fires for it, and when
@@ -216,7 +217,7 @@
         for holding in self.store.holdings.values():
             holding.serving = False  # Danger: once it is released, an heir may fire
             if len(holding.adoption.holder.heirs) > 1 and (ask := holding.adoption.holder.release()) is not None:
-                self._answer_ask(ask)
+                self._guarded(self._answer_ask, ask)
                 calls += [gevent.spawn(self._call, name, ask, ANSWER_IN) for name in self.peers.names()]
         gevent.joinall(calls, timeout=ANSWER_IN)
 
@@ -249,8 +250,10 @@
             return
         before, now = set(self.halls), boot_time()
         kept = msgspec.structs.replace(self.told, member=told.member, follow_s=told.follow_s)
-        if kept != told:
-            logger.warning("the fleet's table is taken over at a start only, but for the members and follow_s")
+        moved = self.where[self.name] not in [address(each.address) for each in told.member if each.name == self.name]
+        if kept != told or moved:
+            logger.warning("the fleet's table, but for the members and follow_s, and this member's address are taken over "
+                           "at a start only")
         self.told = kept
         self.halls = {member.name: member.hall for member in told.member}
         self.where = {member.name: address(member.address) for member in told.member}
@@ -275,6 +278,8 @@
             raise MembersApart(f"the file changes {', '.join(sorted(mine ^ names))} at once")
         # Danger: two changes in turn here are two at once for a member that has taken over neither.
         behind = [name for name in sorted(mine) if self.members.list_of(name) not in (None, mine, frozenset(names))]
+        if mine > names:  # who is dead takes over nothing; several of them are taken out in turn
+            behind = [name for name in behind if self.members.state(boot_time(), name) not in AWAY]
         if mine != names and behind:
             raise MembersApart(f"{', '.join(behind)} have not taken over the change before this one")
 
@@ -419,6 +424,8 @@
         for change in (changes := self.members.changes(now)):
             logger.info("member {} is {} (was {})", change.name, change.now.value, change.before.value)
             self.exchange.member(change, self.members.beat_ages(now).get(change.name, 0))
+            if change.now is Standing.ALIVE and not self.grantor.learning:
+                gevent.spawn(self._closed_elsewhere, change.name)
         self.alive = [name for name in self.halls if self.members.state(now, name) is Standing.ALIVE]
         # Counted from the look that saw it: a process that slept has heard nobody, and is answered in a moment.
         self.few_since = 0 if len(self.alive) >= self.members.majority else self.few_since or now
@@ -622,7 +629,7 @@
 
     def _give_up(self, ask: Ask) -> None:
         """Tell all that they need not keep their promise of a right."""
-        self._answer_ask(ask)
+        self._guarded(self._answer_ask, ask)
         for name in self.peers.names():
             gevent.spawn(self._call, name, ask, ANSWER_IN)
 
@@ -876,11 +883,14 @@
             self.offers.pop(adoption.book, None)
 
     def _closed_elsewhere(self, name: str) -> None:
-        """Learn which books were closed while this member was away."""
+        """Learn which books were closed while this member was away.
+
+        Danger: with one that it takes for open, no later book of that sender goes from its table, and the table grows.
+        """
         answer = self._call(name, Tables(), ANSWER_IN)
         if isinstance(answer, Table):
             self.grantor.closed_elsewhere(answer)
-            self._write_table()
+            self._guarded(self._write_table)
 
     def _offered(self, sender: str, body: Offer) -> Taken:
         """The last holder of a book that is held here tells what it knows."""
@@ -996,7 +1006,8 @@
 
     def _before_the_fleet(self, soon: int) -> None:
         """Envelopes that were taken before this sender was a member: nobody else has heard of them."""
-        numbers = self.store.numbers(0)
+        numbers = self.store.numbers(0) if self.before else []
+        self.before = bool(numbers)
         owed = [number for number in numbers if self.store.kept[number].end is None]
         if owed and self.store.taking():
             self._rekey(owed)
