--- a/cedarwick/lab/virtualday.py
+++ b/cedarwick/lab/virtualday.py
@@ -52,7 +52,7 @@
 
 Ack = Literal["own", "copy"]
 Alone = Literal["busy", "own"]
-Level = Literal["usual", "hard", "worst"]
+Level = Literal["calm", "usual", "hard", "worst"]
 Pair = tuple[int, int]  # who asks, who answers
 
 SCENARIO = Scenario(
@@ -72,7 +72,7 @@
 WELL, BAD, WORST = (970, 20, 4, 3, 3), (10, 25, 20, 25, 20), (30, 15, 10, 25, 20)
 # Seconds that a receiver is well and bad, on the average. Danger: failures that come one by one, at any call, are no
 # trouble that a partner has; the decisions take each for an outage, and hardly anything is delivered.
-SPELLS = {"usual": (8.0, 0.8), "hard": (4.0, 1.5)}
+SPELLS = {"calm": (4.0, 1.5), "usual": (8.0, 0.8), "hard": (4.0, 1.5)}
 STATUS = {"ok": 200, "full": 503, "error": 500}
 OUTCOMES = {"ok": Outcome.COMPLETED, "full": Outcome.FULL, "error": Outcome.ERROR, "reset": Outcome.RESET}
 FULL = 10_000  # bytes of a folder whose disk is full
@@ -86,7 +86,7 @@
 QUIET = 10  # looks in a row, a tenth of a second apart, that find nothing owed
 LONGEST = 200 * SECOND  # a day that is not over by then has failed
 LOOK = 0.02  # seconds between two looks at a state that is awaited
-KEYS = 12  # sessions
+KEYS = 6  # sessions
 AT_HOME = 3.0  # seconds that the client of a session stays with one sender, on the average
 MOVES = 0.4  # seconds between two sessions that staff move, on the average
 PAUSES = 4.0  # seconds between two drains by staff
@@ -696,7 +696,8 @@
     """The verdict on the day of a seed. An error in the program is a finding of rule 0; `history`: a file to write.
 
     `level`: "hard" has twice as many troubles, shorter ones, and receivers that are bad more often; on the "worst"
-    days most of all calls are refused, hang or are reset, so that little is delivered.
+    days most of all calls are refused, hang or are reset, so that little is delivered. "calm": bad receivers alone. The
+    audit of order between senders allows for every trouble, so it says most where sessions move on calm days.
     `sessions`: every envelope has a key, clients change senders, staff move sessions and drain senders.
     """
     halls = {"e": "east", "w": "west"}
@@ -704,17 +705,17 @@
         Member(name=f"n{number}", address=f"127.0.0.{number + 1}:7000", hall=halls[hall])
         for number, hall in enumerate(HALLS[senders])])
     many: dict[str, Any] = {"count": round(seconds), "longest_s": 2.5} if level != "usual" else {}
-    plan = draw(seed, senders, seconds, kinds=kinds, copies=copies, **many)
+    troubles = draw(seed, senders, seconds, kinds=kinds, copies=copies, **many).troubles if level != "calm" else []
     with tempfile.TemporaryDirectory() as scratch:
         day = Day(seed, table, seconds, level, subscribers, scratch)
-        day.run(plan.troubles)
+        day.run(troubles)
     if history:
         day.history.write(history)
     # What goes on alone promises no more than the own folder.
     terms = claims.Terms(senders=senders, ack="own" if alone == "own" else ack)
     watched = day.watched if subscribers else None
     verdict = claims.judge(SCENARIO, day.history, day.ended_at or day.now(), terms, watched)
-    verdict.findings += [Finding(0, (), error) for error in day.kernel.errors]
+    verdict.findings[:0] = [Finding(0, (), error) for error in day.kernel.errors]  # the day has ended with it
     return verdict
 
 
@@ -735,8 +736,8 @@
     parser.add_argument("--copies", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=8.0, help="in which envelopes come")
     parser.add_argument("--kinds", nargs="+", default=KINDS, choices=KINDS, metavar="KIND", help=", ".join(KINDS))
-    parser.add_argument("--level", default="usual", choices=("usual", "hard", "worst"),
-                        help="more troubles, and worse partners")
+    parser.add_argument("--level", default="usual", choices=("calm", "usual", "hard", "worst"),
+                        help="how many troubles, and what partners are like")
     parser.add_argument("--sessions", action="store_true", help="sessions that change senders")
     parser.add_argument("--subscribers", type=int, default=0, help="that follow events here and there")
     parser.add_argument("--history", default="", metavar="FOLDER", help="write each day's history to a file in it")
--- a/tests/test_virtual_days.py
+++ b/tests/test_virtual_days.py
@@ -11,9 +11,16 @@
 import msgspec
 from loguru import logger
 
+from cedarwick.events.index import Index
+from cedarwick.events.kinds import Event
+from cedarwick.events.registry import Entry, Registry
 from cedarwick.fleet import book, node
 from cedarwick.fleet.facts import Fact, kept_of
+from cedarwick.fleet.moves import Act, Do, Moves
+from cedarwick.fleet.traffic import Traffic
+from cedarwick.fleet.transfers import GIVEN, Transfers
 from cedarwick.lab.virtualday import play
+from cedarwick.net.intake import Handed
 from cedarwick.store.records import Kept
 
 SECONDS = 4.0
@@ -22,7 +29,7 @@
     "copy": {"ack": "copy"},
     "copy, alone": {"ack": "copy", "alone": "own"},
     "five": {"senders": 5, "ack": "copy", "copies": 2},
-    "sessions": {"ack": "copy", "sessions": True},
+    "sessions": {"ack": "copy", "sessions": True, "level": "calm", "senders": 4},
     "subscribers": {"subscribers": 3},
 }
 
@@ -38,6 +45,46 @@
     raise ValueError("a beat")
 
 
+def taken_anywhere(self: Traffic, kept: Kept) -> Handed:
+    """No session has a holder: who is asked takes."""
+    return self.intake.to_desk(kept)
+
+
+def released_early(self: Moves, name: str, now: int) -> list[Act]:
+    """The giver goes on as soon as the taker has kept what it was offered."""
+    self.moves[name].heard = True
+    return [Act(Do.RELEASE, name)]
+
+
+def closed_early(self: Transfers, name: str, honest: Any = Transfers._stage) -> None:
+    """The giver has given all up before it offers it."""
+    self._give_up(name, GIVEN)
+    honest(self, name)
+
+
+def dropped(self: Index, event: Event, honest: Any = Index.matches) -> list[str]:
+    """Every seventh event meets no filter."""
+    found: list[str] = honest(self, event)
+    return found if event.number % 7 else []
+
+
+def forgotten(self: Registry, now: int, name: str) -> Entry:
+    """An end leaves nothing behind, so that others bring back what they hold."""
+    held = self._living(now, name)
+    del self.entries[name]
+    return held
+
+
+# name: the part, what is put in its place, the day, a rule that it breaks
+BROKEN: dict[str, tuple[Any, str, Any, dict[str, Any], int]] = {
+    "a session is taken at two senders": (Traffic, "hand_in", taken_anywhere, {"sessions": True}, 14),
+    "a giver goes on before the decree": (Moves, "staged", released_early, {"sessions": True}, 12),
+    "a giver closes too early": (Transfers, "_stage", closed_early, {"sessions": True}, 11),
+    "a filter drops matches": (Index, "matches", dropped, {"subscribers": 3}, 15),
+    "an ended subscription rises again": (Registry, "end", forgotten, {"subscribers": 3}, 16),
+}
+
+
 class VirtualDays(unittest.TestCase):
     def setUp(self) -> None:
         logger.disable("cedarwick")
@@ -52,9 +99,10 @@
                     self.assertGreater(verdict.account.delivered, 100)
 
     def test_a_seed_gives_the_same_account_in_another_process(self) -> None:
-        run = [sys.executable, "-m", "cedarwick.lab.virtualday", "3", "3", "--ack", "copy", "--seconds", str(SECONDS)]
+        run = [sys.executable, "-m", "cedarwick.lab.virtualday", "3", "3", "--ack", "copy", "--seconds", str(SECONDS),
+               "--sessions", "--subscribers", "2"]
         told = json.loads(subprocess.run(run, capture_output=True, check=True, timeout=30).stdout)
-        account = play(3, ack="copy", seconds=SECONDS).account
+        account = play(3, ack="copy", seconds=SECONDS, sessions=True, subscribers=2).account
         self.assertEqual(told, {"seed": 3, "findings": [], "account": msgspec.to_builtins(account)})
 
     def test_an_adopter_that_forgets_shots_is_found(self) -> None:
@@ -63,8 +111,15 @@
         with patch.object(book, "kept_of", forgetful):
             self.assertIn(13, play(4, **told).broken())
 
+    def test_sessions_and_subscriptions_that_are_broken_on_purpose_are_found(self) -> None:
+        for name, (place, what, broken, told, rule) in BROKEN.items():
+            with self.subTest(name), patch.object(place, what, broken):
+                self.assertIn(rule, play(3, ack="copy", seconds=SECONDS, level="calm", **told).broken())
+        for told in ({"sessions": True}, {"subscribers": 3}):
+            self.assertEqual([], play(3, ack="copy", seconds=SECONDS, level="calm", **told).findings)
+
     def test_an_error_in_the_program_is_a_finding(self) -> None:
         with patch.object(node.Node, "_heard", failing):
             verdict = play(1, seconds=SECONDS)
-        self.assertIn("ValueError: a beat", verdict.findings[-1].text)
+        self.assertIn("ValueError: a beat", verdict.findings[0].text)
         self.assertIs(vars(node)["gevent"], gevent)
