Audit: an envelope that was passed on has the holder of its session for its taker

Their client had asked n0 at 5.787 s and later; n0 passed them to n1, the holder, which was lost with its folder at 6.069 s while its link to the copy trickled (36 bytes each 7 ms). That is what `ack = "own"` can't promise, and the audit allows it for the taker within a second; but it took who was asked for the taker.

--- a/cedarwick/lab/claims.py
+++ b/cedarwick/lab/claims.py
@@ -200,7 +200,7 @@
         if no_copy_yet(case, spans, terms):
             if lost_folder(case, spans, terms):
                 continue
-            due = max(due, lives.excused_until(handed.sender, due, max(adopt, restart)))
+            due = max(due, lives.excused_until(taker_of(case), due, max(adopt, restart)))
         ends = [notice.at for notice in case.notices] + ([delivered] if delivered != NEVER else [])
         if not ends and due < ended:
             yield finding(11, f"taken on, neither delivered nor ended by a notice by {seconds(due)}", case)
@@ -221,19 +221,25 @@
         for span in spans)
 
 
+def taker_of(case: Case) -> int:
+    """The sender that took it on: the one that was asked, or the holder of its session."""
+    assert case.handed is not None
+    return case.handed.sender if case.handed.taker < 0 else case.handed.taker
+
+
 def no_copy_yet(case: Case, spans: list[Span], terms: Terms) -> bool:
     """Whether its taker may have been lost, or cut off, before anyone else knew of it."""
     assert case.handed is not None
     taken, lag = case.handed.answered, round(terms.lag_ms * MS)
     return terms.ack == "own" and any(
-        case.handed.sender in span.who and span.begin <= taken + lag and taken <= span.end + lag for span in spans)
+        taker_of(case) in span.who and span.begin <= taken + lag and taken <= span.end + lag for span in spans)
 
 
 def lost_folder(case: Case, spans: list[Span], terms: Terms) -> bool:
     """Whether its taker's folder was lost before anyone else knew of it."""
     assert case.handed is not None
     since = case.handed.answered
-    return any(span.kind in LOSING and case.handed.sender in span.who and since <= span.end for span in spans)
+    return any(span.kind in LOSING and taker_of(case) in span.who and since <= span.end for span in spans)
 
 
 def fires_after_end(scenario: Scenario, cases: dict[str, Case], spans: list[Span]) -> Iterator[Finding]:
--- a/cedarwick/lab/history.py
+++ b/cedarwick/lab/history.py
@@ -36,6 +36,7 @@
     wait: int = 0  # told with busy, microseconds
     fresh: bool = True  # the first request of its connection
     again: bool = False  # a sender had it before and did not answer, or died
+    taker: int = -1  # the sender that the one asked has passed it to, where that is known
 
 
 class Called(Record, tag="called"):
--- a/cedarwick/lab/virtualday.py
+++ b/cedarwick/lab/virtualday.py
@@ -585,6 +585,9 @@
                 continue
         handed.answer = box.value if box.on else "down" if not sender.running and self.now() == handed.sent else "none"
         handed.answered = self.now()
+        if handed.answer == "ok" and self.table.sessions:
+            has = [each.number for each in self.senders if each.node is not None and number in each.desk.numbers]
+            handed.taker = has[0] if len(has) == 1 else -1
 
     # ---- staff ----
 
