Settings of a wrong type or range end a start or the adapter with one line that names them

Notes of other senders (datagram) were ignored without a trace.

Absent and empty settings keep their defaults, unknown ones are ignored.

--- a/cedarwick/adapter/__main__.py
+++ b/cedarwick/adapter/__main__.py
@@ -2,14 +2,14 @@
 
 import sys
 
-from cedarwick.adapter.codec import WireError
 from cedarwick.adapter.host import serve
+from cedarwick.errors import Trouble
 
 
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except WireError as error:
+    except Trouble as error:
         print(f"cedarwick.adapter: {error.line}", file=sys.stderr)
         return 2
     return 0
--- a/cedarwick/adapter/host.py
+++ b/cedarwick/adapter/host.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Any, BinaryIO
 
+from cedarwick import bounds
 from cedarwick.adapter import codec
 from cedarwick.interface import Listing, Outcome, Verdicts
 from cedarwick.policy import Handle, Sender
@@ -18,6 +19,8 @@
         self.handles: dict[int, Handle] = {}
         self.wake_at: int | None = None
         self.mark = 0
+        self.notes_dropped = 0  # of other senders: the decisions use none, so all of them
+        self.notes_told = 0
 
 
 class Host:
@@ -41,7 +44,7 @@
             touched[number] = None
             try:
                 self._pass_on(now, code, values, extra)
-            except codec.WireError:
+            except (codec.WireError, bounds.BadSetting):
                 raise
             except Exception as error:
                 broken[number] = f"{type(error).__name__}: {error}"
@@ -59,7 +62,9 @@
     def _pass_on(self, now: int, code: int, values: tuple[Any, ...], extra: Any) -> None:
         number = values[0]
         if code == 30:
-            self.instances[number] = Instance(Sender(codec.settings_of(extra), values[1], now))
+            settings = codec.settings_of(extra)
+            bounds.check(settings)
+            self.instances[number] = Instance(Sender(settings, values[1], now))
             return
         instance = self.instances.get(number)
         if instance is None:
@@ -67,6 +72,8 @@
         sender = instance.sender
         if code == 60:
             del self.instances[number]
+        elif code == 20:
+            instance.notes_dropped += 1
         elif code == 50:
             _, envelope, tenant, _, limit, _, key, destination, band = values
             instance.handles[envelope] = sender.take(
@@ -117,6 +124,9 @@
             yield codec.hand_off(number, envelope, receiver, time_out)
         for line in verdicts.log_lines:
             yield codec.write_log(number, line)
+        if instance.notes_dropped >= max(1, 2 * instance.notes_told):  # a line each would fill the log
+            instance.notes_told = instance.notes_dropped
+            yield codec.write_log(number, f"notes dropped: {instance.notes_dropped}")
         if verdicts.subscribe:
             yield codec.subscribe(number)
         wake_at = verdicts.wake_at
--- a/cedarwick/net/assignment.py
+++ b/cedarwick/net/assignment.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from cedarwick import bounds
 from cedarwick.errors import Trouble
 
 
@@ -73,6 +74,10 @@
         raise BadAssignment(f"{path}: {error}") from None
     if "classes.count" not in made.settings:
         raise BadAssignment(f"{path}: the settings name no classes")
+    try:
+        bounds.check(made.settings)
+    except bounds.BadSetting as error:
+        raise BadAssignment(f"{path}: settings.{error}") from None
     return made
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -3,8 +3,10 @@
 import io
 import struct
 import unittest
+from unittest import mock
 
 from cedarwick.adapter import codec
+from cedarwick.adapter.__main__ import main
 from cedarwick.adapter.host import Host, serve
 from tests.build import SETTINGS
 
@@ -14,8 +16,9 @@
     return struct.pack("<dII", now, len(body), len(records)) + body
 
 
-def power_on(instance: int, seed: int = 3) -> bytes:
-    text = "".join(f"{name}={value}\n" for name, value in {**SETTINGS, "unheard-of": "1"}.items()).encode()
+def power_on(instance: int, told: dict[str, str] | None = None, seed: int = 3) -> bytes:
+    settings = {**SETTINGS, "unheard-of": "1", **(told or {})}
+    text = "".join(f"{name}={value}\n" for name, value in settings.items()).encode()
     return struct.pack("<BIQI", 30, instance, seed, len(text)) + text
 
 
@@ -56,6 +59,26 @@
                 replies(frame)
 
 
+class Settings(unittest.TestCase):
+    def test_a_setting_of_a_wrong_type_or_range_ends_the_adapter_with_a_line_that_names_it(self) -> None:
+        for name, value in (("classes.count", "many"), ("balancers", "0"), ("rules.fall-ms", "nan"),
+                            ("family-info.per-call", "1,x"), ("family-info.kind-apart", "true,perhaps"),
+                            ("classes.1.late-worth", "1.5"), ("policy-limits.max-open", "2.5"),
+                            ("family-info.late", "slowly"), ("classes.0.repeat", "often")):
+            source = io.TextIOWrapper(io.BytesIO(batch(1.0, power_on(1, {name: value}))))
+            lines = io.StringIO()
+            with self.subTest(name=name), mock.patch("sys.stdin", source), mock.patch("sys.stderr", lines):
+                self.assertEqual(main(), 2)
+                self.assertEqual((lines.getvalue().count("\n"), name in lines.getvalue()), (1, True))
+
+    def test_settings_and_notes_that_nobody_knows_are_ignored(self) -> None:
+        host = Host()
+        host.answer(1_000, 1, power_on(1, {"discovery": "", "family-info.unheard-of": "-1"}))
+        for bytes_ in (b"", b"\x09" * 256):
+            host.answer(2_000, 1, struct.pack("<BIIH", 20, 1, 99, len(bytes_)) + bytes_)
+        self.assertEqual(host.instances[1].notes_dropped, 2)
+
+
 class Hosting(unittest.TestCase):
     def test_a_reused_list_number_is_resolved_in_event_order(self) -> None:
         host = Host()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -280,6 +280,20 @@
                 b"family-info.notes=full:_wait__or_0\nfamily-info.kind-apart=false,true\n")
         self.assertEqual(assignment.plain(nested), settings_of(text))
 
+    def test_a_setting_out_of_its_range_is_named_and_an_unknown_one_ignored(self) -> None:
+        for more, named in (({"unheard-of": {"x": -1}}, ""), ({"rules": {"fall-ms": "long"}}, "settings.rules.fall-ms"),
+                            ({"family-info": {"late": "later"}}, "settings.family-info.late")):
+            with self.subTest(named=named), tempfile.TemporaryDirectory() as folder:
+                told = {"name": "n", "listen": "h:1", "discovery": "h:2", "seed": "1", "settings": {**NESTED, **more},
+                        "limits": {"sockets": 8, "disk_mb": 1}}
+                with open(path := f"{folder}/c.json", "w", encoding="utf-8") as file:
+                    json.dump(told, file)
+                try:
+                    assignment.read({"RELAY_CONFIG": path, "RELAY_STATE": folder})
+                    self.assertEqual(named, "")
+                except assignment.BadAssignment as error:
+                    self.assertTrue(named and named in str(error), str(error))
+
     def directory(self) -> tuple[Directory, list[Any]]:
         told: list[Any] = []
         made = Assignment("n", ("", 0), ("", 0), "", 1, 64, 1 << 20, {}, {"zones": "a,b", "kinds": "k"})
