--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -252,8 +252,8 @@
         kept = msgspec.structs.replace(self.told, member=told.member, follow_s=told.follow_s)
         moved = self.where[self.name] not in [address(each.address) for each in told.member if each.name == self.name]
         if kept != told or moved:
-            logger.warning("the fleet's table, but for the members and follow_s, and this member's address are taken over "
-                           "at a start only")
+            logger.warning("but for the members and follow_s, the fleet's table and its own address are taken "
+                           "over at a start only")
         self.told = kept
         self.halls = {member.name: member.hall for member in told.member}
         self.where = {member.name: address(member.address) for member in told.member}
