A client that leaves while its shot's record is waited for: no call goes out any more

Seen while looking for events that were never told: envelopes of clients that had left (`clients gone before their answer`) were delivered all the same, 10 to 158 ms after they had gone. The intake withdraws such an envelope since "nothing has gone out yet" and its client hands the same in elsewhere; but under `ack = "copy"`, or with a durable folder, the desk may just be waiting for the record of its first shot, and cleared that before it came to the withdrawal.

`Desk.may_fire`, asked as the last thing before the first byte, knows of withdrawals that are still in the queue.

What is left is the gap between that look and the first byte, as for a lease. The new test fails without the guard.

--- a/cedarwick/lab/virtualday.py
+++ b/cedarwick/lab/virtualday.py
@@ -148,7 +148,7 @@
             day.kernel.sleep()
         else:
             return self._ended(call, Outcome.MOOT)
-        if not sender.store.may_fire(call.kept.number):
+        if not sender.desk.may_fire(call.kept.number):
             return self._ended(call, Outcome.MOOT)
         self._ended(call, self._shot(call))
 
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -95,6 +95,7 @@
         self.parked: dict[int, Handle] = {}  # given up while a shot was out: it still ends
         self.to_adopt: set[int] = set()  # of these: to be gone on with once it has ended
         self.frozen: dict[int, Frozen] = {}  # sessions on the move, by key
+        self.leaving: set[int] = set()  # withdrawn in this moment: the queue has yet to say so
         self.untold: set[int] = set()  # an end was chosen, and is told once the copies have it
         self.shots: Shots
         self.notices: Notices
@@ -107,6 +108,7 @@
         self.queue.put((self._take, (submission,)))
 
     def withdraw(self, submission: Submission) -> None:
+        self.leaving.add(submission.kept.number)
         self.queue.put((self._withdraw, (submission.kept,)))
 
     def clear(self, call: Call) -> bool:
@@ -115,6 +117,13 @@
         self.queue.put((self._asks, (call, answer)))
         return bool(answer.get())
 
+    def may_fire(self, number: int) -> bool:
+        """Asked as the last thing before the first byte.
+
+        Danger: while a shot's record was waited for, the client may have left, and hands the same in elsewhere.
+        """
+        return number in self.store.kept and number not in self.leaving and self.store.may_fire(number)
+
     def shot_ended(self, call: Call, ending: Ending) -> None:
         self.queue.put((self._shot_ended, (call, ending)))
 
@@ -351,6 +360,7 @@
             place(self.tenants, kept.tenant), kept.turn)
 
     def _withdraw(self, kept: Kept) -> None:
+        self.leaving.discard(kept.number)
         if kept.number in self.store.inert:
             return  # it is on its way to another sender, who knows nothing of this
         handle = self.handles.get(kept.number)
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -136,7 +136,7 @@
                   span(assignment.settings, "policy-limits.connect-timeout-ms", 1000.0))
     notices = desk.notices = Notices(assignment.platform, counters, desk.acknowledged)
     desk.shots = Shots(clock, counters, links, desk.sender.columns, polled, desk.clear, desk.shot_ended,
-                       desk.heed, store.may_fire)
+                       desk.heed, desk.may_fire)
     desk.free_links, desk.ask_for_list = links.free, directory.ask
     desk.resume()
     take_waits(assignment.folder, directory, desk)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -147,6 +147,23 @@
         self.assertIs(cleared.get(block=False), False)
         self.assertEqual((self.store.kept, self.desk.handles, self.desk.sender.open), ({}, {}, 0))
 
+    def test_one_withdrawn_while_the_record_of_its_shot_was_waited_for_does_not_go_out(self) -> None:
+        self.store.awaited = True
+        submission = self.taken()
+        cleared: AsyncResult = AsyncResult()
+        self.desk._clear(self.calls[0], cleared)
+        self.assertTrue(self.desk.may_fire(1))
+        with mock.patch.object(self.store, "flush", lambda call: self.desk.withdraw(submission)):
+            self.desk._flush()
+        self.assertIs(cleared.get(block=False), True)
+        for _ in range(2):  # whether the desk has come to it or not
+            self.assertFalse(self.desk.may_fire(1))
+            if not self.desk.queue.empty():
+                call, told = self.desk.queue.get()
+                call(*told)
+        self.desk._shot_ended(self.calls[0], Ending(Outcome.MOOT))
+        self.assertEqual((self.store.kept, self.desk.handles, self.desk.leaving), ({}, {}, set()))
+
     def test_the_record_of_a_shot_comes_before_its_first_byte(self) -> None:
         self.taken()
         cleared: AsyncResult = AsyncResult()
