The next envelope of a key is looked at as its turn comes, though it goes to another destination

Seen: a process case, one key, the first envelope hanging at destination 0, the second taken for destination 1. To blame: Sender.close marks the destination of the envelope that has ended; the next of the key waits at its own one, whose next look is planned for the end of its time (turn_at is FAR while another stands before it). Where a destination has other traffic any event there gives the look, so it shows at quiet ones. Keys.leave now returns whose turn it is, and close marks that one's destination. The test has no shot without it.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -342,7 +342,8 @@
         if envelope.band.in_turn and envelope.key:
             # Danger: the shot that timed out may still run and be overtaken by the next of its key.
             rest = (envelope.doubtful_at or -FAR) + span(self.settings, "rules.turn-gap-ms")
-            self.turns.leave(envelope.key, envelope, now, rest)
+            after = self.turns.leave(envelope.key, envelope, now, rest)
+            self.changed.update(each.destination for each in after)  # its next one may wait at another
 
     def learn(self, now: int, envelope: Envelope, receiver: Receiver, outcome: Outcome, took: int,
               told_wait: int, report: Sequence[float]) -> None:
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -58,8 +58,8 @@
     def join(self, key: int, envelope: Any) -> None:
         self.lines.setdefault(key, deque()).append(envelope)
 
-    def leave(self, key: int, envelope: Any, now: int, rest: int) -> None:
-        """The envelope has ended; the key rests until a time, which may have passed."""
+    def leave(self, key: int, envelope: Any, now: int, rest: int) -> list[Any]:
+        """The envelope has ended; the key rests until a time, which may have passed. Whose turn it is now, if any's."""
         line = self.lines[key]
         line.remove(envelope)
         self.rests[key] = max(rest, self.rests.get(key, 0))
@@ -69,6 +69,7 @@
             rested = self.resting.popleft()
             if not self.lines.get(rested, True):
                 del self.lines[rested], self.rests[rested]
+        return [line[0]] if line else []
 
     def turn_at(self, key: int, envelope: Any) -> int:
         """When it is this envelope's turn; FAR while another stands before it."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -314,6 +314,15 @@
         take(made, 2, NUMBERED, key=9)
         self.assertEqual(made.decide(NOW).shots, [])
 
+    def test_the_next_of_a_key_goes_on_at_another_destination(self) -> None:
+        made = sender()
+        made.listed(NOW, ListChange.CHANGES, [Listing(9, 0, 0, 8, Phase.READY, 0.0)])
+        handle = out(made, 1, NUMBERED, key=9)
+        made.take(NOW, 2, 8, NUMBERED, NOW + 16_000 * MS, 0, 9)
+        made.decide(NOW)
+        end(handle, Outcome.COMPLETED, NOW + 100 * MS)
+        self.assertEqual([shot[0] for shot in made.decide(NOW + 100 * MS).shots], [2])
+
     def test_a_key_rests_after_a_time_out_that_a_refusal_followed(self) -> None:
         made = sender()
         handle = out(made, 1, NUMBERED, key=9)
