What a copy says is owed is told until its book has been taken in

A process case with the heir of a killed sender: "Owed" with the key at 1.15 s, none from "asking for term 2" (1.65 s) on, and the client's next envelope, handed in at 1.749 s, fired at once. The grantor asks itself first, so its row names this member as the holder, and this member is alive. Now the own name in that row counts as a holder that is not there yet.

--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -428,8 +428,9 @@
         """Keys that are owed in a copy here, if its holder is silent."""
         book, grant = adoption.book, self.grantor.grant(right_of(adoption.book))
         replica = self.copies.replica(book)
-        if (replica is None or book in self.store.holdings or self.name not in grant.heirs[1:]
-                or self._standing(now, grant.holder, adoption) is Standing.ALIVE):
+        # The own name stands there from when this member asks for the book until it has taken it in.
+        alive = grant.holder != self.name and self._standing(now, grant.holder, adoption) is Standing.ALIVE
+        if replica is None or book in self.store.holdings or self.name not in grant.heirs or alive:
             self.lying.pop(book, None)
             return frozenset()
         if book not in self.lying:  # a silent holder tells nothing new
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -320,6 +320,9 @@
             node._owe(now)  # b is silent: what a copy here says is owed is told, and rests here, too
             self.assertEqual([call.args[1:3] for call in spawn.call_args_list], [("c", Owed((8,)))])
             node.desk.rest.assert_called_once_with({8})  # type: ignore[attr-defined]
+            node.grantor = Grantor("a", NAMES, now, (Grant(right_of(BOOK), 3, "a", ("b", "a"), 1),))
+            node._owe(now)  # this member has asked for the book, and has not taken it in yet
+            self.assertEqual(node.owing.elsewhere, {8})
             self.assertIsInstance(node._answer("c", 1, Owed((5, 6))), Noted)
             node.copies.drop(BOOK)
             node.adoptions.clear()
