Who adopts a book goes on telling its keys; a process case of order with a killed heir and a killed sender

Seen in the new case: n2 tells key 165 from its copy of n1's book (1906.047 s on), adopts ("held under term 2, 1 envelopes owed"), and tells "()" at 1906.970 s: the client's envelope at n0, held back since 2.297 s, is fired 0.33 s before the first. To blame: Node._backlog left out keys that rest here for others, so that envelopes held back are not told in turn; what was adopted a moment ago had rested as a copy's. Now that holds for the open book only. The case with a killed heir failed before the next of a key was looked at in its turn; the one with a killed sender fails without the rests (called 1.67 s, the dead one's at 1.86 s).

--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -440,11 +440,12 @@
         return self.lying[book]
 
     def _backlog(self, holding: Holding) -> None:
-        """What is owed in a book now is from before a trouble, but for what rests for others."""
+        """What is owed in a book now is from before a trouble, but for what rests in the open one for others."""
         for number in islice(holding.ledger.known, MOST_OWED):
             kept = self.store.kept.get(number)
             if kept is not None and kept.turn and kept.end is None and self.desk.in_turn(kept.band):
-                if kept.turn not in self.owing.elsewhere:
+                # Danger: what was just adopted rested here as a copy's, and would be told no more.
+                if holding is not self.store.current or kept.turn not in self.owing.elsewhere:
                     holding.backlog[number] = kept.turn
 
     def _learn(self, now: int) -> None:
