--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -481,8 +481,9 @@
         """Keys that are owed in a copy here, if its holder is silent."""
         book, grant = adoption.book, self.grantor.grant(right_of(adoption.book))
         replica = self.copies.replica(book)
-        if (replica is None or book in self.store.holdings or self.name not in grant.heirs[1:]
-                or self._standing(now, grant.holder, adoption) is Standing.ALIVE):
+        # The own name stands there from when this member asks for the book until it has taken it in.
+        alive = grant.holder != self.name and self._standing(now, grant.holder, adoption) is Standing.ALIVE
+        if replica is None or book in self.store.holdings or self.name not in grant.heirs or alive:
             self.lying.pop(book, None)
             return frozenset()
         if book not in self.lying:  # a silent holder tells nothing new
@@ -492,11 +493,12 @@
         return self.lying[book]
 
     def _backlog(self, holding: Holding) -> None:
-        """What is owed in a book now is from before a trouble, but for what rests for others."""
+        """What is owed in a book now is from before a trouble, but for what rests in the open one for others."""
         for number in islice(holding.ledger.known, MOST_OWED):
             kept = self.store.kept.get(number)
             if kept is not None and kept.turn and kept.end is None and self.desk.in_turn(kept.band):
-                if kept.turn not in self.owing.elsewhere:
+                # Danger: what was just adopted rested here as a copy's, and would be told no more.
+                if holding is not self.store.current or kept.turn not in self.owing.elsewhere:
                     holding.backlog[number] = kept.turn
 
     def _learn(self, now: int) -> None:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -595,6 +595,9 @@
             node._owe(now)  # b is silent: what a copy here says is owed is told, and rests here, too
             self.assertEqual([call.args[1:3] for call in spawn.call_args_list], [("c", Owed((8,)))])
             node.desk.rest.assert_called_once_with({8})  # type: ignore[attr-defined]
+            node.grantor = Grantor("a", NAMES, now, (Grant(right_of(BOOK), 3, "a", ("b", "a"), 1),))
+            node._owe(now)  # this member has asked for the book, and has not taken it in yet
+            self.assertEqual(node.owing.elsewhere, {8})
             self.assertIsInstance(node._answer("c", 1, Owed((5, 6))), Noted)
             node.copies.drop(BOOK)
             node.adoptions.clear()
@@ -604,10 +607,12 @@
             for index, turn in enumerate((5, 7), 1):
                 holding.ledger.kept(replace(kept(index), turn=turn), b"")
                 node.store.kept[number(index)] = replace(kept(index), turn=turn)
-            node._backlog(holding)
-            node._owe(now)
-            self.assertEqual(node.owing.told, {7})  # 5 waits for c by itself
-            del holding.ledger.known[number(2)]
+            for open_book, told in ((holding, {7}), (None, {5, 7})):  # in the open book 5 waits for c by itself
+                node.store.current = open_book
+                node._backlog(holding)
+                node._owe(now)
+                self.assertEqual(node.owing.told, told)
+            holding.ledger.known.clear()
             node._owe(now + EVERY)
             self.assertEqual(spawn.call_args.args[1:3], ("c", Owed()))
             node._owe(now + LASTS + SPAN)
