After a restart the sources ask for a subscriber that has moved at once, not within two seconds

Seen with real senders restarted at once: the source at the subscriber's member began to send at 5.66 s, the two others at 7.12 s (From of n2 against n0 and n1; the follow was at 5.6 s). A lane that was begun from the folder asks the member that the entry names, in vain; as the subscriber then followed elsewhere nothing asked again, since the lane had no reader. Now the lane remembers whom it asked. A test in one process fails without it (no From of n0 within half a second).

--- a/cedarwick/events/serving.py
+++ b/cedarwick/events/serving.py
@@ -94,6 +94,7 @@
         self.lanes: dict[str, Lane] = {}
         self.active: dict[str, None] = {}  # lanes that may have something to send, in their turn
         self.strange: dict[str, None] = {}  # new lanes: where their subscribers are with this source is not known
+        self.asked: dict[str, str] = {}  # by lane: the member that was asked last, and may have known nothing
         self.pushing: set[str] = set()  # members with a letter of matches on its way
         self.telling: set[str] = set()  # members with a letter of places on its way
         self.owed: dict[str, dict[str, None]] = {}  # by member: readers whose places it is to be told
@@ -116,14 +117,17 @@
                 self.counters.trouble("a filter that cannot be evaluated", CannotEvaluate(f"{name}: {found[name]}"))
         outboxes = self.source.outboxes
         self.lanes = {name: lane for name, lane in self.lanes.items() if outboxes.get(name) is lane.outbox}
+        self.asked = {name: member for name, member in self.asked.items() if name in self.lanes}
         for name, outbox in outboxes.items():
             if name not in self.lanes:
                 self.lanes[name] = Lane(outbox, zlib.crc32(f"{self.source.name} {name}".encode()))
                 self.strange[name] = None
         for name, entry in living.items():  # a subscriber that has moved is asked at once how far it is
             lane = self.lanes.get(name)
-            if lane is not None and lane.reader is not None and lane.reader.member != entry.member:
-                self.strange[name] = None
+            if lane is not None:
+                known = lane.reader.member if lane.reader is not None else self.asked.get(name, entry.member)
+                if known != entry.member:
+                    self.strange[name] = None
         return not left
 
     def happened(self, at: int, kind: str, fields: dict[str, Value]) -> None:
@@ -200,6 +204,7 @@
             if name in self.strange:
                 if member in alive:
                     del self.strange[name]
+                    self.asked[name] = member
                     streams.append(Stream(name, NOWHERE, b""))
                 continue
             reader = lane.reader
