--- a/tests/test_subscriptions_kept.py
+++ b/tests/test_subscriptions_kept.py
@@ -7,6 +7,7 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from loguru import logger
@@ -385,6 +386,8 @@
         for lasts in (registry.LEAST_FORGET - 1, MOST_FORGET + 1):
             other.merge(NOW, one.epoch, [("y", Entry(NOW, "n0", False, "has id", NOW, lasts))])
         self.assertNotIn("y", other.entries)
+        hour = Entry(NOW, "n0", False, "has id", NOW)  # reads the same at members that know nothing of it
+        self.assertNotIn(b"lasts", msgspec.msgpack.encode(hour))
 
     def data(self, member: Member) -> bytes:
         with open(member.path, "rb") as file:
