A move that is told of early keeps its session: the taker's entry was taken for another holder's

Seen in the process case under load: three of 12 ids of the last seconds called twice ("(0,  .. 200), (1,  .. 200)"), n1 with "sessions claimed": 3 beside "sessions taken over": 6. The giver had told all of the new holder before the taker had gone active; the taker found an entry in its own name, took the session for one that it had inherited and did not hold it, then claimed it without its ids. The model now lets the giver tell first; without the guard it fails.

Besides, both found by the model: whoever has an open side of a move grants no claim of that session; and a taker whose book was adopted between staging and decree does not hold the session for sure, as any other that it holds.

--- a/cedarwick/fleet/traffic.py
+++ b/cedarwick/fleet/traffic.py
@@ -406,6 +406,7 @@
         if current is not None and current.book != self.book:
             if self.book:
                 self.directory.unsure()
+                self.transfers.slept = set(self.transfers.offers)
             self.book = current.book
 
     def _copied(self, book: int, step: Step, facts: list[Fact]) -> None:
@@ -502,7 +503,9 @@
             return self._lodgings((), first)
         if isinstance(body, Claims):
             asking = Asking(body.key, body.sequence, (body.over, body.over_holder), body.at)
-            told = self.directory.claimed(asking, sender, now)
+            # Danger: a move that is decided late would make a second holder beside the one that claims.
+            moving = self.transfers.open_move(body.key)
+            told = Claim(False, None) if moving else self.directory.claimed(asking, sender, now)
             return Claimed(told.granted, lodging_of(told.entry))
         if isinstance(body, Inherits):
             asking = Asking(body.key, body.sequence, (body.over, body.over_holder), body.at)
--- a/cedarwick/fleet/transfers.py
+++ b/cedarwick/fleet/transfers.py
@@ -110,6 +110,7 @@
         self.store.marking = self.files.write_inert
         self.desk: Desk
         self.offers: dict[str, tuple[Stage, int]] = {}  # by move: what was staged here, and when
+        self.slept: set[str] = set()  # of these, staged in a book that was adopted since
         self.sequences: dict[str, int] = {}  # by move: of its session, since it began
         self.answers: dict[str, gevent.event.AsyncResult] = {}  # by move: whether it was staged
         self.under_way: set[tuple[str, Do]] = set()
@@ -440,7 +441,7 @@
             if offer is not None and not self._inherited(key, name):  # without the ids of late it is claimed later
                 stage, at = offer
                 ids = {each.id: (each.age + now - at, each.hashed) for each in stage.ids}
-                self.directory.hold(key, sequence, ids, now)
+                self.directory.hold(key, sequence, ids, now, name not in self.slept)
                 self.planner.arrived(key, now)
             return True
 
@@ -475,9 +476,11 @@
 
     def _inherited(self, key: int, name: str) -> bool:
         """Whether somebody but the giver, perhaps this member, is known to hold the session since a move began."""
-        known = self.directory.entries.get(key)
-        return (known is not None and known.holder != parts(name)[1]
-                and known.sequence >= self.sequences.get(name, 0))
+        known, giver = self.directory.entries.get(key), parts(name)[1]
+        if known is None or known.sequence < self.sequences.get(name, 0):
+            return False
+        # Danger: the giver may have told all of the new holder before this one has heard that it is.
+        return key in self.directory.sessions if known.holder == self.name else known.holder != giver
 
     def open_move(self, key: int) -> bool:
         """Whether this member has a side of a move of a session that is not decided, or not done."""
