--- a/cedarwick/fleet/sessions.py
+++ b/cedarwick/fleet/sessions.py
@@ -268,13 +268,30 @@
             self._know(key, by, asking.sequence, now, False)
         return Claim(True, None)
 
-    def bars(self, key: int, giver: str, now: int) -> bool:
-        """Whether this member has granted an inheritance of late: it votes for no other giver's move of the session."""
+    def bars(self, key: int, giver: str, now: int, known: bool = True) -> bool:
+        """Whether this member has granted an inheritance of late: it votes for no other giver's move of the session.
+
+        `known`: it had heard of the move before it started, or its giver lives, and so holds its book.
+        """
+        # Danger: what was granted before a restart is forgotten.
+        if not known and self.grants_at > now and giver != self.name:
+            return True
         at, by, _ = self.inherited.get(key, (0, giver, ""))
         if not key:  # a member of an older level does not tell which session it asks for
             return any(of == giver and at >= now - REMEMBERED for at, _, of in self.inherited.values())
         return by != giver and at >= now - REMEMBERED
 
+    def superseded(self, key: int, giver: str, sequence: int) -> bool:
+        """Whether a session that is to come here has another holder since its move began, or is held here already.
+
+        `sequence`: of the session, since then.
+        """
+        known = self.entries.get(key)
+        if known is None or known.sequence < sequence:
+            return False
+        # Danger: the giver may have told all of the new holder before this one has heard that it is.
+        return key in self.sessions if known.holder == self.name else known.holder != giver
+
     def unsure(self) -> None:
         """The book of this member was adopted: each session that it holds may have been inherited."""
         for session in self.sessions.values():
--- a/cedarwick/fleet/transfers.py
+++ b/cedarwick/fleet/transfers.py
@@ -438,8 +438,8 @@
             if numbers or not quietly:
                 self.desk.adopt([number for number in numbers if number not in late], quietly)
             # Danger: decided late, the session may have been inherited from a giver that died; the envelopes were not.
-            if offer is not None and not self._inherited(key, name):  # without the ids of late it is claimed later
-                stage, at = offer
+            if offer is not None and not self.directory.superseded(key, parts(name)[1], offer[0].sequence):
+                stage, at = offer  # without it the ids of late are not known here, and it is claimed later
                 ids = {each.id: (each.age + now - at, each.hashed) for each in stage.ids}
                 self.directory.hold(key, sequence, ids, now, name not in self.slept)
                 self.planner.arrived(key, now)
@@ -468,19 +468,8 @@
     def _barred(self, move: str, key: int, now: int) -> bool:
         """Whether a vote for the taker could make a second holder beside one that inherits the session."""
         giver = parts(move)[1]
-        if self.directory.bars(key, giver, now):
-            return True
-        # Danger: what was granted before a restart is forgotten; a giver that has been heard since holds its book.
-        return (self.directory.grants_at > now and move not in self.acceptor.rows and giver != self.name
-                and self.node.members.state(now, giver) is not Standing.ALIVE)
-
-    def _inherited(self, key: int, name: str) -> bool:
-        """Whether somebody but the giver, perhaps this member, is known to hold the session since a move began."""
-        known, giver = self.directory.entries.get(key), parts(name)[1]
-        if known is None or known.sequence < self.sequences.get(name, 0):
-            return False
-        # Danger: the giver may have told all of the new holder before this one has heard that it is.
-        return key in self.directory.sessions if known.holder == self.name else known.holder != giver
+        known = move in self.acceptor.rows or self.node.members.state(now, giver) is Standing.ALIVE
+        return self.directory.bars(key, giver, now, known)
 
     def open_move(self, key: int) -> bool:
         """Whether this member has a side of a move of a session that is not decided, or not done."""
--- a/tests/test_fleet_inherit.py
+++ b/tests/test_fleet_inherit.py
@@ -11,10 +11,10 @@
 from cedarwick.fleet.shipping import EVERYTHING, Entry
 
 KEY, SECOND = 7, 1_000_000
-SEEDS = 400
+SEEDS = 2200  # the guards of this rule are missed by one of them each, if they are taken out
 NAMES = "ABC"
-WHAT = (["submit"] * 16 + ["deliver"] * 30 + ["vote", "adopt"] * 4 + ["gossip"] * 3
-        + ["move", "sleep", "sleep", "wake", "open", "restart", "gap"])
+WHAT = (["submit"] * 20 + ["deliver"] * 20 + ["vote"] * 16 + ["adopt", "gossip"] * 6 + ["move", "sleep"] * 3
+        + ["wake", "open", "restart", "gap"])
 
 
 class Member:
@@ -36,10 +36,7 @@
 
     def barred(self, move: str, giver: "Member", now: int) -> bool:
         """As `Transfers._barred`."""
-        if self.directory.bars(KEY, giver.name, now):
-            return True
-        return (self.directory.grants_at > now and move not in self.acceptor.rows and giver is not self
-                and (giver.lost or not giver.awake))
+        return self.directory.bars(KEY, giver.name, now, move in self.acceptor.rows or giver.awake)
 
 
 class Model:
@@ -53,6 +50,7 @@
         self.since = dict.fromkeys(NAMES, 0)  # from when on a copy of the newest book knows all ids
         self.letters: list[tuple[str, str, object, Claim | None]] = []
         self.moves: dict[str, tuple[str, str, int, dict[str, tuple[int, int]], set[str]]] = {}
+        self.began: dict[str, int] = {}
         self.stamp = 1
         self.inherited = 0
 
@@ -137,6 +135,7 @@
         name = one.frozen = name_move(self.stamp, one.name, two.name)
         self.stamp += 1
         one.directory.hold(KEY, session.sequence + 1, one.directory.ids(KEY, self.now), self.now)
+        self.began[name] = self.now
         self.moves[name] = one.name, two.name, session.sequence + 1, {
             id: (self.now - age, hashed) for id, (age, hashed) in one.directory.ids(KEY, self.now).items()}, set()
 
@@ -146,8 +145,8 @@
             return
         name = self.drawn.choice(list(self.moves)[-2:])
         giver, taker, sequence, ids, votes = self.moves[name]
-        if not votes and one.name != taker:
-            return  # it asks nobody before it has kept what was staged
+        if not votes and (one.name != taker or self.now > self.began[name] + 4 * SECOND):
+            return  # it asks nobody before it has kept what was staged, and no letter comes later than that
         if self.members[taker].awake and not one.barred(name, self.members[giver], self.now):
             if one.acceptor.accept(name, (1, taker), "taker", self.now, KEY).granted:
                 votes.add(one.name)
@@ -158,9 +157,7 @@
         if one.name == taker and "active" not in votes and not one.lost:
             votes.add("active")
             directory, one.staged = one.directory, ""
-            known = directory.entries.get(KEY)
-            if (known is None or known.sequence < sequence
-                    or (KEY not in directory.sessions if known.holder == taker else known.holder == giver)):
+            if not directory.superseded(KEY, giver, sequence):
                 directory.hold(KEY, sequence + 1, {id: (self.now - at, hashed) for id, (at, hashed) in ids.items()},
                                self.now, one.slept != name)
         if one.name == giver and one.frozen == name:
@@ -172,7 +169,12 @@
     def deliver(self, one: Member, two: Member) -> None:
         if not self.letters:
             return
-        to, by, told, answer = self.letters[-1 - self.drawn.randrange(10) % len(self.letters)]
+        place = self.drawn.randrange(len(self.letters))
+        if self.drawn.random() < 0.8:  # else it comes once more
+            self.letters[place], self.letters[-1] = self.letters[-1], self.letters[place]
+            to, by, told, answer = self.letters.pop()
+        else:
+            to, by, told, answer = self.letters[place]
         member = self.members[to]
         if not member.awake:
             return
@@ -250,7 +252,7 @@
                     model.step()
             inherited += model.inherited
             taken += len(model.taken)
-        self.assertGreater((inherited, taken), (100, 800))
+        self.assertGreater((inherited, taken), (200, 3000))
 
 
 class Memories(unittest.TestCase):
