Moves that nobody has a side of any more are settled by those who voted on them

An undecided vote was kept for ever, and stood in the way of an inheritance of its session. Acceptor.stale, which nobody called, tells them after 60 s; who has no side settles them with ballots of its own. A test: voted on by one of three and by two, both sides gone, both decided as accepted.

--- a/cedarwick/fleet/memory.py
+++ b/cedarwick/fleet/memory.py
@@ -6,6 +6,7 @@
 older than that; once `REMEMBERED` has passed from then on the memory is whole.
 """
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -34,7 +35,8 @@
     def __init__(self, now: int) -> None:
         self.since = now  # each id that was taken later is here, if it is of late
         self.term = self.next = -1
-        self.taken: dict[int, Taken] = {}  # by number, in the order in which they came
+        self.taken: dict[int, Taken] = {}  # by number
+        self.order: deque[tuple[int, int]] = deque()  # when they came, and their numbers
 
     def heard(self, entry: Entry, facts: Iterable[Fact], now: int) -> None:
         """A step of the copy that is in its file."""
@@ -47,13 +49,11 @@
         self.term, self.next = entry.term, entry.next
         for fact in told:
             self._fact(fact, now)
-        for number in list(self.taken):
-            seen = self.taken[number]
-            if seen.at >= now - REMEMBERED and len(self.taken) <= MOST:
-                break
-            if seen.at >= now - REMEMBERED:
-                self.since = max(self.since, seen.at + 1)
-            del self.taken[number]
+        while self.order and (self.order[0][0] < now - REMEMBERED or len(self.order) > MOST):
+            at, number = self.order.popleft()
+            if at >= now - REMEMBERED:
+                self.since = max(self.since, at + 1)
+            self.taken.pop(number, None)
 
     def _fact(self, fact: Fact, now: int) -> None:
         known, seen = fact.known, self.taken.get(fact.number)
@@ -61,6 +61,7 @@
             if fact.base is not None and fact.base.turn and not over(known):
                 self.taken[fact.number] = Taken(fact.base.turn, fact.base.id, now, hash_of(fact.base, known.end[0]),
                                                 bool(known.heads) or known.end[0] is not Rank.NONE)
+                self.order.append((now, fact.number))
             return
         if known.end[0] is Rank.TOLD and not known.heads and not seen.ended:
             # Danger: withdrawn without a shot or an end, its client was turned away; it must not be told +OK next.
--- a/cedarwick/fleet/transfers.py
+++ b/cedarwick/fleet/transfers.py
@@ -16,7 +16,7 @@
 
 from cedarwick.errors import Trouble
 from cedarwick.fleet.book import boot_time
-from cedarwick.fleet.decrees import ABSTAINS, Acceptor, Answer, Ask, Ballot, Value, name_move, parts
+from cedarwick.fleet.decrees import ABSTAINS, Acceptor, Answer, Ask, Ballot, Proposer, Value, name_move, parts
 from cedarwick.fleet.facts import Fact, decode_facts, encode_facts, kept_of
 from cedarwick.fleet.members import Standing
 from cedarwick.fleet.messages import (
@@ -33,7 +33,7 @@
     digest_of,
     whole,
 )
-from cedarwick.fleet.moves import FREEZE, Act, Do, Giving, Moves, Planner, Taking
+from cedarwick.fleet.moves import FREEZE, MOST_OUT, Act, Do, Giving, Moves, Planner, Taking
 from cedarwick.fleet.session_files import SessionFiles
 from cedarwick.fleet.sessions import LAPSES, Directory
 from cedarwick.net.desk import Desk
@@ -114,6 +114,7 @@
         self.sequences: dict[str, int] = {}  # by move: of its session, since it began
         self.answers: dict[str, gevent.event.AsyncResult] = {}  # by move: whether it was staged
         self.under_way: set[tuple[str, Do]] = set()
+        self.strays: dict[str, Proposer] = {}  # undecided moves that this member has voted on and has no side of
         self.limits_at = 0
 
     def look(self, now: int) -> None:
@@ -125,10 +126,40 @@
         """Drop what is old; about once a second."""
         if self.acceptor.prune(now):
             self._guarded(self.files.write_decrees, self.acceptor.table())
+        self._settle_strays(now)
         for kept in (self.offers, self.sequences, self.answers):
             for name in [name for name in kept if name not in self.moves.moves]:
                 del kept[name]
 
+    def _settle_strays(self, now: int) -> None:
+        """Of moves that nobody with a side of them has had decided for long: both may have lost it."""
+        for name in self.acceptor.stale(now):
+            if name not in self.moves.moves and name not in self.strays and len(self.strays) < MOST_OUT:
+                # Danger: a ballot of its own, as for each proposer of this boot.
+                self.moves.proposers += 1
+                mark = f"{self.moves.mark}.{self.moves.proposers}"
+                self.strays[name] = Proposer(name, mark, self.moves.voters, self.moves.wait)
+                self._ask_for_stray(self.strays[name].settle(now), now)
+        for stray in list(self.strays.values()):
+            self._ask_for_stray(stray.due(now), now)
+
+    def _ask_for_stray(self, asks: Iterable[Ask], now: int) -> None:
+        todo = deque(asks)
+        while todo:
+            ask = todo.popleft()
+            stray = self.strays.get(ask.move)
+            if stray is not None and ask.to == self.name:
+                answer = self.vote(ask.move, ask.ballot, ask.value, self._key(ask.move))
+                todo.extend(stray.answered(ask.to, ask.ballot, ask.value, answer, now))
+                self._see_stray(stray)
+            elif stray is not None:
+                gevent.spawn(self._ask, ask)
+
+    def _see_stray(self, stray: Proposer) -> None:
+        if stray.decided is not None and self.strays.pop(stray.move, None) is not None:
+            self.counters.add("moves settled that nobody held any more")
+            gevent.spawn(self._tell, Act(Do.TELL, stray.move, value=stray.decided))
+
     def learned(self, giver: str, stamp: int) -> None:
         """A giver has answered with the stamp of its next move.
 
@@ -231,8 +262,8 @@
             self.change()
 
     def _key(self, name: str) -> int:
-        move = self.moves.moves.get(name)
-        return move.key if move is not None else 0
+        known = self.moves.moves.get(name) or self.acceptor.rows.get(name)
+        return known.key if known is not None else 0
 
     def _marked(self, name: str, side: str) -> list[int]:
         """Envelopes with the mark of one side of a move."""
@@ -486,7 +517,11 @@
             value = value_of(told.value)
             answer = Answer(told.granted, ballot_of(told.promised), ballot_of(told.accepted), value,
                             told.decided and value is not None)
-            self.act(self.moves.answered(ask, answer, boot_time()))
+            stray, now = self.strays.get(ask.move), boot_time()
+            if stray is not None:
+                self._ask_for_stray(stray.answered(ask.to, ask.ballot, ask.value, answer, now), now)
+                self._see_stray(stray)
+            self.act(self.moves.answered(ask, answer, now))
 
     def _tell(self, act: Act) -> None:
         """The decree to one member, or to all; where the one knows nothing of an active side, its book is another's."""
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -12,7 +12,7 @@
 
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.fleet.book import Holding, Shared, boot_time
-from cedarwick.fleet.decrees import Acceptor, name_move
+from cedarwick.fleet.decrees import OLD, Acceptor, name_move
 from cedarwick.fleet.facts import Fact, Known, Ledger, Rank, base_of
 from cedarwick.fleet.lasting import Lasting
 from cedarwick.fleet.leases import right_of
@@ -311,6 +311,23 @@
         self.assertEqual([b.transfers.vote(name_move(a.transfers.stamp, "a", "b"), (1, "b"), "taker", key).granted
                           for key in (KEY, 0, KEY + 1)], [False, False, True])
 
+    def test_a_move_that_nobody_has_a_side_of_any_more_is_settled(self) -> None:
+        a, b, c = (self.traffic[name] for name in NAMES)
+        move = name_move(a.transfers.stamp, "a", "b")
+        for voters in ((b,), (b, c)):
+            for each in (b, c):
+                each.transfers.acceptor.learned("a", 1)
+            for each in voters:
+                self.assertTrue(each.transfers.vote(move, (1, "b"), "taker", KEY).granted)
+                each.transfers.acceptor.rows[move].at -= OLD
+            self.assertEqual(b.transfers.moves.moves, {})
+            b.transfers.forget(boot_time())
+            gevent.sleep(0.05)
+            rows = [each.transfers.acceptor.rows[move] for each in (b, c)]
+            self.assertEqual([(row.decided, row.value, row.key) for row in rows], [(True, "taker", KEY)] * 2)
+            self.assertEqual(b.transfers.strays, {})
+            move = name_move(a.transfers.stamp + 1, "a", "b")
+
 
 class Decrees(unittest.TestCase):
     def test_votes_outlive_a_restart_and_damage_makes_the_acceptor_abstain(self) -> None:
