--- a/tests/test_fleet_inherit.py
+++ b/tests/test_fleet_inherit.py
@@ -11,10 +11,10 @@
 from cedarwick.fleet.shipping import EVERYTHING, Entry
 
 KEY, SECOND = 7, 1_000_000
-SEEDS = 400
+SEEDS = 2200  # the guards of this rule are missed by one of them each, if they are taken out
 NAMES = "ABC"
-WHAT = (["submit"] * 16 + ["deliver"] * 30 + ["vote", "adopt"] * 4 + ["gossip"] * 3
-        + ["move", "sleep", "sleep", "wake", "open", "restart", "gap"])
+WHAT = (["submit"] * 20 + ["deliver"] * 20 + ["vote"] * 16 + ["adopt", "gossip"] * 6 + ["move", "sleep"] * 3
+        + ["wake", "open", "restart", "gap"])
 
 
 class Member:
@@ -30,14 +30,13 @@
         self.awake = True
         self.lost = False  # its book was adopted
         self.frozen = ""  # the move that its session is frozen for
+        self.staged = ""  # the move that it is the taker of, from its own vote on
+        self.slept = ""  # the move that was staged when its book was adopted
         self.estates: dict[tuple[str, int], tuple[int, list[int]]] = {}  # when whole; when the id was taken
 
     def barred(self, move: str, giver: "Member", now: int) -> bool:
         """As `Transfers._barred`."""
-        if self.directory.bars(KEY, giver.name, now):
-            return True
-        return (self.directory.grants_at > now and move not in self.acceptor.rows and giver is not self
-                and (giver.lost or not giver.awake))
+        return self.directory.bars(KEY, giver.name, now, move in self.acceptor.rows or giver.awake)
 
 
 class Model:
@@ -51,6 +50,7 @@
         self.since = dict.fromkeys(NAMES, 0)  # from when on a copy of the newest book knows all ids
         self.letters: list[tuple[str, str, object, Claim | None]] = []
         self.moves: dict[str, tuple[str, str, int, dict[str, tuple[int, int]], set[str]]] = {}
+        self.began: dict[str, int] = {}
         self.stamp = 1
         self.inherited = 0
 
@@ -80,6 +80,7 @@
         if two.awake or two.lost:
             return
         two.lost = True
+        self.now += 2 * SECOND
         third, = (each for each in self.members.values() if each not in (one, two))
         for each in (one, third):
             each.holders[two.name, two.book] = one.name
@@ -98,6 +99,7 @@
             each.newest[one.name] = max(each.newest[one.name], one.book)
             each.holders[one.name, one.book] = one.name
         one.directory.unsure()
+        one.slept = one.staged
 
     def gap(self, one: Member, two: Member) -> None:
         """The copies of its book are brought to it anew."""
@@ -105,12 +107,19 @@
 
     def restart(self, one: Member, two: Member) -> None:
         if all(each.awake for each in self.members.values()):
+            self.now += SECOND
             one.directory = Directory(one.name, len(NAMES), self.now)
             one.acceptor = Acceptor(self.now, table=one.acceptor.table())
-            one.frozen = ""
+            if one.staged:
+                self.moves[one.staged][4].add("active")  # it has forgotten it
+            one.frozen = one.staged = ""
             one.estates.clear()
             # A move that is still undecided 15 s after its giver was started again is another matter.
-            self.moves = {name: move for name, move in self.moves.items() if move[0] != one.name}
+            for name in [name for name, move in self.moves.items()
+                         if move[0] == one.name and len(move[4] - {"active"}) < 2]:
+                for each in self.members.values():
+                    each.staged = each.staged if each.staged != name else ""
+                del self.moves[name]
             self.since[one.name] = self.now
 
     def gossip(self, one: Member, two: Member) -> None:
@@ -126,6 +135,7 @@
         name = one.frozen = name_move(self.stamp, one.name, two.name)
         self.stamp += 1
         one.directory.hold(KEY, session.sequence + 1, one.directory.ids(KEY, self.now), self.now)
+        self.began[name] = self.now
         self.moves[name] = one.name, two.name, session.sequence + 1, {
             id: (self.now - age, hashed) for id, (age, hashed) in one.directory.ids(KEY, self.now).items()}, set()
 
@@ -135,26 +145,36 @@
             return
         name = self.drawn.choice(list(self.moves)[-2:])
         giver, taker, sequence, ids, votes = self.moves[name]
+        if not votes and (one.name != taker or self.now > self.began[name] + 4 * SECOND):
+            return  # it asks nobody before it has kept what was staged, and no letter comes later than that
         if self.members[taker].awake and not one.barred(name, self.members[giver], self.now):
             if one.acceptor.accept(name, (1, taker), "taker", self.now, KEY).granted:
                 votes.add(one.name)
-        if len(votes) == 2 and self.members[taker].awake and one.name == taker:
-            votes.add("done")
-            directory = self.members[taker].directory
-            known = directory.entries.get(KEY)
-            if known is None or known.holder == giver or known.sequence < sequence:
+                if one.name == taker and "active" not in votes:
+                    one.staged = name
+        if len(votes) < 2:
+            return
+        if one.name == taker and "active" not in votes and not one.lost:
+            votes.add("active")
+            directory, one.staged = one.directory, ""
+            if not directory.superseded(KEY, giver, sequence):
                 directory.hold(KEY, sequence + 1, {id: (self.now - at, hashed) for id, (at, hashed) in ids.items()},
-                               self.now)
-        if "done" in votes and self.members[giver].awake and self.members[giver].frozen == name:
-            self.members[giver].frozen = ""
-            self.members[giver].directory.gone(KEY, taker, sequence + 1, self.now)
+                               self.now, one.slept != name)
+        if one.name == giver and one.frozen == name:
+            one.frozen = ""
+            one.directory.gone(KEY, taker, sequence + 1, self.now)
 
     # ---- submissions ----
 
     def deliver(self, one: Member, two: Member) -> None:
         if not self.letters:
             return
-        to, by, told, answer = self.letters[-1 - self.drawn.randrange(10) % len(self.letters)]
+        place = self.drawn.randrange(len(self.letters))
+        if self.drawn.random() < 0.8:  # else it comes once more
+            self.letters[place], self.letters[-1] = self.letters[-1], self.letters[place]
+            to, by, told, answer = self.letters.pop()
+        else:
+            to, by, told, answer = self.letters[place]
         member = self.members[to]
         if not member.awake:
             return
@@ -163,7 +183,9 @@
             assert isinstance(asking, Asking)
             member.directory.answered(asking, by, answer, self.now)
         elif isinstance(told, Asking):
-            self.letters.append((by, to, told, member.directory.claimed(told, by, self.now)))
+            moving = member.frozen + member.staged != ""
+            self.letters.append((by, to, told, Claim(False, None) if moving
+                                 else member.directory.claimed(told, by, self.now)))
         else:
             assert isinstance(told, tuple)
             self.letters.append((by, to, told, self.heir_claims(member, told[0], told[1], by)))
@@ -172,15 +194,15 @@
         """As `Traffic._heir_claims`."""
         holder = asking.over[1]
         holds = member.newest[holder] == book and member.holders.get((holder, book)) == by
-        moved = member.acceptor.moved(KEY, holder, self.now - REMEMBERED) or member.frozen != ""
+        moved = member.acceptor.moved(KEY, holder, self.now - REMEMBERED) or member.frozen + member.staged != ""
         return member.directory.heir_claims(asking, by, holds, moved, self.now)
 
     def submit(self, one: Member, two: Member) -> None:
         """A client of `one`, which passes to `two` alone."""
-        if one.frozen:
+        if one.frozen or one.staged:
             return
         ruling, holder = one.directory.rule(KEY, "id", 1, False, self.now), one
-        if ruling is Ruling.PASS and two.awake and one.directory.where(KEY) == two.name and not two.frozen:
+        if ruling is Ruling.PASS and two.awake and one.directory.where(KEY) == two.name and not two.frozen + two.staged:
             ruling, holder = two.directory.rule(KEY, "id", 1, True, self.now), two
             if ruling is Ruling.ELSEWHERE:
                 ruling = one.directory.refused(KEY, two.name, two.directory.elsewhere(KEY, self.now), self.now)
@@ -230,7 +252,7 @@
                     model.step()
             inherited += model.inherited
             taken += len(model.taken)
-        self.assertGreater((inherited, taken), (100, 800))
+        self.assertGreater((inherited, taken), (200, 3000))
 
 
 class Memories(unittest.TestCase):
