An owner that cannot reach the adopter answers in time what no copy was sent

A woken or healed owner of an adopted book offers what it knows; `_answer_late` passed its book over for as long ("offering"). Where the adopter could not be reached until the outer limit (the owner is on the side with the client and the platform), what had been answered `+OK` under `ack = "own"` and sent to no copy got its answer late, from whoever took the offer after the heal, or never. What may have reached a copy is left to the adopter as before. `only_here` decodes only the part of the log that matters now, since it is asked ten times a second.

--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from dataclasses import replace
+from itertools import islice
 from typing import Any
 
 import gevent.event
@@ -395,12 +396,11 @@
         acked = max((follower.acked for follower in holding.log.followers.values()), default=holding.sent)
         mine: list[int] = []
         perhaps: list[int] = []
-        for place, (data, _) in enumerate(holding.log.window):
+        first = max(0, min(holding.sent, acked) - holding.log.oldest)
+        for index, (data, _) in enumerate(islice(holding.log.window, first, None), holding.log.oldest + first):
             for fact in decode_facts(together([data])):
                 if fact.base is not None and fact.number in holding.ledger.known and fact.number in self.kept:
-                    index = holding.log.oldest + place
-                    if index >= min(holding.sent, acked):
-                        (mine if index >= holding.sent else perhaps).append(fact.number)
+                    (mine if index >= holding.sent else perhaps).append(fact.number)
         return mine, perhaps
 
     def rekey(self, numbers: Iterable[int], failed: bool = False) -> Iterator[int]:
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -884,24 +884,33 @@
             # Danger: after a restart a book that no majority grants to anybody would end unanswered.
             unheld = held and not ours or self._nobodys(holding.adoption)
             holding.unheld_since = (holding.unheld_since or now) if unheld else 0
-            if holding.serving or stage is Stage.OFFERING or self.leaving:
+            if holding.serving or self.leaving:
                 continue
             # No majority has answered for so long, though its members may be heard.
             ours = ours or holding.unheld_since > 0 and now - holding.unheld_since >= ALONE
-            left = stage is Stage.GONE and not holding.offered
-            numbers = (self.store.numbers(holding.book) if ours or few
-                       else sum(self.store.only_here(holding), []) if left else [])
+            numbers: list[int] = []
+            if stage is Stage.OFFERING:
+                # What no copy was sent nobody else can answer, while the newer holder cannot be reached.
+                if self.members.state(now, self._newest(holding.adoption)) is not Standing.ALIVE:
+                    numbers, _ = self.store.only_here(holding)
+            elif ours or few:
+                numbers = self.store.numbers(holding.book)
+            elif stage is Stage.GONE and not holding.offered:
+                numbers = sum(self.store.only_here(holding), [])
             late = [number for number in numbers if self.store.kept[number].outer_limit <= soon
                     and number not in self.store.inert]
             if late:
                 self.desk.answer_late(late)
 
-
     def _nobodys(self, adoption: Adoption) -> bool:
         """Whether a book that lies here is asked for, or to be, and nobody else is known to have had it after us."""
+        waits = adoption.stage in (Stage.FOLLOWING, Stage.WAITING, Stage.ASKING)
+        return waits and self._newest(adoption) in ("", self.name)
+
+    def _newest(self, adoption: Adoption) -> str:
+        """Who is said to hold a book."""
         grant = self.grantor.grant(right_of(adoption.book))
-        _, holder = max((grant.term, grant.holder), adoption.holder.newer)
-        return adoption.stage in (Stage.FOLLOWING, Stage.WAITING, Stage.ASKING) and holder in ("", self.name)
+        return max((grant.term, grant.holder), adoption.holder.newer)[1]
 
     def _before_the_fleet(self, soon: int) -> None:
         """Envelopes that were taken before this sender was a member: nobody else has heard of them."""
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -239,7 +239,9 @@
                 (False, False, False, False, "copy", others),  # whoever is granted it answers
                 (False, False, False, True, "copy", ours),
                 (None, False, False, False, "own", ours),  # lost, and told to nobody
-                (None, False, True, False, "own", others)):
+                (None, False, True, False, "own", others),
+                ("b", False, False, True, "own", ours),  # told to nobody, and the newer holder is not heard
+                ("c", False, False, True, "own", others)):
             node = self.member(ack)
             holding = self.holding(node, granted=granted is True)
             node.store.keep(kept(1, life=100_000))
@@ -247,6 +249,9 @@
             holding.serving, holding.offered = serving, offered
             if granted is None:
                 holding.adoption.stage = Stage.GONE
+            elif isinstance(granted, str):
+                node._heard("c", 7, Beat(False, {}))
+                holding.adoption.stage, holding.adoption.holder.newer = Stage.OFFERING, (2, granted)
             node._answer_late(boot_time(), few)
             self.assertEqual(node.desk.answer_late.mock_calls, [mock.call(late)] * answered)  # type: ignore[attr-defined]
 
