A copy that was to be named in one term is not measured by that term's log in the next

`Holding.joining` keeps an index of the log; a new term begins its log at 0. A copy that was being waited for as the right was lost would have been measured by an index far beyond the new log, and put aside for 10 s. It is forgotten as a log begins.

--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -309,7 +309,7 @@
         holding.log = Log(holding.book, term, lambda number: holding.told(self, number), sorted(holding.ledger.known))
         holding.log.behind = not self.by_copy
         holding.begun_at = boot_time()
-        holding.sent = 0
+        holding.sent, holding.joining = 0, {}  # an index is one of its log
 
     def offered(self, holding: Holding, facts: list[Fact], term: int) -> tuple[list[int], list[int], str]:
         """What an earlier holder knew: joined. Numbers that are over by it, those that are new here or changed, and why
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -436,10 +436,14 @@
         node.store.keep(kept(1))
         now = boot_time()
         node._name_heirs(now, holding)
+        self.assertEqual(node.store.heirs_of(holding), {name})
         node._name_heirs(now + STARVED + 1, holding)
         self.assertEqual(node.store.heirs_of(holding), set())  # it does not keep up
         node.full_at = {each: boot_time() for each in node.full_at}
         self.assertEqual(node._wanted(holding), [other])
+        holding.joining[name] = 7, now
+        node.store.begin_log(holding, 2)
+        self.assertEqual(holding.joining, {})
 
     def test_an_owner_that_was_started_again_offers_what_lies_in_its_folder(self) -> None:
         node = self.member("own")
