--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from dataclasses import replace
+from itertools import islice
 from typing import Any
 
 import gevent.event
@@ -329,7 +330,7 @@
         holding.log = Log(holding.book, term, lambda number: holding.told(self, number), sorted(holding.ledger.known))
         holding.log.behind = not self.by_copy
         holding.begun_at = boot_time()
-        holding.sent = holding.awaited = 0
+        holding.sent, holding.awaited, holding.joining = 0, 0, {}  # an index is one of its log
 
     def offered(self, holding: Holding, facts: list[Fact], term: int) -> tuple[list[int], list[int], str]:
         """What an earlier holder knew: joined. Numbers that are over by it, those that are new here or changed, and why
@@ -416,12 +417,11 @@
         acked = max((follower.acked for follower in holding.log.followers.values()), default=holding.sent)
         mine: list[int] = []
         perhaps: list[int] = []
-        for place, (data, _) in enumerate(holding.log.window):
+        first = max(0, min(holding.sent, acked) - holding.log.oldest)
+        for index, (data, _) in enumerate(islice(holding.log.window, first, None), holding.log.oldest + first):
             for fact in decode_facts(together([data])):
                 if fact.base is not None and fact.number in holding.ledger.known and fact.number in self.kept:
-                    index = holding.log.oldest + place
-                    if index >= min(holding.sent, acked):
-                        (mine if index >= holding.sent else perhaps).append(fact.number)
+                    (mine if index >= holding.sent else perhaps).append(fact.number)
         return mine, perhaps
 
     def rekey(self, numbers: Iterable[int], failed: bool = False) -> Iterator[int]:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -269,7 +269,9 @@
                 (False, False, False, False, "copy", others),  # whoever is granted it answers
                 (False, False, False, True, "copy", ours),
                 (None, False, False, False, "own", ours),  # lost, and told to nobody
-                (None, False, True, False, "own", others)):
+                (None, False, True, False, "own", others),
+                ("b", False, False, True, "own", ours),  # told to nobody, and the newer holder is not heard
+                ("c", False, False, True, "own", others)):
             node = self.member(ack)
             holding = self.holding(node, granted=granted is True)
             node.store.keep(kept(1, life=100_000))
@@ -277,6 +279,9 @@
             holding.serving, holding.offered = serving, offered
             if granted is None:
                 holding.adoption.stage = Stage.GONE
+            elif isinstance(granted, str):
+                node._heard("c", 7, Beat(False, {}))
+                holding.adoption.stage, holding.adoption.holder.newer = Stage.OFFERING, (2, granted)
             node._answer_late(boot_time(), few)
             self.assertEqual(node.desk.answer_late.mock_calls, [mock.call(late)] * answered)  # type: ignore[attr-defined]
 
@@ -292,6 +297,20 @@
             node._answer_late(2_000_000_000, few=False)
         self.assertEqual(holding.unheld_since, 0)  # what follows is another loss
 
+    def test_while_no_heir_fires_for_a_lost_book_its_ends_are_told_at_their_limits(self) -> None:
+        for heard, rights, life, calls in (("b", (), 0, 1), ("b", (), 200_000, 0), ("", (), 0, 0),
+                                           ("b", (Right(BOOK, 2),), 0, 0)):
+            node = self.member()
+            holding = self.holding(node)
+            adoption, holding.sent = holding.adoption, 9
+            adoption.holder.name(boot_time(), ["b"])
+            node.store.keep(kept(1, life))
+            adoption.stage, adoption.holder.newer = Stage.OFFERING, (2, "c")  # which has asked in vain
+            if heard:
+                node._heard(heard, 7, Beat(False, {}, rights))
+            node._answer_late(boot_time(), few=True)
+            self.assertEqual(len(node.desk.answer_late.mock_calls), calls)  # type: ignore[attr-defined]
+
     def test_a_book_that_is_asked_for_in_vain_after_a_restart_is_answered_in_time(self) -> None:
         for newer, calls in (((0, ""), 1), ((1, "a"), 1), ((2, "b"), 0)):
             node = self.member()
@@ -534,10 +553,14 @@
         node.store.keep(kept(1))
         now = boot_time()
         node._name_heirs(now, holding)
+        self.assertEqual(node.store.heirs_of(holding), {name})
         node._name_heirs(now + STARVED + 1, holding)
         self.assertEqual(node.store.heirs_of(holding), set())  # it does not keep up
         node.full_at = {each: boot_time() for each in node.full_at}
         self.assertEqual(node._wanted(holding), [other])
+        holding.joining[name] = 7, now
+        node.store.begin_log(holding, 2)
+        self.assertEqual(holding.joining, {})
 
     def test_an_owner_that_was_started_again_offers_what_lies_in_its_folder(self) -> None:
         node = self.member("own")
