--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -1,6 +1,7 @@
 """A member's own steps that tie rules, files and desk together, each without the network."""
 
 import tempfile
+import threading
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -511,6 +512,22 @@
         self.assertTrue(third())  # nobody waits for a copy; the right says no
         self.assertFalse(node.store.may_fire(number(3)))
 
+    def test_a_slow_disk_holds_up_only_the_answers_that_rest_on_it(self) -> None:
+        node, go = self.member(), threading.Event()
+        node.grantor = Grantor("a", NAMES, 0, ())
+        asks = [Ask(f"book:{book}", 1, "b", SPAN) for book in (1, 2)]
+        node._answer_ask(asks[0])
+        write = node.lasting.write_table
+        with mock.patch.object(node.lasting, "write_table", side_effect=lambda table: go.wait(5) and write(table)):
+            out = [gevent.spawn(node._answer_ask, asks[1]) for _ in range(2)]
+            gevent.sleep(0.02)
+            self.assertTrue(node._answer_ask(asks[0]).granted)  # on the disk since before
+            self.assertFalse(any(each.ready() for each in out))
+            go.set()
+            self.assertTrue(all(each.get(timeout=5).granted for each in out))
+        table = node.lasting.table()
+        self.assertEqual([grant.right for grant in table.grants] if table else [], ["book:1", "book:2"])
+
     def test_a_message_that_was_overtaken_is_waited_for(self) -> None:
         node = self.member()
         node.copies.piece(Piece(BOOK, 1, 0, EVERYTHING, encode_facts([]), 0, digest_of(encode_facts([]))))
