A sender's open book waits for its own earlier one; the subscribers' cases assert claim 14, the design says what holds

What lies in a book of the sender's own that is lost or not fired for yet now rests here like what lies in a copy, and is told.

--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -407,13 +407,13 @@
     def _owe(self, now: int) -> None:
         """Tell the others which keys are owed here from before a trouble, and let those rest that they have told."""
         here: set[int] = set()
+        lying: set[int] = set().union(*(self._lying(now, adoption) for adoption in self.adoptions.values()))
         for holding in self.store.holdings.values():
             if holding.backlog:
                 known = holding.ledger.known
                 holding.backlog = {number: key for number, key in holding.backlog.items() if number in known}
-                if holding.adoption.stage is Stage.HOLDING:
-                    here.update(holding.backlog.values())
-        lying = set().union(*(self._lying(now, adoption) for adoption in self.adoptions.values()))
+                # Danger: a book that is lost, or not fired for yet, has earlier ones of a key than the open one.
+                (here if holding.serving else lying).update(holding.backlog.values())
         # A shot of a key that has ended may still run.
         here |= {key for key in self.owing.told - here - lying - self.owing.elsewhere if self.desk.rest_of(key) > 0}
         others = [name for name in self.alive if self.gate.levels.get(name, 0) >= OWING and name != self.name]
--- a/tests/processes/test_events.py
+++ b/tests/processes/test_events.py
@@ -135,7 +135,7 @@
         fleet.until(lambda: not missing(), 9.0, f"{missing()}")
 
     def judge(self, fleet: Fleet, subscriber: Subscriber) -> None:
-        """Claims 15 and 16; what met the filter is known by the partners."""
+        """Claims 14 to 16; what met the filter is known by the partners."""
         true = set().union(*(completed(fleet, number) for number in range(3)))
         watched = subscriber.watched
         watched.occurred = [
@@ -143,7 +143,7 @@
             for event in subscriber.events]
         fleet.settle()
         verdict = fleet.judge(None, watched)
-        mine = [finding for finding in verdict.findings if finding.rule in (15, 16)]  # test_fleet.py judges the rest
+        mine = [finding for finding in verdict.findings if finding.rule in (14, 15, 16)]  # test_fleet.py has all
         self.assertEqual((mine, fleet.failed), ([], []), fleet.report(verdict))
 
     def test_all_matches_of_all_senders_in_order(self) -> None:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -337,6 +337,10 @@
                 node._backlog(holding)
                 node._owe(now)
                 self.assertEqual(node.owing.told, told)
+                self.assertLessEqual(told, node.owing.elsewhere)  # a book that is not fired for
+            holding.serving = True
+            node._owe(now)
+            self.assertEqual(node.owing.elsewhere, {6})
             holding.ledger.known.clear()
             node._owe(now + EVERY)
             self.assertEqual(spawn.call_args.args[1:3], ("c", Owed()))
