What was offered to somebody, and what a started process has not held, is answered with more care

An offer without an answer may have been taken, and its taker may have ended the envelope otherwise: an owner that cannot hear the adopter answers only what no copy was sent and nobody was offered. A restarted owner that asks for its book in vain may have more to hear than one that has just lost it: it answers after 3 s without a word of a newer holder, not 1 s.

--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -73,6 +73,7 @@
         self.alone_since = 0  # it goes on without copies
         self.reserved = 0  # numbers below this one are written down as given
         self.from_term = 0  # the term of the copy that it was adopted from in this process; 0: it was not
+        self.approached = False  # some newer holder was sent an offer
         self.offered = False  # the newer holder has taken all that was known here
         self.unheld_since = 0  # since when the right has run out and no majority says more; 0: it is held, or lost
         self.heard_out = 0  # of an adopted book: when its last holder has offered all that it knew
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -72,6 +72,7 @@
 LATE = 300_000  # microseconds before its outer limit an envelope that nobody may fire for is answered
 LOOK_LATE = 0.1
 ALONE = 1_000_000  # microseconds without a majority until nobody can be asked who has the right
+UNKNOWN = 3_000_000  # the same, for a book that this process has not held
 BACK = 10_000_000  # a copy must have been whole for so long before a sender that went on alone counts on it again
 REBORN = 600_000  # in which a member that was started again asks for the book that it still has
 DOUBTED = 5_000_000  # so long the heirs of what a damaged folder has may adopt it, before it goes on with what is left
@@ -772,6 +773,8 @@
             for index, data in enumerate(parts):
                 offer = Offer(adoption.book, index, index + 1 == len(parts), data, digest_of(data),
                               adoption.holder.term if holding is None else holding.ledger.term)
+                if holding is not None:
+                    holding.approached = True
                 answer = self._call(to, offer, OFFER_IN)
                 if not isinstance(answer, Taken) or answer.problem:
                     if isinstance(answer, Taken) and answer.problem == CLOSED:
@@ -887,11 +890,14 @@
             if holding.serving or self.leaving:
                 continue
             # No majority has answered for so long, though its members may be heard.
-            ours = ours or holding.unheld_since > 0 and now - holding.unheld_since >= ALONE
+            wait = ALONE if held else UNKNOWN  # who has not held it since its start may have much to hear
+            ours = ours or holding.unheld_since > 0 and now - holding.unheld_since >= wait
             numbers: list[int] = []
             if stage is Stage.OFFERING:
-                # What no copy was sent nobody else can answer, while the newer holder cannot be reached.
-                if self.members.state(now, self._newest(holding.adoption)) is not Standing.ALIVE:
+                # What no copy was sent, and nobody was offered, nobody else can answer. Danger: an offer without an
+                # answer may have been taken, and the taker may have told another end.
+                heard = self.members.state(now, self._newest(holding.adoption)) is Standing.ALIVE
+                if not heard and not holding.approached:
                     numbers, _ = self.store.only_here(holding)
             elif ours or few:
                 numbers = self.store.numbers(holding.book)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -241,12 +241,13 @@
                 (None, False, False, False, "own", ours),  # lost, and told to nobody
                 (None, False, True, False, "own", others),
                 ("b", False, False, True, "own", ours),  # told to nobody, and the newer holder is not heard
-                ("c", False, False, True, "own", others)):
+                ("c", False, False, True, "own", others),
+                ("b", False, True, True, "own", others)):  # it may have been taken
             node = self.member(ack)
             holding = self.holding(node, granted=granted is True)
             node.store.keep(kept(1, life=100_000))
             node.store.keep(kept(2))
-            holding.serving, holding.offered = serving, offered
+            holding.serving, holding.offered, holding.approached = serving, offered, offered
             if granted is None:
                 holding.adoption.stage = Stage.GONE
             elif isinstance(granted, str):
@@ -273,7 +274,7 @@
             adoption = self.holding(node, granted=False).adoption
             adoption.stage, adoption.holder.newer = Stage.ASKING, newer
             node.store.keep(kept(1, life=100_000))
-            for after in (0, module.ALONE):
+            for after in (0, module.UNKNOWN):
                 node._answer_late(1_000_000_000 + after, few=False)
             self.assertEqual(len(node.desk.answer_late.mock_calls), calls)  # type: ignore[attr-defined]
 
