--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -305,7 +305,8 @@
             members = [member for member in place.ready if zone is None or member.zone == zone]
             place.room[asking] = self._with_room(now, envelope, members)
         envelope.look_at, envelope.asks = last_start + 1, asking
-        receiver = place.turn(asking)
+        receiver = next((member for member, _ in place.room[asking][0] if self._joins(now, member)), None)
+        receiver = receiver or place.turn(asking)
         if receiver is None:
             return min(place.room[asking][1], last_start + 1)
         joins = self._joins(now, receiver)
@@ -415,7 +416,9 @@
         if receiver.out_since:
             # Danger: a destination that returns cold falls over under its old traffic.
             if receiver.failed or now - receiver.out_since > span(self.settings, "rules.fall-ms"):
-                receiver.back_at = now
+                # Where many look seldom, it has returned somewhere between the last two looks.
+                looked = min(receiver.gap, now - receiver.out_since) if self.many else 0
+                receiver.back_at = now - looked // 2
                 receiver.ramp = Bucket(0.0, now)
                 if pace.rate is not None:  # its refusals while it was shut say nothing of its limit
                     pace.rate = max(pace.rate, receiver.managed, pace.reference)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -145,6 +145,13 @@
             take(made, envelope)
         self.assertEqual(len(made.decide(NOW).shots), 4)
 
+    def test_an_envelope_joins_a_call_of_its_round_before_it_takes_a_slot(self) -> None:
+        made = sender(receivers=2, kind=1, family_info__max_calls="1")
+        for envelope in (1, 2, 3):
+            take(made, envelope)
+        self.assertEqual(len({shot[1] for shot in made.decide(NOW).shots}), 1)
+        self.assertEqual(len(made.destinations[7].held), 0)
+
     def test_silence_holds_further_shots(self) -> None:
         made = sender()
         out(made, 1)
@@ -264,6 +271,14 @@
             made._out_with(NOW, made.receivers[2])
             self.assertEqual(bool(made.receivers[3].out_since), lost, senders)
 
+    def test_the_return_lies_between_the_last_two_looks(self) -> None:
+        for senders, gap, back_at in (("2", 6_000, 100), ("200", 6_000, -2_900), ("200", 99_000, -4_950)):
+            made = sender(balancers=senders)
+            handle, receiver = out(made, 1), made.receivers[1]
+            receiver.out_since, receiver.failed, receiver.gap = NOW - 10_000 * MS, True, gap * MS
+            end(handle, Outcome.COMPLETED, NOW + 100 * MS)
+            self.assertEqual(receiver.back_at, NOW + back_at * MS, (senders, gap))
+
     def test_a_told_wait_does_not_end_for_all_in_the_same_instant(self) -> None:
         for senders, spread in (("2", False), ("200", True)):
             made = sender(balancers=senders)
