--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -628,9 +628,10 @@
         envelope.rank_until = min((time for time in times if time > now), default=FAR)
         if band.halves_in:
             envelope.rank_until = min(envelope.rank_until, now + band.halves_in // 4)
-        if band.in_turn and envelope.key:
-            loses *= len(self.turns.lines[envelope.key])  # Danger: all that wait for their turn wait with it
-        loses /= self.destinations[envelope.destination].quickest or SECOND / 2  # for a slot's time
+        if self.many:  # Danger: a sender's part is two or three slots, and one slow call takes them from many
+            if band.in_turn and envelope.key:
+                loses *= len(self.turns.lines[envelope.key])  # all that wait for their turn wait with it
+            loses /= self.destinations[envelope.destination].quickest or SECOND / 2
         envelope.rank = -loses, envelope.expected_by, envelope.order
         return envelope.rank
 
