Rests for keys owed elsewhere are the module's own call; lines of a key are put in order by Keys

The desk wrote into the lines and rests of the decisions and held two tuned values (300 ms at a time, the last second of the first envelope's time). Both are decisions on when an envelope goes: Sender.rest and Keys.line_up take them over, and the desk only says which keys and which of two stands first.

--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -29,8 +29,6 @@
 NO_RIGHT = 20_000  # until the next look whether this sender may decide, or its copies follow
 NEAR = 50_000  # before its outer limit an envelope is written off at the end of a process that others take over from
 BOOK = 32  # bits of a number within its book: below them numbers grow as envelopes are taken
-RESTED = 300_000  # for so long a key rests that is owed elsewhere, unless it is told again
-LEAVES = 1_000_000  # of an envelope's time a rest leaves so much
 LOOK = 0.001  # seconds between two looks at the copies where nothing else may happen before they follow
 AFTER_ERROR = 100_000  # until the next round: an error that comes again must not fill the core
 
@@ -319,22 +317,13 @@
             if handle.band.in_turn and handle.key:
                 joined.setdefault(handle.key, []).append(handle)
         for key, handles in joined.items():
-            self._line_up(self.sender.turns.lines[key], handles)
-
-    def _line_up(self, line: deque[Handle], joined: Sequence[Handle]) -> None:
-        """Envelopes that are gone on with, the last of their line, stand before those of their key that were taken
-        after them in their book, and before those that were held back for them."""
-        for _ in joined:
-            line.pop()
-        for handle in joined:
-            index = len(line)
-            while index and not line[index - 1].out:
-                before = line[index - 1].id
-                if before not in self.held_back and (before < handle.id or before >> BOOK != handle.id >> BOOK):
-                    break
-                # Danger: one whose shot was out when its book was parked comes back after all others of its key.
-                index -= 1
-            line.insert(index, handle)
+            self.sender.turns.line_up(key, handles, self._before)
+
+    def _before(self, one: Handle, other: Handle) -> bool:
+        """Whether an envelope that is gone on with stands before another of its key: one that was taken after it in its
+        book, or was held back for it."""
+        # Danger: one whose shot was out when its book was parked comes back after all others of its key.
+        return other.id in self.held_back or other.id > one.id and other.id >> BOOK == one.id >> BOOK
 
     def _rest(self, keys: frozenset[int]) -> None:
         self.elsewhere = keys
@@ -343,11 +332,7 @@
             self._let_rest(key)
 
     def _let_rest(self, key: int) -> None:
-        turns = self.sender.turns
-        if line := turns.lines[key]:
-            self.held_back.update(each.id for each in line if not each.shots)
-            until = min(self.clock.now() + RESTED, line[0].outer_limit - LEAVES)
-            turns.rests[key] = max(until, turns.rests.get(key, 0))
+        self.held_back.update(each.id for each in self.sender.rest(self.clock.now(), key))
 
     def _park(self, numbers: list[int]) -> None:
         now, given_up = self.clock.now(), set(numbers)
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -39,6 +39,8 @@
 STALE_LINKS = 0.04  # a larger share of kept links that break under a call
 FORGET = 20 * SECOND  # after a receiver has left the list; its outage is told to a replacement until then
 LONGEST_WAIT = 3600 * SECOND  # a longer told wait is looked into after this; no outer limit comes near it
+RESTED = 300_000  # for so long a key rests that is owed elsewhere, unless it is told again
+LAST_CHANCE = SECOND  # of an envelope's time a rest for others leaves so much
 LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
 COLD_BATCH = 4  # envelopes in one call during a ramp, and from a refusal to the next completion
@@ -196,6 +198,15 @@
             known.pace.wait_until = max(known.pace.wait_until, min(until, now + LONGEST_WAIT))
             self.changed.add(known.destination)
 
+    def rest(self, now: int, key: int) -> list[Handle]:
+        """Another sender owes earlier envelopes of a key: those here rest until it is told again, or for a
+        moment. Gives those that had no shot yet."""
+        line = self.turns.lines.get(key) or ()
+        if line:
+            # Danger: what the other has may never end; the last of the first one's time is its own.
+            self.turns.rest(key, min(now + RESTED, line[0].outer_limit - LAST_CHANCE))
+        return [each for each in line if not each.shots]
+
     def listed(self, now: int, change: ListChange, listings: Sequence[Listing]) -> None:
         if change is not ListChange.CHANGES:
             named = {listing.receiver for listing in listings}
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -2,6 +2,7 @@
 
 import heapq
 from collections import deque
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from math import log
 from typing import Any
@@ -63,7 +64,7 @@
         """The envelope has ended; the key rests until a time, which may have passed. Whose turn it is now, if any's."""
         line = self.lines[key]
         line.remove(envelope)
-        self.rests[key] = max(rest, self.rests.get(key, 0))
+        self.rest(key, rest)
         self.resting.append(key)
         # Danger: keys are always new, and one that nobody uses again would rest for ever.
         while self.resting and self.rests.get(self.resting[0], 0) <= now:
@@ -72,6 +73,21 @@
                 del self.lines[rested], self.rests[rested]
         return [line[0]] if line else []
 
+    def line_up(self, key: int, joined: Sequence[Any], before: Callable[[Any, Any], bool]) -> None:
+        """Of the last of a line, those that go on here: each stands before all that `before` says, behind shots out."""
+        line = self.lines[key]
+        for _ in joined:
+            line.pop()
+        for envelope in joined:
+            index = len(line)
+            while index and not line[index - 1].out and before(envelope, line[index - 1]):
+                index -= 1
+            line.insert(index, envelope)
+
+    def rest(self, key: int, until: int) -> None:
+        """A key rests until a time at least."""
+        self.rests[key] = max(until, self.rests.get(key, 0))
+
     def turn_at(self, key: int, envelope: Any) -> int:
         """When it is this envelope's turn; FAR while another stands before it."""
         if self.lines[key][0] is not envelope:
