Beats and asks are answered however many other letters wait at a member

Read, then tried by the test: beyond 64 letters being answered every further one was refused with 503. Letters of sessions and of copies wait up to 450 ms for their answers, 16 at once from each member, so from five members on beats and asks could find all 64 places taken, and rights lapse with nothing broken. Server._answered now refuses by kind: a small letter is read, and beats and asks are answered always. What is large is refused unread as before, so memory stays bounded. The test fails without it.

--- a/cedarwick/fleet/link.py
+++ b/cedarwick/fleet/link.py
@@ -36,7 +36,8 @@
 from cedarwick.net.sockets import connected, ended
 
 PATH = b"/fleet/1"
-MOST_AT_ONCE = 64  # letters that are read and answered; those beyond get 503
+MOST_AT_ONCE = 64  # letters that are read and answered; those beyond get 503, but for beats and asks
+SMALL = 1 << 13  # bytes of a beat or an ask, at most
 MOST_CONNECTIONS = 256  # further ones wait in the backlog
 BACKLOG = 256
 LONGEST_HEAD = 1 << 13  # bytes of header lines
@@ -259,7 +260,8 @@
             raise WrongPlace(f"{request.method.decode()} {request.url[:100].decode('latin-1')} of {caller}")
         if request.size > LARGEST:
             raise TooLarge(f"a letter of {request.size} bytes from {caller}, where {LARGEST} is the most")
-        if self.busy > MOST_AT_ONCE:
+        many = self.busy > MOST_AT_ONCE
+        if many and request.size > SMALL:
             request.kept = None
             read(request, sock)
             raise TooMany(f"{MOST_AT_ONCE} letters are being answered at {self.gate.me!r}")
@@ -273,6 +275,9 @@
             raise
         head.append(letter)
         self.gate.check(letter)
+        # Danger: those that wait for copies and frozen sessions would keep them out, and members' rights would lapse.
+        if many and not isinstance(letter.body, Beat | Ask):
+            raise TooMany(f"{MOST_AT_ONCE} letters are being answered at {self.gate.me!r}")
         try:
             said = encode(self.answer(letter))
         except Trouble:
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -18,7 +18,7 @@
 from cedarwick.fleet import gate, link, messages
 from cedarwick.fleet.gate import Gate
 from cedarwick.fleet.link import Peers, Refusal, Server, Unreachable
-from cedarwick.fleet.messages import LARGEST, Facts, Have, Letter, Noted, Refused, Unreadable, decode, encode
+from cedarwick.fleet.messages import LARGEST, Beat, Facts, Have, Letter, Noted, Refused, Unreadable, decode, encode
 from cedarwick.fleet.retry import Waits
 from cedarwick.net.counters import Counters
 from tests.build import Receiver, free_port, reply, until
@@ -236,11 +236,14 @@
 
     def test_beyond_the_most_at_once_letters_are_refused(self) -> None:
         go = gevent.event.Event()
-        self.answer = lambda letter: Noted() if go.wait(5) else Noted()
+        beat = Beat(False, {}, ())
+        self.answer = lambda letter: beat if isinstance(letter.body, Beat) or not go.wait(5) else Noted()
         with patch.object(link, "MOST_AT_ONCE", 2):
             out = [gevent.spawn(self.peers.call, "b", Noted(), 5) for _ in range(2)]
             self.until_busy(2)
             self.refused("CW709", body=Facts(1, 2, 3, b"x" * 100_000, 4))
+            self.refused("CW709")
+            self.assertEqual(self.peers.call("b", beat, 5), beat)  # else rights would lapse beside letters that wait
             go.set()
             self.assertEqual([each.get() for each in out], [Noted()] * 2)
             self.assertEqual(self.peers.call("b", Noted(), 5), Noted())
