An id whose contents are not known goes along in a move

UNKNOWN is -1 since ids are remembered for whoever adopts a book, and also what is put in the place of the hash where a client has gone before its answer; `Recent.hashed` is a count. The taker refused the letter, so that for 15 s from then on a session with such an id could not be moved, drained or given away at an end. UNKNOWN is 0 now.

--- a/cedarwick/fleet/memory.py
+++ b/cedarwick/fleet/memory.py
@@ -15,7 +15,9 @@
 from cedarwick.fleet.shipping import Entry
 
 MOST = 1 << 16  # ids of one book; beyond, the oldest go, and with them the time that the memory covers
-UNKNOWN = -1  # no contents are told by this: what comes with an id whose contents are not known is another request
+# No contents are told by this: what comes with an id whose contents are not known is another request. Danger: a hash
+# is a count; what is none makes a letter that nobody reads, and a session with such an id could not be moved.
+UNKNOWN = 0
 
 
 @dataclass(slots=True)
--- a/tests/test_fleet_inherit.py
+++ b/tests/test_fleet_inherit.py
@@ -7,6 +7,7 @@
 from cedarwick.fleet.decrees import Acceptor, name_move
 from cedarwick.fleet.facts import Base, Fact, Head, Known, Rank
 from cedarwick.fleet.memory import UNKNOWN, Memory, hash_of
+from cedarwick.fleet.messages import LEVEL, VERSION, Letter, Recent, Stage, decode, encode
 from cedarwick.fleet.sessions import FORGOTTEN, LAPSES, REMEMBERED, Asking, Claim, Directory, Ruling
 from cedarwick.fleet.shipping import EVERYTHING, Entry
 
@@ -287,6 +288,10 @@
             memory.heard(*self.step(5, Fact(3, self.BASE, Known())), 30)
         self.assertEqual((memory.since, list(memory.taken)), (21, [2, 3]))
 
+    def test_an_id_whose_contents_are_not_known_goes_along_in_a_move(self) -> None:
+        stage = Stage("m", KEY, 1, b"", 0, (Recent("1", 0, UNKNOWN),))
+        self.assertEqual(decode(encode(Letter(VERSION, LEVEL, "g", "a", 1, "b", stage))).body, stage)
+
     def test_contents_that_are_not_told_any_more_are_those_of_no_request(self) -> None:
         memory = Memory(0)
         memory.heard(*self.step(0, Fact(1, self.BASE, Known(end=(Rank.FAILED, 0)))), 1)
