What was held back for a key owed elsewhere comes back in its order when its move is called off

What is adopted stands before what was held back for it; those that come back together were all held back, so each stood before the one before it. Now they do not count for one another.

--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -326,11 +326,13 @@
         after them in their book, and before those that were held back for them."""
         for _ in joined:
             line.pop()
+        # Danger: of those that come back together each would stand before the one that was taken before it.
+        held_back = self.held_back - {handle.id for handle in joined}
         for handle in joined:
             index = len(line)
             while index and not line[index - 1].out:
                 before = line[index - 1].id
-                if before not in self.held_back and (before < handle.id or before >> BOOK != handle.id >> BOOK):
+                if before not in held_back and (before < handle.id or before >> BOOK != handle.id >> BOOK):
                     break
                 # Danger: one whose shot was out when its book was parked comes back after all others of its key.
                 index -= 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -116,6 +116,16 @@
         self.assertEqual([each.id for each in self.desk.sender.turns.lines[6]], [other + 1, other + 2, 3])
         self.assertEqual(self.desk.sender.turns.rests.get(9), None)  # nothing is kept for keys without an envelope
 
+    def test_what_was_held_back_comes_back_in_its_order_where_its_move_is_called_off(self) -> None:
+        self.desk.sender.bands[0].in_turn = True
+        self.desk._rest(frozenset([5]))
+        for name in "abc":
+            self.taken(name=name, key=5)
+        self.assertEqual(self.desk.held_back, {1, 2, 3})
+        self.desk._park([1, 2, 3])
+        self.desk._adopt([1, 2, 3], quietly=True)
+        self.assertEqual([each.id for each in self.desk.sender.turns.lines[5]], [1, 2, 3])
+
     def test_what_waits_for_copies_is_released_in_order_and_only_if_it_still_may(self) -> None:
         self.store.by_copy = self.store.awaited = True
         copied: list[bool] = []
