--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -296,8 +296,10 @@
         """
         marked = [in_doubt(fact, doubt_at) if doubt_at else fact for fact in facts]
         # Danger: a holder that was cut off has said 'failed' of what ended meanwhile; 'returned' would be another end.
+        # Danger: one on the move is told no end while it is inert; its move's rules answer it in time.
         marked = [with_end(fact, Rank.FAILED) if fact.base is not None and fact.base.outer_limit <= late
-                  and fact.known.end[0] is Rank.NONE else fact for fact in marked]
+                  and fact.known.end[0] is Rank.NONE and not (fact.known.move or (0, ""))[1] else fact
+                  for fact in marked]
         told = {fact.number for fact in marked}
         for number in self.numbers(holding.book):  # this member has held it before: what the copy lacks is over
             if number in told or number in mine:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -710,9 +710,10 @@
             holding.ledger.known[number(index)] = Known()
             super(Shared, store).keep(kept(index))
         soon = CLOCK.now() + 300_000
-        store.take_in(holding, [fact(1), fact(2, life=0)], 2, 0, [number(3)], [number(4)], soon)
-        ends = {index: store.kept[number(index)].end for index in range(1, 6) if number(index) in store.kept}
-        self.assertEqual(ends, {1: None, 2: (False, 0), 3: None, 4: (False, 0)})
+        moving = msgspec.structs.replace(fact(6, life=0), known=Known(move=(1, "<1/a/b")))
+        store.take_in(holding, [fact(1), fact(2, life=0), moving], 2, 0, [number(3)], [number(4)], soon)
+        ends = {index: store.kept[number(index)].end for index in range(1, 7) if number(index) in store.kept}
+        self.assertEqual(ends, {1: None, 2: (False, 0), 3: None, 4: (False, 0), 6: None})  # it is on the move
         self.assertEqual(holding.ledger.known[number(4)].end[0], Rank.FAILED)
 
 
