--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -27,7 +27,6 @@
 
 REMEMBERED = 15_000_000  # for so long after it was handed in, an id is not taken once more
 NO_RIGHT = 20_000  # until the next look whether this sender may decide, or its copies follow
-MOST_ROUNDS = 4  # that wait for copies, until the next one waits itself
 LOOK = 0.001  # seconds between two looks at the copies where nothing else may happen before they follow
 AFTER_ERROR = 100_000  # until the next round: an error that comes again must not fill the core
 
@@ -615,10 +614,6 @@
             # Further rounds go on meanwhile: many of them share one way to the copies and back.
             self.rounds.append((self.store.copying(), waiting))
             self._release()
-            # Danger: where nothing holds a round up, more comes than the copies can take, and all of it comes too late.
-            while len(self.rounds) > MOST_ROUNDS:
-                gevent.sleep(LOOK)
-                self._release()
             return
         for then, _ in waiting:
             then()
