--- a/cedarwick/fleet/book.py
+++ b/cedarwick/fleet/book.py
@@ -73,7 +73,6 @@
         self.unheld_since = 0  # since when the right has run out and no majority says more; 0: it is held, or lost
         self.heard_out = 0  # of an adopted book: when its last holder has offered all that it knew
         self.sent = 0  # facts below this index were sent to some copy
-        self.awaited = 0  # something waits until copies have the facts below this index
         self.finished: set[int] = set()  # of an adopted book: ended here, so that old news does not bring them back
 
     def starving(self, now: int) -> bool:
@@ -180,46 +179,35 @@
         super().over(number)
 
     def flush(self, call: Callable[..., object] | None = None) -> None:
-        """The folder alone, and that only where it is durable: `copying` tells of the copies."""
+        """With `by_copy`, besides: wait until every heir has all that was told; `NotCopied` where one has not."""
         if self.durable or not self.by_copy:
             super().flush(call)
-
-    def copying(self) -> Callable[[], bool]:
-        """A look whether every heir has all that is told by now; `NotCopied` once one has it not in time.
-
-        A book for which nothing is fired any more is not waited for: whoever rests on this asks `may_fire` besides.
-        """
+        if not self.by_copy:
+            return
         until = time.monotonic() + self.within_us / 1e6
-        upto = {each: (each.log, each.log.next) for each in self.holdings.values()}
-        for holding in upto:
-            holding.awaited = holding.log.next
-        self.news.set()
-
-        def now() -> bool:
-            for holding in upto:
-                # Danger: the lease may have run out meanwhile, and an heir that has adopted would not know of this.
-                if not holding.serving or not holding.adoption.holder.may_fire(boot_time()):
-                    continue
-                if holding.log is not upto[holding][0]:  # held anew: its log begins with all that was told before
-                    upto[holding] = holding.log, holding.log.next
-                missing = upto[holding][1] - holding.log.acked(self.heirs_of(holding))
-                if missing <= 0:
-                    if not holding.alone_since and not holding.starving(boot_time()):
-                        holding.starved_at = 0
-                elif holding.starving(boot_time()) or time.monotonic() >= until:
+        for holding in [each for each in self.holdings.values() if each.serving]:
+            index = holding.log.next
+            while holding.log.acked(self.heirs_of(holding)) < index:
+                if holding.starving(boot_time()) or not self._wait(until):
                     self.starved(holding)
-                    raise NotCopied(f"book {holding.book}: what was told is not at "
-                                    f"{', '.join(sorted(self.heirs_of(holding)))}, by {missing} records")
-                else:
-                    return False
-            return True
-
-        return now
+                    raise NotCopied(f"book {holding.book}: {index - holding.log.acked(self.heirs_of(holding))} records "
+                                    f"are not at {', '.join(sorted(self.heirs_of(holding)))}")
+            # Danger: the lease may have run out meanwhile, and an heir that has adopted would not know of this.
+            if not holding.adoption.holder.may_fire(boot_time()):
+                raise NotCopied(f"book {holding.book}: the right over it has run out")
 
     def heirs_of(self, holding: Holding) -> frozenset[str]:
         """The copies that must have a record before it counts as told."""
         return holding.adoption.holder.bound - {holding.adoption.me}
 
+    def _wait(self, until: float) -> bool:
+        left = until - time.monotonic()
+        if left <= 0:
+            return False
+        self.news.clear()
+        self.news.wait(left)
+        return True
+
     # ---- sessions that move ----
 
     def stage(self, kept: Kept, sequence: int, text: str) -> None:
@@ -247,9 +235,6 @@
     def copied(self, books: Iterable[int]) -> Callable[[], bool]:
         """Whether every heir of some books has by then what is told of them now."""
         upto = {book: self.holdings[book].log.next for book in books}
-        for book in upto:
-            self.holdings[book].awaited = upto[book]
-        self.news.set()
 
         def now() -> bool:
             held = {book: self.holdings.get(book) for book in upto}
@@ -307,7 +292,7 @@
         """Ship the book under a term from now on."""
         holding.log = Log(holding.book, term, lambda number: holding.read(self, number), sorted(holding.ledger.known))
         holding.begun_at = boot_time()
-        holding.sent = holding.awaited = 0
+        holding.sent = 0
 
     def offered(self, holding: Holding, facts: list[Fact], term: int) -> tuple[list[int], list[int]]:
         """What an earlier holder knew: joined. Numbers that are over by it, and those that are new here or changed.
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -66,7 +66,6 @@
 ANSWER_IN = 0.4  # seconds for an answer to a beat or an ask: a third of a lease
 SHIP_IN = 0.5  # seconds for an answer of a copy
 LINGER = 0.005  # seconds between two messages to a copy that nobody waits for: each takes more facts along
-EARLIER = 10_000  # microseconds in which a message of a log's tail may be overtaken by the next
 OFFER_IN = 1.0
 GATHER = 400_000  # microseconds in which the copies of a book that begins may come up before it goes on without them
 LATE = 300_000  # microseconds before its outer limit an envelope that nobody may fire for is answered
@@ -373,8 +372,6 @@
         self.shipped_at[body.book] = boot_time()
         if isinstance(body, Digests):
             return self.copies.digests(body)
-        if isinstance(body, Facts):
-            self._let_earlier_come(body)
         have = self.copies.facts(body) if isinstance(body, Facts) else self.copies.piece(body)
         if self.copies.unsynced:
             self.copies.flush(lambda sync, file: gevent.get_hub().threadpool.apply(sync, (file,)))
@@ -382,16 +379,6 @@
             self._follow(body.book)
         return have
 
-    def _let_earlier_come(self, body: Facts) -> None:
-        """Messages out at once come on connections of their own, and the loop reads the last of them first.
-
-        Danger: each one refused has the holder send all again that is out, beside what is still on its way.
-        """
-        until = boot_time() + EARLIER
-        while ((replica := self.copies.replica(body.book)) is not None and replica.place.term == body.term
-               and replica.place.next < body.first and boot_time() < until):
-            gevent.sleep(0.0005)
-
     def _follow(self, book: int) -> None:
         """A copy lies here: look after it."""
         if book not in self.adoptions:
@@ -726,24 +713,13 @@
             message = follower.next(boot_time())
             if message is None:
                 self.store.news.clear()
-                if self.store.news.wait(0.05) and self.store.by_copy:
-                    self._gather(holding, follower)
+                self.store.news.wait(0.05)
                 continue
             holding.sent = max(holding.sent, follower.sent)
             gevent.spawn(self._send, follower, name, message)
-            if self.store.by_copy:
-                self._gather(holding, follower)
-            else:
-                gevent.sleep(LINGER)
+            gevent.sleep(0 if self.store.by_copy else LINGER)
         self.pumps.pop((holding.book, name), None)
 
-    def _gather(self, holding: Holding, follower: Follower) -> None:
-        """Let facts gather for a moment, until something waits for one of them."""
-        until = time.monotonic() + LINGER
-        while holding.awaited <= follower.sent and (left := until - time.monotonic()) > 0:
-            self.store.news.clear()
-            self.store.news.wait(left)
-
     def _send(self, follower: Follower, name: str, message: Facts | Piece | Digests) -> None:
         answer = self._letter(name, message, SHIP_IN)
         # Danger: by the newest boot heard of, an old one's answer that comes late would speak for the new one's files.
@@ -751,7 +727,6 @@
             if answer.body.problem in (NO_ROOM, OTHER):
                 self.full_at[name] = boot_time()
             follower.have(boot_time(), answer.body, answer.incarnation)
-            self.store.woken()
         elif answer is not None and isinstance(answer.body, Digests):
             follower.digests(boot_time(), answer.body, answer.incarnation)
         self.store.news.set()
--- a/cedarwick/fleet/shipping.py
+++ b/cedarwick/fleet/shipping.py
@@ -132,10 +132,8 @@
         self.followers.pop(name, None)
 
     def acked(self, heirs: Iterable[str]) -> int:
-        """Every fact with a lower index is in the file of each of these copies; -1: one lacks what the term began with.
-        """
-        found = [self.followers.get(name) for name in heirs]
-        return min((each.acked if each is not None and each.covers else -1 for each in found), default=self.next)
+        """Every fact with a lower index is in the file of each of these copies."""
+        return min((self.followers[name].acked if name in self.followers else 0 for name in heirs), default=self.next)
 
     def tail(self, first: int) -> list[bytes]:
         """Facts of the window from an index on, as many as a message takes."""
@@ -220,15 +218,10 @@
         """Whether it has all that is owed but for the tail, and that lies in the window."""
         return self._follows() and self.place.covered == EVERYTHING and self.problem not in (OTHER, NO_ROOM)
 
-    @property
-    def covers(self) -> bool:
-        """Whether it has all that the term began with."""
-        return self.place.term == self.log.term and self.place.covered == EVERYTHING
-
     @property
     def acked(self) -> int:
         """Every fact with a lower index is in its file."""
-        return self.place.next if self.covers else 0
+        return self.place.next if self.place.term == self.log.term and self.place.covered == EVERYTHING else 0
 
     def lag(self, now: int) -> tuple[int, int]:
         """Facts that it lacks, and for how many microseconds the oldest of them."""
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -1,6 +1,5 @@
 """One greenlet owns the decisions: one queue in, verdicts out to the stages."""
 
-from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -27,13 +26,9 @@
 
 REMEMBERED = 15_000_000  # for so long after it was handed in, an id is not taken once more
 NO_RIGHT = 20_000  # until the next look whether this sender may decide, or its copies follow
-LOOK = 0.001  # seconds between two looks at the copies where nothing else may happen before they follow
 AFTER_ERROR = 100_000  # until the next round: an error that comes again must not fill the core
 
 
-Waiting = tuple[Callable[[], None], Callable[[], None]]  # once it lasts; if it does not
-
-
 class Answered(Enum):
     """What becomes of an envelope at the door."""
 
@@ -93,10 +88,7 @@
         self.fresh: dict[int, Submission] = {}  # taken in this round
         self.queue: gevent.queue.Queue = gevent.queue.Queue()
         self.asked: list[tuple[Call, gevent.event.AsyncResult]] = []  # shots that want to go in this round
-        self.after_flush: list[Waiting] = []
-        self.rounds: deque[tuple[Callable[[], bool], list[Waiting]]] = deque()  # that wait for copies, in their order
-        self.uncopied: set[int] = set()  # envelopes of these whose client waits for its answer
-        store.woken = self._wake
+        self.after_flush: list[tuple[Callable[[], None], Callable[[], None]]] = []  # once on the disk; if it fails
         self.wake_at: int | None = None
         self.holding_fire = False
         self.keeping = False  # while holding fire: envelopes that come are still kept, for the next process
@@ -138,14 +130,14 @@
     def hold_fire(self, keeping: bool = False) -> None:
         """The end of the process is near: no shot begins any more, what is out goes on; envelopes that come
         are kept where `keeping` says so, else turned away."""
-        self.queue.put((self._alone, (self._hold_fire, keeping)))
+        self.queue.put((self._hold_fire, (keeping,)))
 
     def adopt(self, numbers: list[int], quietly: bool = False) -> None:
         """Go on with envelopes that are kept in the folder, as after a restart: this sender has the right to.
 
         `quietly`: no shot of their keys is out or in doubt but what they tell themselves, so other keys need not rest.
         """
-        self.queue.put((self._alone, (self._adopt, numbers, quietly)))
+        self.queue.put((self._adopt, (numbers, quietly)))
 
     def rest_of(self, key: int) -> int:
         """For how many microseconds a key is to rest here: a shot of it, or of one before this process, may run."""
@@ -154,35 +146,35 @@
 
     def park(self, numbers: list[int]) -> None:
         """Leave envelopes alone from now on, without an answer: this sender has no right to fire for them."""
-        self.queue.put((self._alone, (self._park, numbers)))
+        self.queue.put((self._park, (numbers,)))
 
     def freeze(self, key: int) -> gevent.event.AsyncResult:
         """From now on no shot of a session begins, and nothing of it is taken; set once none is out any more."""
         frozen = Frozen()
-        self.queue.put((self._alone, (self._freeze, key, frozen)))
+        self.queue.put((self._freeze, (key, frozen)))
         return frozen.still
 
     def cut(self, key: int) -> None:
         """The shots of a frozen session that are still out are given up, their links closed: they may have run."""
-        self.queue.put((self._alone, (self._cut, key)))
+        self.queue.put((self._cut, (key,)))
 
     def thaw(self, key: int) -> None:
         """A session is taken again; its envelopes are gone on with once they are adopted."""
-        self.queue.put((self._alone, (self._thaw, key)))
+        self.queue.put((self._thaw, (key,)))
 
     def between(self, call: Callable[[], bool]) -> gevent.event.AsyncResult:
         """What a call returns that is made between two rounds, as nothing waits for the folder; False if it fails."""
         answer: gevent.event.AsyncResult = gevent.event.AsyncResult()
-        self.queue.put((self._alone, (self._between, call, answer)))
+        self.queue.put((self._between, (call, answer)))
         return answer
 
     def answer_late(self, numbers: list[int]) -> None:
         """Write parked envelopes off: their outer limit is near, and nobody is known to have the right."""
-        self.queue.put((self._alone, (self._answer_late, numbers)))
+        self.queue.put((self._answer_late, (numbers,)))
 
     def idle(self) -> bool:
-        """Whether nothing is under way: no shot is out, no call is queued, no answer waits for a copy."""
-        return not self.shots.out and self.queue.empty() and not self.rounds
+        """Whether nothing is under way: no shot is out, no call is queued."""
+        return not self.shots.out and self.queue.empty()
 
     # ---- the one greenlet ----
 
@@ -193,8 +185,6 @@
             while not self.queue.empty():
                 call, told = self.queue.get()
                 self._guarded(call, *told)
-            if self.rounds:
-                self._guarded(self._release)
             if self.asked:
                 # Danger: a refusal that was read in the same round may stand behind the question in the queue.
                 asked, self.asked = self.asked, []
@@ -209,8 +199,6 @@
 
     def _wait(self) -> None:
         wait = None if self.wake_at is None else max(0, self.wake_at - self.clock.now()) / 1_000_000
-        if self.rounds:
-            wait = min(NO_RIGHT / 1_000_000, FAR if wait is None else wait)
         try:
             self.queue.peek(timeout=wait)
         except gevent.queue.Empty:
@@ -229,24 +217,6 @@
                 if isinstance(thing, Submission) and not thing.answer.ready():
                     thing.answered(Answered.BUSY)
 
-    def _alone(self, call: Callable[..., None], *told: Any) -> None:
-        """Make a call as nothing waits for copies."""
-        # Danger: an envelope that is frozen, marked or parked before its `+OK` is released could be turned away after
-        # another sender has it.
-        while self.rounds:
-            self._release()
-            if self.rounds:
-                gevent.sleep(LOOK)
-        self._guarded(call, *told)
-
-    def _wake(self) -> None:
-        """A copy has told where it is."""
-        if self.rounds and self.queue.empty():
-            self.queue.put((self._woken, ()))
-
-    def _woken(self) -> None:
-        pass  # the round looks at the copies by itself
-
     # ---- what may happen ----
 
     def resume(self) -> None:
@@ -361,10 +331,6 @@
         if known is not None or kept.id in self.numbers:
             same = known is not None and known[1] == copied and kept.id in self.numbers
             same = same and self.numbers[kept.id] not in self.fresh
-            if same and self.numbers[kept.id] in self.uncopied:
-                # Danger: it may yet be turned away. This is asked again behind it.
-                self.after_flush.append((lambda: self.submit(submission), lambda: self.submit(submission)))
-                return
             submission.answered(Answered.KEPT if same else Answered.REPEATED)
             return
         while self.recent and next(iter(self.recent.values()))[0] < now - REMEMBERED:
@@ -400,7 +366,9 @@
     def _clear(self, call: Call, answer: gevent.event.AsyncResult) -> None:
         call.looked_at = self.polled.at
         now, number = self.clock.now(), call.kept.number
-        may = self._may_start(call, now)
+        handle = self.handles.get(number)
+        may = handle is not None and handle.may_start(now, call.receiver) and not self.holding_fire
+        may = may and self.store.may_fire(number)
         if may and number in self.store.kept and not call.recorded:
             zone = self.sender.receivers[call.receiver].zone
             may = self._with_body(call)
@@ -410,25 +378,10 @@
             self._shot_ended(call, Ending(Outcome.MOOT))
         elif self.store.awaited and not call.flushed:
             call.flushed = True
-            self.after_flush.append((lambda: self._let_go(call, answer), lambda: self._held_back(call, answer)))
+            self.after_flush.append((lambda: answer.set(True), lambda: self._held_back(call, answer)))
         else:
             answer.set(True)
 
-    def _may_start(self, call: Call, now: int) -> bool:
-        handle = self.handles.get(call.kept.number)
-        return (handle is not None and handle.may_start(now, call.receiver) and not self.holding_fire
-                and self.store.may_fire(call.kept.number))
-
-    def _let_go(self, call: Call, answer: gevent.event.AsyncResult) -> None:
-        """Its record lasts. Danger: other rounds have passed where copies were waited for, and it may have ended.
-
-        The look at the sockets stays that of before: an older one has the shot ask again.
-        """
-        if not self.store.by_copy or self._may_start(call, self.clock.now()) and not call.told:
-            answer.set(True)
-        else:
-            self._held_back(call, answer)
-
     def _with_body(self, call: Call) -> bool:
         """Whether the body could be read back; it may lie in the folder only."""
         try:
@@ -440,8 +393,7 @@
 
     def _held_back(self, call: Call, answer: gevent.event.AsyncResult) -> None:
         answer.set(False)
-        if not call.told:
-            self._shot_ended(call, Ending(Outcome.MOOT))
+        self._shot_ended(call, Ending(Outcome.MOOT))
 
     def _shot_ended(self, call: Call, ending: Ending) -> None:
         number = call.kept.number
@@ -582,8 +534,6 @@
             submission.answered(Answered.BUSY)
             return
         if self.store.awaited:
-            if self.store.by_copy:
-                self.uncopied.add(kept.number)
             self.after_flush.append((lambda: self._taken(submission), lambda: self._not_taken(submission)))
         else:
             self._taken(submission)
@@ -593,12 +543,10 @@
             # Danger: the right was lost in this round; then no copy was waited for.
             self._not_taken(submission)
             return
-        self.uncopied.discard(submission.kept.number)
         self.counters.add("taken")
         submission.answered(Answered.KEPT)
 
     def _not_taken(self, submission: Submission) -> None:
-        self.uncopied.discard(submission.kept.number)
         self._withdraw(submission.kept)
         submission.answered(Answered.BUSY)
 
@@ -608,37 +556,14 @@
         try:
             self.store.flush(in_thread)
         except OSError as error:
-            self._lasts_not(waiting, error)
-            return
-        if self.store.by_copy:
-            # Further rounds go on meanwhile: many of them share one way to the copies and back.
-            self.rounds.append((self.store.copying(), waiting))
-            self._release()
+            self.counters.trouble("what was written does not last yet",
+                                  error if isinstance(error, Trouble) else DiskFault(str(error)))
+            for _, otherwise in waiting:
+                otherwise()
             return
         for then, _ in waiting:
             then()
 
-    def _lasts_not(self, waiting: list[Waiting], error: OSError) -> None:
-        self.counters.trouble("what was written does not last yet",
-                              error if isinstance(error, Trouble) else DiskFault(str(error)))
-        for _, otherwise in waiting:
-            self._guarded(otherwise)
-
-    def _release(self) -> None:
-        """What waits for copies that follow by now, or will not in time, in the order in which it came."""
-        while self.rounds:
-            copied, waiting = self.rounds[0]
-            try:
-                if not copied():
-                    return
-            except OSError as error:
-                self.rounds.popleft()
-                self._lasts_not(waiting, error)
-                continue
-            self.rounds.popleft()
-            for then, _ in waiting:
-                self._guarded(then)
-
     def _final(self, number: int, nacked: bool, wait_ms: int, alone: bool = False) -> None:
         """The final answer of a kept envelope: recorded, then told until it is acknowledged.
 
--- a/cedarwick/store/journal.py
+++ b/cedarwick/store/journal.py
@@ -72,7 +72,6 @@
         self.durable = durable
         self.by_copy = False  # ends are told only once other senders know of them
         self.awaited = durable  # whether what is answered waits for `flush`
-        self.woken: Callable[[], None] = lambda: None  # to be called as other senders have taken something
         self.bodies = bodies
         self.wanted_segment = segment
         self.most_step = step
@@ -288,10 +287,6 @@
         if self.durable:
             self._delete_condemned()
 
-    def copying(self) -> Callable[[], bool]:
-        """A look whether other senders have all that is told by now: at once, where no other sender has a say."""
-        return lambda: True
-
     def close(self) -> None:
         """Let the folder go."""
         for segment in self.book.segments.values():
