A call for the list that waited and was then refused has its wait before the next one

To blame: Directory.watch. `doubted` was still set then, so the loop skipped its wait and called again at once: 40 senders kept discovery busy with just what the doubling windows are there to prevent. Now only a watch that stood, or a move, opens anew at once; what was doubted waits for the decisions, which were told already. The test has a second call within 0.3 s without the mend.

--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -141,9 +141,13 @@
             self.following = gevent.spawn(self._follow_to_its_end)
             self.following.join()
             self.first_news.set()
-            if not (self.moved or self.stood or self.doubted):
+            if self.moved or self.stood:
+                continue
+            if not self.doubted:
                 self._call_failed()
-                self.asked.wait()
+            # Danger: a call that waited and was then refused would be made anew at once by all that discovery is too
+            # busy for; what it was told as has its wait already.
+            self.asked.wait()
 
     def _call_failed(self) -> None:
         self.asked.clear()  # Danger: what was asked before it failed would open the next one at once
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -162,6 +162,16 @@
         with self.assertRaises(gevent.Timeout):
             self.opened(within=0.2)
 
+    def test_a_call_that_waited_and_was_then_refused_has_its_wait_before_the_next_one(self) -> None:
+        sock, _ = self.opened()
+        self.happens(lambda: self.failed)
+        sock.sendall(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+        with self.assertRaises(gevent.Timeout):
+            self.opened(within=0.3)
+        self.assertEqual(len(self.failed), 1)
+        self.made.ask()
+        self.opened(within=0.3)
+
     def test_an_object_that_was_torn_does_not_swallow_what_follows(self) -> None:
         sock, _ = self.opened()
         sock.sendall(HEAD + chunk(b'{"rev":9,"all":true,"targets":[{"uid":7,\n'))
