--- a/cedarwick/lab/audit.py
+++ b/cedarwick/lab/audit.py
@@ -421,6 +421,16 @@
 # ---- rule 5: order ----
 
 
+def in_doubtless_order(line: list[Case]) -> Iterator[tuple[Case, list[Case]]]:
+    """Of one key's envelopes each that was called, with those called ones of the eight before it that were answered
+    before it was sent: between these the order in which they were taken is beyond doubt."""
+    line.sort(key=lambda case: case.handed.sent if case.handed else 0)
+    for place, later in enumerate(line):
+        if later.handed is not None and later.calls:
+            yield later, [earlier for earlier in line[max(0, place - 8) : place]
+                          if earlier.calls and earlier.handed and earlier.handed.answered <= later.handed.sent]
+
+
 def order(scenario: Scenario, cases: dict[str, Case], lives: Lives) -> Iterator[Finding]:
     """Envelopes of one order key go one after another, in the order in which one sender took them.
 
@@ -435,12 +445,9 @@
             life = lives.life_of(handed.sender, handed.sent)
             lines[handed.sender, life, handed.turn].append(case)
     for line in lines.values():
-        line.sort(key=lambda case: case.handed.sent if case.handed else 0)
-        for place, later in enumerate(line):
-            for earlier in line[max(0, place - 8) : place]:
+        for later, before in in_doubtless_order(line):
+            for earlier in before:
                 assert earlier.handed is not None and later.handed is not None
-                if earlier.handed.answered > later.handed.sent or not earlier.calls or not later.calls:
-                    continue
                 begun = later.calls[0].first
                 ends = [call.ended if call.ended != NEVER else 1 << 62 for call in earlier.calls]
                 deaths = [at for at in lives.ends[earlier.handed.sender] if at >= earlier.calls[0].first]
--- a/cedarwick/lab/claims.py
+++ b/cedarwick/lab/claims.py
@@ -348,12 +348,9 @@
         if handed is not None and handed.answer == "ok" and bands[handed.band].in_turn and handed.turn.strip("0"):
             lines[handed.turn, -1 if terms.across else handed.sender].append(case)
     for line in lines.values():
-        line.sort(key=lambda case: case.handed.sent if case.handed else 0)
-        for place, later in enumerate(line):
-            for earlier in line[max(0, place - 8) : place]:
+        for later, before in audit.in_doubtless_order(line):
+            for earlier in before:
                 assert earlier.handed is not None and later.handed is not None
-                if earlier.handed.answered > later.handed.sent or not earlier.calls or not later.calls:
-                    continue
                 begun = later.calls[0].first
                 if max(out_until(call, lives) for call in earlier.calls) <= begun + AT_ONCE:
                     continue
