Classes and tenants are known by name at the door, whatever letters the name has

Seen: with settings whose classes are 'door open' and 'überweisung', every SUBMIT of them was answered '-ERR c is missing' (3 of 4 in a probe on loopback sockets; the fourth named 'door_open'), and a tenant 'møbel, hus' with it. The settings write blanks and commas as '_' (assignment.word), the list of receivers is looked up in the same way (assignment.place), the door was not.

At fault: intake.read_submission, whose WORD takes printable ASCII without blanks, and the desk's lookup by the name as it came. Ruled out: the settings (plain keeps every letter), the folder (texts are UTF-8).

Now a class or tenant is any text without control characters, up to 200, put in the form of the settings. A comma in a name cannot come over the clients' protocol as it is.

--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -8,6 +8,7 @@
 import gevent.socket
 
 from cedarwick.errors import Trouble
+from cedarwick.net.assignment import word
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -41,6 +42,7 @@
 LEFT_FREE = 8  # this part of the descriptors is left to links where clients hold more than half
 BACKLOG = 1024
 WORD = re.compile(rb"[!-~]{1,200}")
+NAME = re.compile(r"[^\x00-\x1f\x7f]{1,200}")  # of a class or tenant, as its operator writes it
 NUMBER = re.compile(rb"[0-9]{1,9}")
 TURN = re.compile(rb"[0-9a-fA-F]{1,16}")
 
@@ -342,7 +344,7 @@
         for pair in pairs.split(b","):
             name, _, value = pair.partition(b"=")
             if name == b"c":
-                band = value.decode("ascii", "replace")
+                band = word(value.decode("utf-8", "replace"))
                 if band in self.counters.figures.bands:
                     self.counters.figures.dropped[band] += 1
                 return
@@ -429,6 +431,17 @@
     return int(digits), end + 2
 
 
+def name_in(told: dict[bytes, bytes], which: bytes) -> str:
+    """The name of a class or tenant, written as the settings hold it; nothing where none is told."""
+    try:
+        name = told.get(which, b"").decode("utf-8")
+    except UnicodeDecodeError:
+        name = "\0"
+    if name and not NAME.fullmatch(name):
+        raise BadSubmit(f"{which.decode()} cannot be read")
+    return word(name)
+
+
 def read_submission(parts: list[bytes], now: int) -> tuple[Kept, bool]:
     """The envelope of a SUBMIT, and whether a sender had it before; `BadSubmit` says what is wrong."""
     if len(parts) != 5:
@@ -444,13 +457,9 @@
         raise BadSubmit("the key cannot be read")
     if not NUMBER.fullmatch(told.get(b"d", b"")) or not NUMBER.fullmatch(told.get(b"dest", b"")):
         raise BadSubmit("d and dest must be whole numbers")
-    band = told.get(b"c", b"")
-    if not WORD.fullmatch(band):
+    band, tenant = name_in(told, b"c"), name_in(told, b"t")
+    if not band:
         raise BadSubmit("c is missing")
-    tenant = told.get(b"t", b"")
-    if tenant and not WORD.fullmatch(tenant):
-        raise BadSubmit("t cannot be read")
     limit = now + int(told[b"d"]) * 1000 - READ_LATE
-    kept = Kept(0, envelope.decode(), key.decode(), int(turn, 16), band.decode(), tenant.decode(),
-                int(told[b"dest"]), limit, body)
+    kept = Kept(0, envelope.decode(), key.decode(), int(turn, 16), band, tenant, int(told[b"dest"]), limit, body)
     return kept, told.get(b"again") == b"1"
