A drawn wait is clamped to the last useful start, as the design says, not to the window alone

Cause: Handle.shot_ended drew the wait in a window of up to 60 s and clamped it to the window of repeats only; advance then ended the envelope at once, since its next start lay beyond its last one. The design page clamps the wait to the time left, and docs/design.md said that it was. Ruled out: told waits (they bind through the destination, and still end it at once). The last tenths belong to a usual call there, half a second where none was seen.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -95,7 +95,9 @@
         # Danger: a receiver closes an idle link and the next call breaks: no evidence, so no backing off.
         wait = told_wait if told_wait and not sender.many else told_wait + sender.chance.below(window)
         self.due = now + (1 if outcome is Outcome.MOOT or stale else wait)
-        self.due = max(now, min(self.due, self.repeat_until() - sender.tick * 4))  # the window must not close
+        # Danger: past its last useful start it is given up at once, with tries and most of its time left.
+        useful = self.outer_limit - round(sender.destinations[self.destination].quickest or SECOND / 2)
+        self.due = max(now, min(self.due, min(self.repeat_until(), useful) - sender.tick * 4))
         sender.hold(now, self)
 
     def withdrawn(self, now: int) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -513,6 +513,22 @@
         self.assertLess(max(dues), WINDOW_BASE * 2)
         self.assertGreater(len(set(dues)), 20)
 
+    def test_a_drawn_wait_ends_while_a_try_can_still_be_finished(self) -> None:
+        for seed, quickest in [(seed, quickest) for seed in range(40) for quickest in (0.0, 1.0 * MS, 900.0 * MS)]:
+            made = sender(policy_limits__most_tries="12")
+            made.chance.state, made.receivers[1].mean = seed, quickest
+            handle = out(made, 1)
+            handle.shots = 8
+            end(handle, Outcome.CONNECT_FAILED, NOW + 4_000 * MS)
+            verdicts = made.decide(NOW + 4_000 * MS)
+            self.assertEqual((verdicts.nacks, verdicts.write_offs), ([], []), (seed, quickest))
+            self.assertLess(handle.due, NOW + 16_000 * MS - quickest)
+
+    def test_a_told_wait_beyond_its_time_ends_it_at_once(self) -> None:
+        made = sender()
+        end(out(made, 1), Outcome.FULL, NOW + 100 * MS, told=17_000 * MS)
+        self.assertEqual(made.decide(NOW + 100 * MS).nacks, [(1, 0)])
+
     def test_shots_of_a_round_share_a_call_and_a_slot(self) -> None:
         made = sender(kind=1)
         made.receivers[1].pace.rate = 0.5
