Requests that may be right are answered in time after any number of -BUSY

Seen: a client whose destination is not in the list yet got its -BUSY ever later (0, 0.02, 0.04, 0.08, 0.16, 0.32, 0.5 s between its requests; a client waits 0.4 s), and with the eighth `-ERR too many requests that cannot be used` and the end. The same for a client that sends 20 commands at once to a sender that is ending: 8 answers in 1.6 s, then the error; 12 requests were read and thrown away.

To blame: `Intake._answer` counted every SUBMIT as unusable until the desk said KEPT or BUSY. Now those of unknown class, repeated ids and unreadable ones count to the end, as before; a destination that the list does not know, a frozen session and a sender that is not ready count up to three (a pause of 0.08 s at most, so a flood is still slowed down and its answers come in time); a sender that ends counts none.

--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -32,6 +32,7 @@
 CROSSED = 0.3  # seconds in which one whose request crossed that reads the end, before the close is a reset
 WASTED = 1 << 18  # bytes that are read after a refusal, so that the client can read its error
 UNUSABLE = 8  # so many requests in a row that cannot be used end the connection
+DOUBTED = 3  # so many count of those that may be right, as where the list is old: they are answered within their time
 PAUSE = 0.02  # seconds after the first of them, doubling up to LONGEST_PAUSE
 LONGEST_PAUSE = 0.5
 MOST_BUFFERED = 1 << 23  # bytes in the buffers of all clients together; what needs more is turned away
@@ -351,22 +352,26 @@
         name = parts[0].upper() if parts else b""
         if name == b"PING":
             return PAUSED if self.paused else PONG if self.ready() else LOADING
-        client.unusable += 1
         if name != b"SUBMIT":
+            client.unusable += 1
             self.counters.add("unknown commands")
             return b"-ERR unknown command\r\n"
         try:
             kept, again = read_submission(parts, self.clock.now())
         except BadSubmit as error:
+            client.unusable += 1
             self.counters.trouble("a request that cannot be taken", error)
             return f"-ERR {error}\r\n".encode()
         self.counters.add("handed in again" if again else "handed in")
         if self.closing and not self.still_taking or not self.ready():
             self.counters.add("turned away at a start or an end")
+            client.unusable += not self.closing and client.unusable < DOUBTED
             return BUSY
         answered, wait_ms, withdraw = self.hand_in(kept)
         if answered in (Answered.KEPT, Answered.BUSY):
             client.served, client.unusable = True, 0
+        elif answered in (Answered.UNKNOWN_BAND, Answered.REPEATED) or client.unusable < DOUBTED:
+            client.unusable += 1
         if withdraw is not None and lies_there(client.sock) == b"":
             # Danger: who has gone before the answer hands it in elsewhere; nothing has gone out yet.
             self.counters.add("clients gone before their answer")
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -3,9 +3,89 @@
 import os
 import signal
 import tempfile
+import time
 import unittest
+from collections.abc import Callable
+from unittest import mock
 
-from tests.build import Program, Receiver, reply, until
+import gevent
+import gevent.socket
+
+from cedarwick.net.clock import Clock
+from cedarwick.net.counters import Counters
+from cedarwick.net.desk import Answered
+from cedarwick.net.intake import Handed, Intake
+from cedarwick.net.links import Descriptors
+from cedarwick.store.records import Kept
+from tests.build import Program, Receiver, reply, submit, until
+
+OK, BUSY, NO = b"+OK\r\n", b"-BUSY\r\n", b"-ERR unknown command\r\n"
+HALF, REST = submit("a")[:30], submit("a")[30:]
+
+
+class Door(unittest.TestCase):
+    """The intake on a real listener, in one thread with its clients: nothing runs but where a test lets it."""
+
+    def setUp(self) -> None:
+        self.taken: list[str] = []
+        self.answer: Callable[[Kept], Handed] = lambda kept: (Answered.KEPT, 0, None)
+        self.open()
+
+    def open(self, sockets: int = 256) -> None:
+        self.door = Intake(("127.0.0.1", 0), Clock(), Counters(), Descriptors(sockets), None,  # type: ignore[arg-type]
+                           lambda: True)
+        self.address = self.door.listener.getsockname()
+        self.door.hand_in = self.hand_in
+        self.accepting = gevent.spawn(self.door.accept)
+        self.addCleanup(self.accepting.kill)
+        self.addCleanup(self.door.listener.close)
+
+    def hand_in(self, kept: Kept) -> Handed:
+        self.taken.append(kept.id)
+        return self.answer(kept)
+
+    def connect(self, *sent: bytes, accepted: bool = True) -> gevent.socket.socket:
+        """A client; each piece that it sends has been read, and what it asks been answered, on the return."""
+        sock = gevent.socket.create_connection(self.address)
+        self.addCleanup(sock.close)
+        before = len(self.door.clients)
+        while accepted and len(self.door.clients) == before:
+            gevent.sleep(0.001)
+        for piece in sent:
+            sock.sendall(piece)
+            gevent.sleep(0.01)
+        return sock
+
+    def heard(self, sock: gevent.socket.socket, seconds: float = 1.0) -> tuple[bytes, str]:
+        """All that a client reads, and what came then."""
+        sock.settimeout(seconds)
+        got = b""
+        try:
+            while more := sock.recv(1 << 16):
+                got += more
+        except OSError as error:
+            return got, type(error).__name__
+        return got, "end"
+
+    def end(self) -> None:
+        self.accepting.kill()
+        self.door.end(0.15)
+
+
+class InService(Door):
+    def test_who_may_be_right_is_answered_in_time_and_never_ended(self) -> None:
+        for answered, closing in ((Answered.UNKNOWN_DESTINATION, False), (Answered.FROZEN, False),
+                                  (Answered.KEPT, True)):
+            with self.subTest(answered=answered, closing=closing):
+                self.answer = mock.Mock(return_value=(answered, 0, None))
+                sock = self.connect()
+                self.door.closing = closing
+                sock.sendall(submit("a") * 12)
+                begun = time.monotonic()
+                got, how = self.heard(sock, 0.3)
+                self.assertEqual((got, how), (BUSY * 12, "end" if closing else "TimeoutError"))
+                self.assertLess(time.monotonic() - begun, 12 * 0.1)
+                self.door.closing = False
 
 
 class Starting(unittest.TestCase):
