At the end all that was sent is answered: behind the listener, unread, and between two commands

Measured on loopback with the order forced (`tests/test_crossings_clients.py`, AtTheEnd), before and after: - a connection that waits to be accepted as the listener closes: reset, its request unanswered; now -BUSY, or the end. - half a request that lies unread: nothing until the process exits; now -BUSY. - 30 commands of which 5 are answered when the end comes: 2045 bytes left in the buffer, since between two commands neither `answering` nor `begun_at` was set; now 25 times -BUSY. - a request behind others that are slowed down: lost with the buffer; now -BUSY for each.

To blame: `Intake.end` closed the listener first, and `mid_request` looked at what was under way in that moment only. A client now says itself whether its answer is under way (`answering`), and nothing is written before such an answer. The end takes 0.15 s at most, as before; it now waits for clients that were told the end to close, too.

Ruled out: requests that wait at the desk at the end. None is handed in after SIGTERM, so each of them is over 3 s old and its client has gone after 0.4 s. What crosses the look before the last answer stays unread, and the answer and the end are read before the reset (bytes, a request, 200 KB).

--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -77,13 +77,14 @@
 class Client:
     """One connection from a client."""
 
-    __slots__ = ("sock", "buffer", "waiting", "cut", "let_go", "idle_since", "begun_at", "asked", "served",
-                 "unusable")
+    __slots__ = ("sock", "buffer", "waiting", "answering", "cut", "let_go", "idle_since", "begun_at", "asked",
+                 "served", "unusable")
 
     def __init__(self, sock: gevent.socket.socket, now: int) -> None:
         self.sock = sock
         self.buffer = Buffer()
         self.waiting = True  # between requests: nothing of a next one has been read
+        self.answering = False  # a request was read, and its answer is not written
         self.cut = False
         self.let_go = False  # it is told the end; nothing more is read from it
         self.idle_since = now  # the last byte read, or the last answer
@@ -109,7 +110,6 @@
         self.clients: set[Client] = set()
         self.ready = ready  # whether the folder is read and the list known
         self.closing = False
-        self.answering = 0  # requests read and not answered
         self.paused = False  # drained by the operators: PING says no, clients are let go between requests
         self.still_taking = False  # while closing: requests that were read are still kept, for a hand-over
         self.waste = bytearray(1 << 16)
@@ -141,14 +141,17 @@
                 self.counters.trouble("accepting failed", error)
                 gevent.sleep(0.02)
                 continue
-            self.counters.add("clients accepted")
-            client = Client(sock, self.clock.now())
-            self.clients.add(client)
-            gevent.spawn(self._serve, client)
+            self._take_in(sock)
+
+    def _take_in(self, sock: gevent.socket.socket) -> None:
+        self.counters.add("clients accepted")
+        client = Client(sock, self.clock.now())
+        self.clients.add(client)
+        gevent.spawn(self._serve, client)
 
     def mid_request(self) -> bool:
-        """Whether a client has begun a request that is not answered yet."""
-        return self.answering > 0 or any(client.begun_at for client in self.clients)
+        """Whether of a client a request, or the first bytes of one, were read and are not answered yet."""
+        return any(client.answering or len(client.buffer) for client in self.clients)
 
     def pause(self) -> None:
         """The front is to send clients elsewhere: what is read is served, every connection goes when idle."""
@@ -164,19 +167,46 @@
         self._let_go_idle()
 
     def end(self, seconds: float) -> None:
-        """At the very end: returns once every request that was read has its answer, or after so long; what has not
-        come whole by then is turned away as it is."""
-        self.listener.close()
+        """At the very end: returns once all that was asked has its answer and every client is gone, or after so
+        long; what has not come whole by then is turned away as it is."""
         self._let_go_idle(fresh=True)
+        self._take_in_waiting()
+        self.listener.close()
         with gevent.Timeout(seconds, False):
-            while self.mid_request():
+            while self.clients:
                 gevent.sleep(LOOK)
+                self._let_go_idle()
+        self._let_go_idle(fresh=True)
         for client in self.clients:
-            if client.begun_at:
-                client.sock.settimeout(0.0)
-                with contextlib.suppress(OSError):
-                    client.sock.send(BUSY)
-                    client.sock.shutdown(gevent.socket.SHUT_WR)
+            # Danger: of one whose answer is under way, this would be read as that answer.
+            if len(client.buffer) and not client.answering:
+                self._turn_away(client)
+
+    def _take_in_waiting(self) -> None:
+        """Danger: a connection that waits to be accepted is reset with the listener, its request unanswered."""
+        self.listener.settimeout(0.0)
+        with contextlib.suppress(NoDescriptor):
+            while True:
+                self.descriptors.claim()
+                try:
+                    sock, _ = self.listener.accept()
+                except OSError:  # there is none, or the listener is another process's already
+                    self.descriptors.give_back()
+                    return
+                self._take_in(sock)
+
+    def _turn_away(self, client: Client) -> None:
+        """All that was read of a client is refused, what is not whole yet too, and it is told the end."""
+        owed = 0
+        with contextlib.suppress(Malformed):
+            while command(client.buffer) is not None:
+                owed += 1
+        owed += len(client.buffer) > 0
+        client.buffer.skip(len(client.buffer))
+        client.sock.settimeout(0.0)
+        with contextlib.suppress(OSError):
+            client.sock.send(BUSY * owed)
+            client.sock.shutdown(gevent.socket.SHUT_WR)
 
     def _let_go_idle(self, fresh: bool = False) -> None:
         """Every client between requests is let go; the others go after their answer, fresh ones after their first."""
@@ -236,20 +266,19 @@
         try:
             client.sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
             while (parts := self._next(client)) is not None:
-                self.answering += 1
-                try:
-                    reply = self._answer(client, parts)
-                finally:
-                    self.answering -= 1
+                client.answering = True
+                reply = self._answer(client, parts)
                 if not reply:
                     # Danger: any answer might be wrong, and an end at once would be taken for one.
                     self._outlast(client)
+                    client.answering = False
                     break
                 if reply.startswith(BUSY[:5]) and len(parts) == 5:
                     self._dropped(parts[3])
                 last = (self.closing or self.paused) and not len(client.buffer) and self._silent(client)
                 client.sock.settimeout(STALLED)
                 client.sock.sendall(reply)
+                client.answering = False
                 if last:
                     break
                 if client.unusable >= UNUSABLE:
@@ -323,6 +352,8 @@
 
     def _refuse(self, client: Client, reply: bytes) -> None:
         """Answer, then read on to the end for a moment: unread input would turn the close into a reset."""
+        client.waiting, client.begun_at = False, 0
+        client.buffer.skip(len(client.buffer))
         try:
             with gevent.Timeout(LINGER, False):
                 client.sock.sendall(reply)
@@ -333,7 +364,6 @@
 
     def _read_out(self, client: Client) -> None:
         """Danger: 60 MB at full speed would take the core from everyone; then a reset is good enough."""
-        client.buffer.skip(len(client.buffer))
         wasted = 0
         while wasted < WASTED and (got := client.sock.recv_into(self.waste)):
             wasted += got
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -14,10 +14,10 @@
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.desk import Answered
-from cedarwick.net.intake import Handed, Intake
+from cedarwick.net.intake import Client, Handed, Intake
 from cedarwick.net.links import Descriptors
 from cedarwick.store.records import Kept
-from tests.build import Program, Receiver, reply, submit, until
+from tests.build import Program, Receiver, reply, submit, until, words
 
 OK, BUSY, NO = b"+OK\r\n", b"-BUSY\r\n", b"-ERR unknown command\r\n"
 HALF, REST = submit("a")[:30], submit("a")[30:]
@@ -72,6 +72,69 @@
         self.door.end(0.15)
 
 
+class AtTheEnd(Door):
+    def test_what_was_sent_before_the_listener_closes_is_answered_and_never_reset(self) -> None:
+        for name, read, unread, expected in (
+                ("nothing", (), b"", b""),
+                ("a whole request that nobody has read", (), submit("a"), BUSY),
+                ("half of one, read", (HALF,), b"", BUSY),
+                ("half of one, read, and the rest", (HALF,), REST, BUSY),
+                ("half of one that nobody has read", (), HALF, BUSY),
+                ("several that nobody has read", (), submit("a") * 20, BUSY * 20),
+                ("one behind others that are slowed down", (words(b"NO") * 6 + submit("a"),), b"", NO * 4 + BUSY * 3)):
+            for accepted in (True, False) if not read else (True,):
+                with self.subTest(name=name, accepted=accepted):
+                    self.open()
+                    gevent.sleep(0)
+                    self.door.stop()
+                    if not accepted:
+                        self.accepting.kill()
+                    sock = self.connect(*read, accepted=accepted)
+                    if unread:
+                        sock.sendall(unread)
+                    self.end()
+                    self.assertEqual(self.heard(sock), (expected, "end"))
+        self.assertEqual(self.taken, [])
+
+    def test_commands_read_and_not_answered_when_the_end_comes_between_two_are_turned_away(self) -> None:
+        sock = self.connect()
+        sock.sendall(submit("a") * 30)
+        while len(self.taken) < 5:
+            gevent.sleep(0)
+        self.door.stop()
+        self.end()
+        self.assertEqual((len(self.taken), self.heard(sock)), (5, (OK * 5 + BUSY * 25, "end")))
+
+    def test_nothing_is_written_before_an_answer_that_is_under_way(self) -> None:
+        gate = gevent.event.Event()
+        self.answer = lambda kept: (Answered.KEPT, 0, None) if gate.wait() else (Answered.BUSY, 0, None)
+        sock = self.connect(submit("a") + submit("b"))
+        self.door.stop()
+        self.end()
+        gate.set()
+        self.assertEqual((self.taken, self.heard(sock)), (["a"], (OK + BUSY, "end")))
+
+    def test_what_crosses_the_end_is_not_read_and_does_not_reset_the_answer_before_it(self) -> None:
+        for crossing in (b"*", submit("b"), submit("b") * 2000):
+            with self.subTest(size=len(crossing)):
+                sock = self.connect(submit("a"))
+                silent = self.door._silent
+
+                def cross(client: Client, crossing: bytes = crossing, sock: gevent.socket.socket = sock) -> bool:
+                    was = silent(client)  # noqa: B023
+                    sock.setblocking(False)
+                    sock.send(crossing)  # between the look and the answer
+                    return was
+
+                with mock.patch.object(self.door, "_silent", cross):
+                    self.door.closing = True
+                    sock.sendall(submit("c"))
+                    gevent.sleep(0.1)
+                self.assertEqual(self.heard(sock, 0.1), (OK + BUSY, "end"))
+                self.door.closing = False
+        self.assertEqual(self.taken, ["a"] * 3)
+
+
 class InService(Door):
     def test_who_may_be_right_is_answered_in_time_and_never_ended(self) -> None:
         for answered, closing in ((Answered.UNKNOWN_DESTINATION, False), (Answered.FROZEN, False),
