No client is cut over a request that lies there, and half of one is answered before the cut

Measured with the order forced (InService), before: for want of descriptors `Intake._make_room` cut clients whose request lay unread in the socket, those that had sent half of one (no answer), those whose rest had just come, and those with whole commands in the buffer behind ones that are slowed down: each ended without an answer. A first request that came as the 2.2 s ran out was not read, and its new connection was closed.

To blame: the choice of `idle` in `_make_room` looked at what had been read, not at what lies there; `_next` took the time-out for silence. Now who has bytes there is not cut, half of a request is refused with -BUSY before the cut, and after a time-out the socket is looked at once more. The look is taken only at those to be cut (a part in eight).

Ruled out: a cut request that is acted on all the same. gevent ends the waiting read with an error as the socket is shut.

--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -1,6 +1,7 @@
 """The listener and the clients' connections: RESP2 in, answers out."""
 
 import contextlib
+import itertools
 import re
 from collections.abc import Callable
 
@@ -238,7 +239,8 @@
             late = self.clock.now() - round(SILENT * 900_000)
             idle.sort(key=lambda client: (young := client.idle_since > late, client.served != young,
                                           client.idle_since))
-            for client in idle[:1 + len(idle) // 8]:
+            for client in itertools.islice(filter(self._silent, idle), 1 + len(idle) // 8):
+                self._turn_away(client)
                 self._cut(client)
         if self.descriptors.used >= limit or not any(each.cut for each in self.clients):
             raise NoDescriptor(f"{len(self.clients)} clients hold all that they may")
@@ -285,7 +287,7 @@
                     raise Malformed("too many requests that cannot be used")
                 if client.unusable:
                     # Danger: who sends the same again as soon as it is turned away would fill the core.
-                    client.waiting, client.idle_since = True, self.clock.now()
+                    client.waiting, client.idle_since = not len(client.buffer), self.clock.now()
                     gevent.sleep(min(LONGEST_PAUSE, PAUSE * (1 << client.unusable - 1)))
                 elif len(client.buffer):
                     gevent.sleep(0)  # hundreds of commands at once must not hold up all others
@@ -328,6 +330,8 @@
             except TimeoutError:
                 if begun:
                     raise Malformed("Protocol error: the request did not end") from None
+                if not self._silent(client):
+                    continue  # it came as the time ran out
                 self.counters.add("clients let go that asked for nothing")
                 return None
         client.waiting, client.begun_at, client.asked = False, 0, True
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -11,11 +11,12 @@
 import gevent
 import gevent.socket
 
+from cedarwick.net import intake as module
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.desk import Answered
 from cedarwick.net.intake import Client, Handed, Intake
-from cedarwick.net.links import Descriptors
+from cedarwick.net.links import Descriptors, NoDescriptor
 from cedarwick.store.records import Kept
 from tests.build import Program, Receiver, reply, submit, until, words
 
@@ -136,6 +137,43 @@
 
 
 class InService(Door):
+    def test_a_cut_for_want_of_descriptors_leaves_no_request_that_was_read_without_an_answer(self) -> None:
+        late = round(module.SLOW * 1_000_000) + 1
+        for name, read, crossing, expected in (
+                ("silent", (), b"", (b"", "end")),
+                ("one that waits to be read", (), submit("a"), (OK, "TimeoutError")),
+                ("half of one", (HALF,), b"", (BUSY, "end")),
+                ("half of one whose rest waits to be read", (HALF,), REST, (OK, "TimeoutError")),
+                ("commands behind others that are slowed down", (words(b"NO") * 6 + submit("a"),), b"",
+                 (NO * 6 + OK, "TimeoutError"))):
+            with self.subTest(name=name):
+                self.open(sockets=64 + 8)
+                sock = self.connect(*read)
+                self.door.descriptors.used = 8
+                for client in self.door.clients:
+                    client.idle_since -= late
+                if crossing:
+                    sock.sendall(crossing)
+                with mock.patch.object(module, "LEFT_FREE", 8), mock.patch.object(self.door, "clients",
+                                                                                  Crowd(self.door.clients)):
+                    self.assertRaises(NoDescriptor, self.door._make_room)
+                self.assertEqual(self.heard(sock, 1.0), expected)
+
+    def test_a_request_that_comes_as_the_time_for_it_runs_out_is_answered(self) -> None:
+        wait = gevent.socket.socket._wait
+
+        def cross(waiting: gevent.socket.socket, *told: object) -> None:
+            try:
+                wait(waiting, *told)
+            except TimeoutError:
+                sock.sendall(submit("a"))
+                raise
+
+        with mock.patch.object(module, "SILENT", 0.1), mock.patch.object(gevent.socket.socket, "_wait", cross):
+            sock = self.connect()
+            gevent.sleep(0.15)
+        self.assertEqual(self.heard(sock, 0.2), (OK, "TimeoutError"))
+
     def test_who_may_be_right_is_answered_in_time_and_never_ended(self) -> None:
         for answered, closing in ((Answered.UNKNOWN_DESTINATION, False), (Answered.FROZEN, False),
                                   (Answered.KEPT, True)):
@@ -151,6 +189,13 @@
                 self.door.closing = False
 
 
+class Crowd(set[Client]):
+    """Clients that count as most of the descriptors."""
+
+    def __len__(self) -> int:
+        return 1000
+
+
 class Starting(unittest.TestCase):
     def test_a_new_configuration_told_while_the_program_loads_does_not_end_it(self) -> None:
         program = Program([Receiver(reply(200))])
