Half a request is refused at the end of a hand-over too; a client that leaves at each step

Seen: a process that hands its folder and the platform's socket to the next one ended 1.5 s after SIGTERM with half a request read and nothing said: the client read the end where an ordinary end says -BUSY. To blame: the hand-over's branch of `serve` (`cedarwick/program.py`) never called `Intake.end`; it does now, once its clients have had their time to close.

Measured for the withdrawal, with no fault found: 60 cases (closed, reset, or only the sending ended; before the request is read, as it is taken, as it is recorded, before and after the look; over a new link and a kept one; a plain and a durable folder). In each the look at the client came before the shot's first byte, since the desk sets the answer before it starts the shot and both go through one queue of the loop; what was looked at as gone was never sent, the rest was told +OK and sent once. Who only ended its sending reads -BUSY, and nothing was sent.

--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -207,6 +207,7 @@
         with gevent.Timeout(LINGERING, False):
             while intake.clients:
                 gevent.sleep(LOOK)
+        intake.end(LAST)
         counters.print()
         return 0
     if node is not None and node.traffic is not None:
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -1,24 +1,35 @@
 """Clients' connections where two events cross: bytes and the end, a cut, a time that runs out, a client that leaves."""
 
+import contextlib
+import itertools
 import os
 import signal
+import socket
+import struct
 import tempfile
 import time
 import unittest
 from collections.abc import Callable
+from typing import Any
 from unittest import mock
 
 import gevent
 import gevent.socket
 
+from cedarwick.interface import ListChange, Listing, Phase
 from cedarwick.net import intake as module
+from cedarwick.net.assignment import Assignment, plain
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
-from cedarwick.net.desk import Answered
+from cedarwick.net.desk import Answered, Desk
 from cedarwick.net.intake import Client, Handed, Intake
-from cedarwick.net.links import Descriptors, NoDescriptor
+from cedarwick.net.links import Descriptors, Links, NoDescriptor
+from cedarwick.net.notices import Notices
+from cedarwick.net.shots import Shots
+from cedarwick.net.sockets import Polled, lies_there
+from cedarwick.store.journal import Store
 from cedarwick.store.records import Kept
-from tests.build import Program, Receiver, reply, submit, until, words
+from tests.build import NESTED, Program, Receiver, ask, line_of, reply, submit, until, words
 
 OK, BUSY, NO = b"+OK\r\n", b"-BUSY\r\n", b"-ERR unknown command\r\n"
 HALF, REST = submit("a")[:30], submit("a")[30:]
@@ -196,6 +207,126 @@
         return 1000
 
 
+class Leaving(unittest.TestCase):
+    """A client that leaves at each step: its envelope is kept, told and sent once, or never sent."""
+
+    def setUp(self) -> None:
+        self.bodies: list[bytes] = []
+        self.order: list[str] = []
+        self.receiver = gevent.socket.socket()
+        self.receiver.bind(("127.0.0.1", 0))
+        self.receiver.listen()
+        self.serving = gevent.spawn(self.receive)
+        self.addCleanup(self.receiver.close)
+        self.addCleanup(self.serving.kill)
+
+    def receive(self) -> None:
+        while True:
+            gevent.spawn(self.answer_calls, self.receiver.accept()[0])
+
+    def answer_calls(self, sock: gevent.socket.socket) -> None:
+        with sock, sock.makefile("rb") as stream, contextlib.suppress(OSError):
+            while head := stream.readline():
+                while not head.endswith(b"\r\n\r\n"):
+                    head += stream.readline()
+                self.bodies.append(stream.read(1))
+                sock.sendall(reply(200))
+
+    def begin(self, durable: bool) -> tuple[Intake, Desk]:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        clock, counters, descriptors = Clock(), Counters(), Descriptors(256)
+        polled = Polled(clock)
+        store = Store(folder.name, 1 << 20, now=clock.now, durable=durable)
+        store.load()
+        self.addCleanup(store.close)
+        made = Assignment("n", ("", 0), ("", 0), "", 1, 64, 100_000, {}, plain(NESTED))
+        desk = Desk(made, clock, counters, store, polled)
+        links = Links(clock, counters, descriptors, lambda _: self.receiver.getsockname(), 5_000_000, 500_000)
+        desk.notices, desk.free_links = Notices(("", 0), counters, lambda numbers: None), links.free
+
+        def may_fire(number: int) -> bool:
+            self.order.append("first byte" if desk.may_fire(number) else "held back")
+            return desk.may_fire(number)
+
+        desk.shots = Shots(clock, counters, links, [], polled, desk.clear, desk.shot_ended, desk.heed, may_fire)
+        desk._listed(ListChange.SAVED, [Listing(1, 0, 0, 0, Phase.READY, 0.0)])
+        door = Intake(("127.0.0.1", 0), clock, counters, descriptors, desk, lambda: True)
+        self.addCleanup(door.listener.close)
+        for part in (desk.run, door.accept):
+            self.addCleanup(gevent.spawn(part).kill)
+        return door, desk
+
+    def test_it_is_told_kept_and_sent_once_or_never_sent(self) -> None:
+        for told in itertools.product(
+                (False, True), (False, True), ("close", "reset", "end sending"),
+                ("before it is read", "as it is taken", "as it is recorded", "before the look", "after the look")):
+            with self.subTest(durable_keptlink_leave_step=told):
+                self.leave(*told)
+
+    def leave(self, durable: bool, kept_link: bool, how: str, step: str) -> None:
+        door, desk = self.begin(durable)
+        client = gevent.socket.create_connection(door.listener.getsockname())
+        self.addCleanup(client.close)
+        if kept_link:
+            client.sendall(submit("first", body=b"1"))
+            self.assertEqual(client.recv(9), OK)
+            gevent.sleep(0.03)
+        self.bodies.clear()
+        self.order.clear()
+
+        def go() -> None:
+            if how == "end sending":
+                client.shutdown(socket.SHUT_WR)
+                return
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", how == "reset", 0))
+            client.close()
+
+        def crossing(name: str, call: Callable[..., Any]) -> Callable[..., Any]:
+            def crossed(*told: Any) -> Any:
+                if name == step:
+                    go()
+                result = call(*told)
+                if name == "before the look":
+                    self.order.append("look")
+                    if step == "after the look":
+                        go()
+                return result
+
+            return crossed
+
+        with mock.patch.object(module, "lies_there", crossing("before the look", lies_there)), \
+                mock.patch.object(desk, "_take", crossing("as it is taken", desk._take)), \
+                mock.patch.object(desk, "_keep", crossing("as it is recorded", desk._keep)):
+            client.sendall(submit("left", body=b"2"))
+            if step == "before it is read":
+                go()
+            gevent.sleep(0.05)
+        stays = step == "after the look"
+        self.assertEqual(self.bodies, [b"2"] * stays)
+        self.assertEqual((desk.store.kept, desk.handles, desk.leaving), ({}, {}, set()))
+        self.assertEqual([each for each in self.order if each != "held back"], ["look"] + ["first byte"] * stays)
+        if how == "end sending":
+            client.settimeout(1.0)
+            self.assertEqual(client.recv(9), OK if stays else BUSY)
+
+
+class Replaced(unittest.TestCase):
+    def test_half_a_request_is_refused_before_the_process_that_hands_over_has_gone(self) -> None:
+        program = Program([Receiver(reply(200))])
+        self.addCleanup(program.close)
+        with socket.create_server(("127.0.0.1", program.port)) as listener:
+            program.start(fds=(listener.fileno(),), RELAY_SOCKET_FD=str(listener.fileno()))
+            with program.connect() as sock, program.connect() as fresh:
+                self.assertEqual(ask(fresh, b"PING"), b"+PONG\r\n")  # so the other, older one is accepted
+                sock.sendall(HALF)
+                self.assertEqual(ask(fresh, b"PING"), b"+PONG\r\n")  # and its bytes have been read
+                program.signal(signal.SIGTERM)
+                self.assertEqual((line_of(sock), sock.recv(1)), (BUSY, b""))
+            assert program.process is not None
+            self.assertEqual(program.process.wait(5), 0)
+
+
 class Starting(unittest.TestCase):
     def test_a_new_configuration_told_while_the_program_loads_does_not_end_it(self) -> None:
         program = Program([Receiver(reply(200))])
