Records name a shot's zone by a mark of its name, not by its place in the settings

Seen: an envelope of a class whose repeats stay within a zone has a shot at 'north' (place 0 of north, south); after a restart with zones east, south, north the repeat goes to 'east' and never to 'north' (the test, before the mend). A destination's east half does not know the number: a second effect. Ruled out: tenants and classes, which the folder keeps by name; a class that is no more is written off, and the effect is that of the present settings (asserted by the test). To blame: Desk._clear handed Store.shot the place, Desk._take_up handed it back under other settings.

Records hold a mark of 15 bits (1024 and up) made from the name, in the field that held the place: no change of size or version. Places written by an older version, marks that no zone of the settings has and marks that two have mean 'no zone to repeat in': such an envelope is not sent again.

--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from cedarwick.errors import Trouble
-from cedarwick.interface import ListChange, Listing, Outcome, Owed
+from cedarwick.interface import ListChange, Listing, Outcome, Owed, row
 from cedarwick.net.assignment import Assignment, place
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -22,7 +22,7 @@
 from cedarwick.state import FAR
 from cedarwick.store.files import DiskFault
 from cedarwick.store.journal import Lost, NoRoom, Store
-from cedarwick.store.records import Kept
+from cedarwick.store.records import NOWHERE, Kept, zone_mark
 
 REMEMBERED = 15_000_000  # for so long after it was handed in, an id is not taken once more
 NO_RIGHT = 20_000  # until the next look whether this sender may decide, or its copies follow
@@ -80,6 +80,7 @@
                       for index in range(int(assignment.settings["classes.count"]))}
         self.tenants = [assignment.settings.get(f"realms.{index}.name", "")
                         for index in range(int(assignment.settings.get("realms.count") or 0))]
+        self.zones = [zone_mark(name) for name in row(assignment.settings, "zones")]
         self.sender = Sender(assignment.settings, assignment.seed, clock.now())
         counters.figures.bands = list(self.bands)
         # Danger: shots that the decisions hold to share a call would each count at the destination's limit.
@@ -262,8 +263,9 @@
                 self.untold.discard(number)
                 self.notices.post(number, kept.id, *kept.end)
                 continue
+            shots = [shot._replace(zone=self._place_of(shot.zone)) for shot in kept.earlier_shots()]
             owed.append(Owed(number, kept.destination, self.bands[kept.band], kept.outer_limit,
-                             place(self.tenants, kept.tenant), kept.turn, kept.earlier_shots()))
+                             place(self.tenants, kept.tenant), kept.turn, shots))
         now = self.clock.now()
         if quietly and all(shot.outcome is not None and shot.outcome.never_ran for each in owed for shot in each.shots):
             # Danger: sessions come one after another, and each `resume` has the keys of all others rest.
@@ -275,6 +277,10 @@
             self.handles[each.envelope] = handle
         return len(owed)
 
+    def _place_of(self, mark: int) -> int:
+        """A recorded zone among those of the settings; where none or several have its mark, none."""
+        return self.zones.index(mark) if self.zones.count(mark) == 1 else NOWHERE
+
     def _adopt(self, numbers: list[int], quietly: bool = False) -> None:
         known = [number for number in numbers if number in self.store.kept and number not in self.handles
                  and number not in self.store.inert and self.store.kept[number].turn not in self.frozen]
@@ -421,8 +427,9 @@
         may = may and self.store.may_fire(number)
         if may and number in self.store.kept and not call.recorded:
             zone = self.sender.receivers[call.receiver].zone
+            mark = self.zones[zone] if zone < len(self.zones) else NOWHERE
             may = self._with_body(call)
-            may = call.recorded = may and self._recorded("the record of a shot", self.store.shot, number, now, zone)
+            may = call.recorded = may and self._recorded("the record of a shot", self.store.shot, number, now, mark)
         if not may:
             answer.set(False)
             self._shot_ended(call, Ending(Outcome.MOOT))
--- a/cedarwick/store/records.py
+++ b/cedarwick/store/records.py
@@ -33,6 +33,7 @@
 OUTCOMES = list(Outcome)
 NO_END, WRITTEN_OFF, NACKED = range(3)
 NOWHERE = -1  # the zone of a shot that nobody knows: no receiver is there
+FIRST_MARK, MARKS = 1 << 10, 31 << 10  # of zones; what is below is a place among the zones of some settings
 OF_OVER = FRAME.size + OVER_BODY.size
 OF_STATE = FRAME.size + STATE_HEAD.size + STATE_BODY.size
 SHORTEST = STATE_HEAD.size  # of a payload that names an envelope
@@ -60,7 +61,7 @@
     body: bytes | None  # None: it lies in the folder only
     shots: int = 0
     ran_at: int = 0  # when the first shot left that may have run; 0: none did
-    ran_zone: int = 0
+    ran_zone: int = 0  # by its mark
     out_at: int = 0  # the shot that has no outcome yet; 0: none is out
     out_zone: int = 0
     doubt_at: int = 0  # records are lost from then on, so a shot may have run; 0: none are
@@ -104,6 +105,12 @@
     others: dict[int, int]  # every other segment that lives, and its valid length
 
 
+def zone_mark(name: str) -> int:
+    """What stands for a zone in a record. Danger: other settings give the place of a zone to another one, and a
+    repeat would go where nobody remembers its number."""
+    return FIRST_MARK + zlib.crc32(name.encode()) % MARKS
+
+
 def framed(payload: bytes) -> bytes:
     return FRAME.pack(MARK, len(payload), check(payload)) + payload
 
--- /dev/null
+++ b/tests/test_crossings_restarts.py
@@ -0,0 +1,136 @@
+"""What a process leaves in its folder and the next one finds there: the moments between the two."""
+
+import copy
+import tempfile
+import unittest
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from gevent.event import AsyncResult
+
+from cedarwick.interface import Outcome
+from cedarwick.net import assignment
+from cedarwick.net.assignment import Assignment
+from cedarwick.net.clock import Clock
+from cedarwick.net.counters import Counters
+from cedarwick.net.desk import Desk, Submission
+from cedarwick.net.directory import Directory
+from cedarwick.net.notices import Notices
+from cedarwick.net.shots import Call, Ending
+from cedarwick.net.sockets import Polled
+from cedarwick.store.journal import Store
+from cedarwick.store.records import Kept
+from tests.build import NESTED
+
+ZONAL = {"name": "zonal", "repeat": "guarded", "group": "zone", "dedup-window-ms": 6000.0, "slo-ms": 2000.0,
+         "deadline-ms": 16000.0}
+CLASSES: Any = NESTED["classes"]
+FREE, ONCE = CLASSES
+EARLIER: dict[str, Any] = {
+    **NESTED, "zones": ["north", "south"], "realms": [{"name": "first"}, {"name": "second"}],
+    "classes": [FREE, {**ONCE, "name": "changed", "repeat": "free"}, ONCE, ZONAL, {**FREE, "name": "given-up"}]}
+LATER: dict[str, Any] = {
+    **NESTED, "zones": ["east", "south", "north"], "realms": [{"name": "new"}, {"name": "second"}, {"name": "first"}],
+    "classes": [ZONAL, ONCE, {**ONCE, "name": "changed", "repeat": "single_shot"}, FREE]}
+
+
+class Process:
+    """One process of a sender on its folder, without sockets: shots that are ordered stand in `calls`."""
+
+    def __init__(self, folder: str, settings: dict[str, Any], receivers: dict[str, str]) -> None:
+        """`receivers`: the zone of each, by its uid; all are up, at destination 0."""
+        self.clock, self.counters = Clock(), Counters()
+        self.store = Store(folder, 1 << 20, now=self.clock.now)
+        self.store.load()
+        made = Assignment("n", ("", 0), ("", 0), folder, 1, 64, 1 << 20, {},
+                          assignment.plain(copy.deepcopy(settings)))
+        self.desk = Desk(made, self.clock, self.counters, self.store, Polled(self.clock))
+        self.calls: list[Call] = []
+        self.desk.shots = SimpleNamespace(start=self.calls.append)  # type: ignore[assignment]
+        self.desk.notices = Notices(("", 0), self.counters, self.desk.acknowledged)
+        self.desk.free_links = lambda receiver: None
+        self.directory = Directory(made, self.counters, self.desk._listed, lambda: None)
+        self.directory.learn({"rev": 1, "all": True, "targets": [
+            {"uid": uid, "endpoint": "127.0.0.1:9", "az": zone, "model": "plain", "pod_group": 0, "state": "up"}
+            for uid, zone in receivers.items()]})
+        self.desk.resume()
+
+    def submit(self, name: str, band: str, tenant: str = "") -> None:
+        self.desk._take(Submission(Kept(0, name, "", 0, band, tenant, 0, self.clock.now() + 8_000_000, b"x")))
+        self.desk._decide()
+
+    def at(self, call: Call) -> str:
+        """The receiver of a call."""
+        return next(uid for uid, number in self.directory.numbers.items() if number == call.receiver)
+
+    def cleared(self, call: Call) -> bool:
+        answer: AsyncResult = AsyncResult()
+        self.desk._clear(call, answer)
+        return bool(answer.get(block=False))
+
+
+class UnderOtherSettings(unittest.TestCase):
+    """Settings of two customers in turn over the same folder: lists in another order and number."""
+
+    def process(self, folder: str, settings: dict[str, Any], **receivers: str) -> Process:
+        made = Process(folder, settings, receivers)
+        self.addCleanup(made.store.close)
+        return made
+
+    def repeats(self, band: str, outcome: Outcome | None, earlier: str, later: dict[str, Any], *zones: str,
+                spoil: int | None = None) -> tuple[set[str], list[tuple[bool, int] | None], set[int]]:
+        """An envelope has a shot at one zone under earlier settings: the zones to which it goes under later ones,
+        how it ends there, and the place of its tenant. `spoil`: what an older version recorded as the zone."""
+        with tempfile.TemporaryDirectory() as folder:
+            first = self.process(folder, EARLIER, only=earlier)
+            first.submit("a", band, "second")
+            if spoil is not None:
+                first.store.shot(1, first.clock.now(), spoil)
+            self.assertTrue(first.cleared(first.calls[0]))
+            if outcome is not None:
+                first.desk._shot_ended(first.calls[0], Ending(outcome))
+            first.store.close()
+            second = self.process(folder, later, **{zone: zone for zone in zones})
+            tenants = {handle.tenant for handle in second.desk.handles.values()}
+            gone = set()
+            for _ in range(4):
+                for handle in second.desk.handles.values():
+                    handle.due = 0
+                second.desk.sender.turns.all_rest = 0
+                second.desk._decide()
+                for call in second.calls:
+                    gone.add(second.at(call))
+                    second.desk._shot_ended(call, Ending(Outcome.MOOT))
+                second.calls.clear()
+            second.store.close()
+            return gone, [kept.end for kept in second.store.kept.values()], tenants
+
+    def test_a_repeat_stays_in_the_zone_of_its_first_shot_whatever_place_that_has(self) -> None:
+        for outcome in (None, Outcome.TIME_OUT):
+            for zone in ("north", "south"):
+                with self.subTest(outcome=outcome, zone=zone):
+                    self.assertEqual(self.repeats("zonal", outcome, zone, LATER, "east", "south", "north")[0], {zone})
+        for name, later, spoil in (("a zone that is no more", ["x", "y", "z"], None), ("one past the end", ["x"], None),
+                                   ("recorded as a place by an older version", LATER["zones"], 0)):
+            with self.subTest(name):
+                settings = {**LATER, "zones": later}
+                self.assertEqual(self.repeats("zonal", None, "north", settings, *LATER["zones"], spoil=spoil)[0], set())
+
+    def test_zones_that_share_a_mark_are_no_zone_to_repeat_in(self) -> None:
+        with mock.patch("cedarwick.net.desk.zone_mark", lambda name: 2000):
+            self.assertEqual(self.repeats("zonal", None, "north", LATER, *LATER["zones"])[0], set())
+
+    def test_a_band_and_a_tenant_go_by_their_names_and_an_effect_by_the_settings_of_now(self) -> None:
+        failed, reset = [(False, 0)], Outcome.RESET
+        for band, outcome, goes, ends in (
+                ("free", None, True, [None]), ("once", None, False, failed), ("once", Outcome.FULL, True, [None]),
+                ("changed", reset, False, failed), ("given-up", Outcome.FULL, False, failed)):
+            with self.subTest(band=band, outcome=outcome):
+                gone, ended, tenants = self.repeats(band, outcome, "north", LATER, "south")
+                self.assertEqual((gone, ended, tenants),
+                                 ({"south"} if goes else set(), ends, {1} if band != "given-up" else set()))
+
+
+if __name__ == "__main__":
+    unittest.main()
