A restart under settings that hold less gives up nothing that it took on for that

Ruled out: the room of the folder, which a restart reckons as before (5 sizes of bodies, with and without churn: the same figure to the byte); no list, receivers draining, told limits, an outage of 5 s: with the same settings at most 24 of 128 go early, and only where fresh envelopes are more important. To blame: Sender._shed bounds what is open by max-open alone; Sender.resume now lets the bound hold what is owed.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -179,6 +179,8 @@
         # Danger: a shot that was out when the process ended may still run, of an ended envelope's key too.
         self.turns.all_rest = now + span(self.settings, "rules.turn-gap-ms")
         handles = [self.take(now, *each[:-1]) for each in owed]
+        # Danger: under settings that hold less, all that is beyond them would be given up without a call.
+        self.most_open = max(self.most_open, self.open + 2)
         for handle, each in zip(handles, owed, strict=True):
             handle.shots = len(each.shots)
             for shot in reversed(each.shots):
--- a/tests/test_crossings_restarts.py
+++ b/tests/test_crossings_restarts.py
@@ -9,7 +9,7 @@
 
 from gevent.event import AsyncResult
 
-from cedarwick.interface import Outcome
+from cedarwick.interface import Outcome, Owed
 from cedarwick.net import assignment
 from cedarwick.net.assignment import Assignment
 from cedarwick.net.clock import Clock
@@ -21,7 +21,7 @@
 from cedarwick.net.sockets import Polled
 from cedarwick.store.journal import Store
 from cedarwick.store.records import Kept
-from tests.build import NESTED
+from tests.build import MS, NESTED, NOW, sender, take
 
 ZONAL = {"name": "zonal", "repeat": "guarded", "group": "zone", "dedup-window-ms": 6000.0, "slo-ms": 2000.0,
          "deadline-ms": 16000.0}
@@ -132,5 +132,25 @@
                                  ({"south"} if goes else set(), ends, {1} if band != "given-up" else set()))
 
 
+class TakenUp(unittest.TestCase):
+    """What a restart finds untried is still tried."""
+
+    def test_nothing_is_given_up_for_want_of_room_in_smaller_settings(self) -> None:
+        for most_open, room, owed in (("100", 1 << 62, 98), ("8", 1 << 62, 98), ("8", 1, 60), ("100", 1, 1)):
+            with self.subTest(most_open=most_open, room=room, owed=owed):
+                made = sender(policy_limits__max_open=most_open, family_info__max_calls="1")
+                made.room = room
+                made.resume(NOW, [Owed(number, 7, number % 3, NOW + 8_000 * MS, 0, 0, ()) for number in range(owed)])
+                untried = set(range(owed))
+                for now in range(NOW, NOW + 4_000 * MS, 100 * MS):
+                    verdicts = made.decide(now)
+                    self.assertEqual((verdicts.nacks, verdicts.write_offs), ([], []))
+                    untried -= {number for number, _, _ in verdicts.shots}
+                self.assertEqual(len(untried), max(0, owed - 1))  # the one slot stays taken: all others are still held
+                made.room = 0
+                take(made, 1000)
+                self.assertTrue(made.decide(NOW + 4_000 * MS).nacks)  # what comes now is bounded as before
+
+
 if __name__ == "__main__":
     unittest.main()
