A numbered shot in a window of 1 to 2 s leaves time for its repeat where usual answers allow

Ruled out: a patience of zero or below: what is under a second was already not used, the rest of its time was. To blame: Sender._patience wants a whole second; now the usual time to answer is enough (mean and four strays).

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -622,7 +622,9 @@
             return min(left, soon if envelope.band.reissuable else 3 * soon if crowded else FAR)
         window = envelope.band.window if not envelope.ran_at else envelope.ran_at + envelope.band.window - now
         patience = min(window - SECOND // 2, soon if receiver.out_since or crowded else 2 * soon)
-        return min(left, patience) if patience >= SECOND and envelope.shots < self.most_shots else left
+        # Danger: in a short window a hang would hold its slot to the end, and never be repeated.
+        enough = patience >= min(SECOND, usual)
+        return min(left, patience) if enough and envelope.shots < self.most_shots else left
 
     def _urgency(self, now: int, envelope: Envelope) -> tuple[float, int, int]:
         """Sorts the envelope first that loses most by waiting; over-share tenants go last."""
--- a/tests/test_crossings_restarts.py
+++ b/tests/test_crossings_restarts.py
@@ -8,6 +8,8 @@
 from unittest import mock
 
 from gevent.event import AsyncResult
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cedarwick.interface import Outcome, Owed
 from cedarwick.net import assignment
@@ -21,7 +23,7 @@
 from cedarwick.net.sockets import Polled
 from cedarwick.store.journal import Store
 from cedarwick.store.records import Kept
-from tests.build import MS, NESTED, NOW, sender, take
+from tests.build import MS, NESTED, NOW, NUMBERED, sender, take
 
 ZONAL = {"name": "zonal", "repeat": "guarded", "group": "zone", "dedup-window-ms": 6000.0, "slo-ms": 2000.0,
          "deadline-ms": 16000.0}
@@ -114,8 +116,8 @@
         for name, later, spoil in (("a zone that is no more", ["x", "y", "z"], None), ("one past the end", ["x"], None),
                                    ("recorded as a place by an older version", LATER["zones"], 0)):
             with self.subTest(name):
-                settings = {**LATER, "zones": later}
-                self.assertEqual(self.repeats("zonal", None, "north", settings, *LATER["zones"], spoil=spoil)[0], set())
+                told = {**LATER, "zones": later}
+                self.assertEqual(self.repeats("zonal", None, "north", told, *LATER["zones"], spoil=spoil)[0], set())
 
     def test_zones_that_share_a_mark_are_no_zone_to_repeat_in(self) -> None:
         with mock.patch("cedarwick.net.desk.zone_mark", lambda name: 2000):
@@ -152,5 +154,41 @@
                 self.assertTrue(made.decide(NOW + 4_000 * MS).nacks)  # what comes now is bounded as before
 
 
+class InAShortWindow(unittest.TestCase):
+    """How long a numbered shot may take where the window for its repeats is as short as a second, or none."""
+
+    def patience(self, window: int, ran_ago: int | None, mean: int, shots: int = 0) -> int:
+        """In milliseconds, of 16 s; `ran_ago`: when an earlier shot was sent that may have run."""
+        made = sender(classes__1__dedup_window_ms=str(window), classes__1__in_turn="false")
+        made.receivers[1].mean = mean * MS
+        handle = take(made, 1, NUMBERED)
+        handle.shots = shots
+        if ran_ago is not None:
+            handle.ran_at = NOW - ran_ago * MS
+        ordered = made.decide(NOW).shots
+        return ordered[0][2] // MS if ordered else 0
+
+    def test_a_hang_leaves_room_for_a_repeat_where_the_usual_time_allows_it(self) -> None:
+        left = 16_000 - 10
+        for window, ran_ago, mean, shots, expected in (
+                (1000, None, 100, 0, 500), (1400, None, 300, 0, 900), (1000, None, 0, 0, left),
+                (1000, None, 600, 0, left), (1000, None, 100, 5, left), (2000, None, 600, 0, 1500),
+                (1000, 300, 100, 1, 200), (1000, 300, 300, 1, left), (1000, 999, 1, 1, left), (1000, 1000, 1, 1, 0),
+                (500, None, 1, 0, left), (100, None, 1, 0, left), (0, None, 1, 0, left)):
+            with self.subTest(window=window, ran_ago=ran_ago, mean=mean, shots=shots):
+                self.assertEqual(self.patience(window, ran_ago, mean, shots), expected)
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(st.integers(0, 8000), st.one_of(st.none(), st.integers(0, 8000)), st.integers(0, 20_000))
+    def test_what_goes_goes_within_its_window_and_has_time_for_an_answer(self, window: int, ran_ago: int | None,
+                                                                         mean: int) -> None:
+        patience = self.patience(window, ran_ago, mean, int(ran_ago is not None))
+        if ran_ago is not None and ran_ago >= window:
+            self.assertEqual(patience, 0)
+        elif patience:
+            self.assertLessEqual(min(1000, mean or 1000), patience)
+            self.assertLessEqual(patience, 16_000 - 10)
+
+
 if __name__ == "__main__":
     unittest.main()
