No byte of a repeat leaves after its window: the last look is at the byte, and bounds the write

Seen, with the crossing forced on loopback: a window that closes 20 ms after the clearance of a repeat, whose greenlet goes on 30 ms later, lets the whole call out behind it (the clearance holds for 50 ms). A body of 60 kB whose receiver stops reading is written on after the window has closed, as long as the patience of the call; a receiver counts a call from its last byte, so it takes a number that it has forgotten: a second effect. Ruled out: a link that comes up late (the desk is asked again once it is up, may_start sees the closed window); patience of zero or below; the window's start, which is the order for the shot, earlier than its first byte. To blame: Shots asked once, before it waited, and wrote with the time of the call alone.

Handle.whole_by is handed out with the clearance; it is looked at with no switch before the first byte, and bounds the write, whose link is closed before the last byte then: nothing ran.

--- a/cedarwick/interface.py
+++ b/cedarwick/interface.py
@@ -18,6 +18,7 @@
     sender.told_waits(now)                        the waits that a replaced process hands to its successor
     handle.on_new_link()                          whether an ordered shot may not go over a kept link
     handle.may_start(now, receiver)               whether an ordered shot may still go, before its first byte
+    handle.whole_by()                             when the last byte of an ordered shot must have gone
     sender.link_life                              how long an idle link is used
     sender.per_call                               envelopes a call by kind; cleared where a call carries one
 
@@ -121,6 +122,8 @@
 
     def may_start(self, now: int, receiver: int) -> bool: ...
 
+    def whole_by(self) -> int: ...
+
     def on_new_link(self) -> bool: ...
 
 
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -425,6 +425,7 @@
         handle = self.handles.get(number)
         may = handle is not None and handle.may_start(now, call.receiver) and not self.holding_fire
         may = may and self.store.may_fire(number)
+        call.whole_by = handle.whole_by() if handle is not None else 0
         if may and number in self.store.kept and not call.recorded:
             zone = self.sender.receivers[call.receiver].zone
             mark = self.zones[zone] if zone < len(self.zones) else NOWHERE
--- a/cedarwick/net/shots.py
+++ b/cedarwick/net/shots.py
@@ -13,6 +13,7 @@
 from cedarwick.net.http import Answer, Unreadable
 from cedarwick.net.links import Link, Links, NoDescriptor
 from cedarwick.net.sockets import Polled, ended
+from cedarwick.state import FAR
 from cedarwick.store.records import Kept
 
 REPORT_HEADER = "x-pressure"
@@ -35,6 +36,7 @@
     receiver: int
     ordered_at: int
     until: int
+    whole_by: int = FAR  # its last byte must have gone then
     body: bytes = b""  # read from the folder as the shot may go
     recorded: bool = False  # the folder knows that it goes out
     flushed: bool = False  # and so does the disk, where the folder is durable
@@ -114,15 +116,23 @@
             return
         usable = False
         try:
-            if link.idle_since and ended(link.sock):
-                # Danger: what came while the desk was asked would be read as the answer to this call.
-                self._end(call, Outcome.MOOT)
-                return
-            call.kept_link = link.idle_since > 0
-            usable = self._over(call, link)
+            usable = self._unless_crossed(call, link)
         finally:
             self.links.give_back(link, usable)
 
+    def _unless_crossed(self, call: Call, link: Link) -> bool:
+        """The call, unless something came while the desk was asked; whether the link can be used again."""
+        if link.idle_since and ended(link.sock):
+            # Danger: what lies there before the request would be read as its answer.
+            self._end(call, Outcome.MOOT)
+            return False
+        if self.clock.now() >= call.whole_by:
+            self.counters.add("shots held back: their time was over")
+            self._end(call, Outcome.MOOT)
+            return True
+        call.kept_link = link.idle_since > 0
+        return self._over(call, link)
+
     def _cleared(self, call: Call) -> bool:
         """Whether it may go now; where it may not, it has ended."""
         for _ in range(MOST_ASKED):
@@ -143,7 +153,7 @@
         answer = Answer()
         broken: Outcome | None = Outcome.CONNECT_FAILED
         try:
-            self._wait_until(link, call.until)
+            self._wait_until(link, min(call.until, call.whole_by))
             whole = request(call, self.clock.now())
             # Danger: the right to fire may have run out since the desk was asked; another sender has it then.
             if not self.may_fire(call.kept.number):
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -107,13 +107,16 @@
     def may_start(self, now: int, receiver: int) -> bool:
         """Asked before the first byte: while a link came up a wait, a drain or an end may have been heard."""
         record = self.sender.receivers[receiver]
-        until = min(self.outer_limit, self.repeat_until())
-        return record.ready and record.pace.wait_until <= now < until and not self.ended
+        return record.ready and record.pace.wait_until <= now < self.whole_by() and not self.ended
 
     def on_new_link(self) -> bool:
         """Danger: an at-most-once envelope is lost when the kept link breaks on which it went."""
         return self.band.at_most_once and self.sender.stale_links > STALE_LINKS
 
+    def whole_by(self) -> int:
+        """Danger: a receiver counts a call from its last byte, and forgets its number in time."""
+        return min(self.outer_limit, self.repeat_until())
+
     def repeat_until(self) -> int:
         return FAR if self.band.reissuable or not self.ran_at else self.ran_at + self.band.window
 
--- a/tests/test_crossings_restarts.py
+++ b/tests/test_crossings_restarts.py
@@ -1,12 +1,19 @@
 """What a process leaves in its folder and the next one finds there: the moments between the two."""
 
 import copy
+import socket
 import tempfile
+import threading
+import time
 import unittest
+from collections.abc import Callable
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
+import gevent
+import gevent.event
+import gevent.socket
 from gevent.event import AsyncResult
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -20,10 +27,12 @@
 from cedarwick.net.directory import Directory
 from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Call, Ending
-from cedarwick.net.sockets import Polled
+from cedarwick.net.sockets import Polled, connected
 from cedarwick.store.journal import Store
 from cedarwick.store.records import Kept
-from tests.build import MS, NESTED, NOW, NUMBERED, sender, take
+from tests import test_waits
+from tests.build import MS, NESTED, NOW, NUMBERED, reply, sender, take, until
+from tests.test_waits import Partner, Play
 
 ZONAL = {"name": "zonal", "repeat": "guarded", "group": "zone", "dedup-window-ms": 6000.0, "slo-ms": 2000.0,
          "deadline-ms": 16000.0}
@@ -190,5 +199,105 @@
             self.assertLessEqual(patience, 16_000 - 10)
 
 
+LARGE = 60_000  # bytes of a body
+
+
+class Accepting(Partner):
+    """A partner whose connections the test holds: what it does on one crosses what the sender does."""
+
+    def __init__(self, play: Play, buffers: int = 0) -> None:
+        self.socks: list[socket.socket] = []
+        self.reads = threading.Event()
+        self.reads.set()
+        super().__init__(play)
+        if buffers:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffers)
+
+    def _serve(self, sock: socket.socket) -> None:
+        self.socks.append(sock)
+        if self.reads.is_set():
+            super()._serve(sock)
+            return
+        self.reads.wait(10.0)
+        got = 0
+        while part := sock.recv(1 << 16):
+            got += len(part)
+            if got > LARGE:  # the head and all of the body
+                self.arrived.append((time.monotonic(), "large"))
+                sock.sendall(reply(200))
+        sock.close()
+
+
+class OnTheWay(unittest.TestCase):
+    """What happens between the decision for a shot and its last byte."""
+
+    def start(self, buffers: int = 0) -> None:
+        """The desk, its shots and its links, against a partner that completes all calls."""
+        self.made = test_waits.AgainstAPartner("kept_to_the_wait")
+        self.addCleanup(self.made.doCleanups)
+        play = lambda partner, sock, number: sock.sendall(reply(200))  # noqa: E731
+        with mock.patch("tests.test_waits.Partner", lambda _: Accepting(play, buffers)):
+            self.made.start(play)
+        self.partner = cast(Accepting, self.made.partner)
+        self.desk, self.links, self.counts = self.made.desk, self.made.links, self.made.counters.counts
+        self.band = self.desk.sender.bands[0]
+        self.band.reissuable, self.band.window = False, 1_000_000  # numbered
+
+    def before_clearing(self, then: Callable[[Call], None], after: Callable[[Call], None] = lambda call: None) -> None:
+        """Do something on the way to the desk of each shot, and on the way back."""
+        clear = self.desk.shots.clear
+
+        def crossed(call: Call) -> bool:
+            then(call)
+            may = clear(call)
+            after(call)
+            return may
+
+        self.desk.shots.clear = crossed
+
+    def wait_for(self, true: Callable[[], Any]) -> None:
+        until(lambda: gevent.sleep(0.005) or true(), 5.0)
+
+    def window_left(self, left: int) -> Callable[[Call], None]:
+        """An earlier shot of the envelope may have run: its window is open for so long from now on."""
+        def then(call: Call) -> None:
+            handle = self.desk.handles[call.kept.number]
+            handle.ran_at = handle.ran_at or self.made.clock.now() + left - self.band.window
+
+        return then
+
+    def test_a_window_that_closes_after_the_clearance_lets_no_byte_out(self) -> None:
+        for left, goes in ((20_000, False), (300_000, True)):
+            with self.subTest(left=left):
+                self.start()
+                self.before_clearing(self.window_left(left), lambda call: time.sleep(0.03))  # within `FRESH`
+                self.made.submit("a")
+                self.wait_for(lambda: self.partner.arrived or self.made.store.kept[1].end)  # noqa: B023
+                self.assertEqual([name for _, name in self.partner.arrived], ["a"] * goes)
+                self.assertEqual(self.counts["shots held back: their time was over"], not goes)
+
+    def test_a_window_that_closes_within_the_write_keeps_the_last_byte_back(self) -> None:
+        for goes in (False, True):
+            with self.subTest(goes=goes), mock.patch("cedarwick.net.links.connected", narrow):
+                self.start(buffers=4096)
+                self.before_clearing(self.window_left(2_000_000 if goes else 200_000))
+                self.partner.reads.clear()
+                self.desk.submit(Submission(Kept(0, "a", "", 0, "free", "", 0, self.made.clock.now() + 8_000_000,
+                                                 bytes(LARGE))))
+                self.wait_for(lambda: self.partner.socks)
+                if not goes:
+                    self.wait_for(lambda: self.counts["shots without an answer: connect failed"])
+                self.partner.reads.set()
+                self.wait_for(lambda: not self.made.store.kept or self.made.store.kept[1].end)
+                self.assertEqual(len(self.partner.arrived), goes)
+
+
+def narrow(address: tuple[str, int], seconds: float) -> gevent.socket.socket:
+    """A connection whose peer has to read for a request to be written."""
+    sock = connected(address, seconds)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return sock
+
+
 if __name__ == "__main__":
     unittest.main()
