What lies on a new link before its request is no answer to it, and an end there proves that nothing ran

Seen, with the crossing forced on loopback between the link's coming up and the desk's clearance: a receiver that writes a whole 200 has an at-most-once envelope ended as delivered by bytes that came before its request; half a line makes the answer unreadable, an end of the connection makes the call a reset, and the envelope is written off as one that may have run (3 of 3 such cases). On a link that was used before all three were held back already. Also: a shot cut off while the desk is asked never gave its link back; its descriptor stayed counted (1 of 1). To blame: Shots._go looked at links with idle_since alone, and asked outside of its try.

A new link that has ended or spoken is closed before the request is written: connect failed, which never ran.

--- a/cedarwick/net/shots.py
+++ b/cedarwick/net/shots.py
@@ -110,21 +110,24 @@
             self.counters.trouble("a link did not come up", error)
             self._end(call, Outcome.CONNECT_FAILED)
             return
-        # Danger: while a link came up, a wait or a drain may have been heard or the envelope have ended.
-        if not self._cleared(call):
-            self.links.give_back(link, usable=True)
-            return
         usable = False
         try:
-            usable = self._unless_crossed(call, link)
+            # Danger: while a link came up, a wait or a drain may have been heard or the envelope have ended.
+            usable = not self._cleared(call)
+            if not usable:
+                usable = self._unless_crossed(call, link)
         finally:
             self.links.give_back(link, usable)
 
     def _unless_crossed(self, call: Call, link: Link) -> bool:
         """The call, unless something came while the desk was asked; whether the link can be used again."""
-        if link.idle_since and ended(link.sock):
+        if ended(link.sock):
             # Danger: what lies there before the request would be read as its answer.
-            self._end(call, Outcome.MOOT)
+            if link.idle_since:
+                self._end(call, Outcome.MOOT)
+            else:
+                self.counters.add("new links that ended or spoke before their request")
+                self._end(call, Outcome.CONNECT_FAILED)
             return False
         if self.clock.now() >= call.whole_by:
             self.counters.add("shots held back: their time was over")
--- a/tests/test_crossings_restarts.py
+++ b/tests/test_crossings_restarts.py
@@ -291,6 +291,49 @@
                 self.wait_for(lambda: not self.made.store.kept or self.made.store.kept[1].end)
                 self.assertEqual(len(self.partner.arrived), goes)
 
+    def test_what_a_receiver_says_or_does_before_a_request_is_no_answer_to_it(self) -> None:
+        acts: tuple[Callable[[socket.socket], None], ...] = (
+            lambda sock: sock.sendall(reply(200)), lambda sock: sock.sendall(b"HTTP/1.1 2"),
+            lambda sock: sock.shutdown(socket.SHUT_WR))
+        for kept in (False, True):
+            for which, act in enumerate(acts):
+                with self.subTest(kept=kept, act=which):
+                    self.start()
+                    if kept:
+                        self.made.submit("first", band="once")
+                        self.wait_for(lambda: self.links.idle)
+                    acted: list[int] = []
+
+                    def cross(call: Call, act: Callable[[socket.socket], None] = act, acted: list[int] = acted) -> None:
+                        if not acted:
+                            self.wait_for(lambda: self.partner.socks)
+                            act(self.partner.socks[0])
+                            acted.append(1)
+
+                    self.before_clearing(cross)
+                    self.made.submit("a", band="once")
+                    self.wait_for(lambda: self.counts["answers 200"] == 1 + kept)  # noqa: B023
+                    self.wait_for(lambda: not self.made.store.kept)
+                    self.assertEqual([name for _, name in self.partner.arrived], ["first"] * kept + ["a"])
+                    self.assertEqual(self.partner.connections, 2)
+
+    def test_a_shot_that_is_cut_while_the_desk_is_asked_gives_its_link_back(self) -> None:
+        self.start()
+        asked, never = gevent.event.Event(), gevent.event.Event()
+
+        def waits(call: Call) -> None:
+            if not asked.is_set():
+                asked.set()
+                never.wait()
+
+        self.before_clearing(waits)
+        self.made.submit("a")
+        self.assertTrue(asked.wait(2.0))
+        self.desk.shots.cut({1})
+        self.wait_for(lambda: not self.made.store.kept and not self.desk.shots.out)
+        self.links.free(1)
+        self.assertEqual(self.links.descriptors.used, 0)
+
 
 def narrow(address: tuple[str, int], seconds: float) -> gevent.socket.socket:
     """A connection whose peer has to read for a request to be written."""
