A shot waits a moment for a descriptor, and one that never left is none of the tries

Seen, on loopback, no descriptor free for 3 s, at most six tries: 8 of 8 at-most-once envelopes are given back after 26 ms and 48 attempts, none of which was a call; as descriptors come free nothing is left to send. To blame: Links.obtain fails at once, a moot ending is due again at once, and Sender.advance counts what it ordered.

Links.obtain looks for a descriptor, or an idle link, for 0.4 s. Endings that a further look takes into account (no descriptor, a clearance that grew old, a link that ended, a closed window, a wait or drain heard meanwhile) are taken off the tries by Handle.never_left. Not so what the folder did not take or give back, and what a receiver's machine answered (503 with X-Egress-Full, 504): those would be ordered again at once without an end.

--- a/cedarwick/interface.py
+++ b/cedarwick/interface.py
@@ -19,6 +19,7 @@
     handle.on_new_link()                          whether an ordered shot may not go over a kept link
     handle.may_start(now, receiver)               whether an ordered shot may still go, before its first byte
     handle.whole_by()                             when the last byte of an ordered shot must have gone
+    handle.never_left()                           after an outcome: that shot was held back, and is no try
     sender.link_life                              how long an idle link is used
     sender.per_call                               envelopes a call by kind; cleared where a call carries one
 
@@ -124,6 +125,8 @@
 
     def whole_by(self) -> int: ...
 
+    def never_left(self) -> None: ...
+
     def on_new_link(self) -> bool: ...
 
 
--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -423,7 +423,7 @@
         call.looked_at = self.polled.at
         now, number = self.clock.now(), call.kept.number
         handle = self.handles.get(number)
-        may = handle is not None and handle.may_start(now, call.receiver) and not self.holding_fire
+        may = free = handle is not None and handle.may_start(now, call.receiver) and not self.holding_fire
         may = may and self.store.may_fire(number)
         call.whole_by = handle.whole_by() if handle is not None else 0
         if may and number in self.store.kept and not call.recorded:
@@ -433,7 +433,8 @@
             may = call.recorded = may and self._recorded("the record of a shot", self.store.shot, number, now, mark)
         if not may:
             answer.set(False)
-            self._shot_ended(call, Ending(Outcome.MOOT))
+            # Danger: what the folder does not take, or may not be fired for, would be looked at anew at once for ever.
+            self._shot_ended(call, Ending(Outcome.MOOT, held_back=not free))
         elif self.store.awaited and not call.flushed:
             call.flushed = True
             self.after_flush.append((lambda: answer.set(True), lambda: self._held_back(call, answer)))
@@ -473,6 +474,8 @@
             return
         handle.shot_ended(self.clock.now(), ending.outcome, call.shot, call.receiver, ending.took,
                           ending.told_wait, ending.last, ending.report, ending.kept_link)
+        if ending.held_back:
+            handle.never_left()
         if handle.ended:
             self.counters.add(f"envelopes over: {ending.outcome.value}")
             if ending.outcome is Outcome.COMPLETED:
--- a/cedarwick/net/links.py
+++ b/cedarwick/net/links.py
@@ -14,6 +14,8 @@
 
 KEPT_BACK = 64  # descriptors for the interpreter, the loop, the folder and the platform
 SWEEP = 0.25  # seconds between two looks at the idle links
+FREE_WITHIN = 400_000  # a shot waits so long for a descriptor; for longer, its receiver would seem to be silent
+FREE_LOOK = 0.02  # seconds between two looks
 
 
 class NoDescriptor(Trouble):
@@ -75,15 +77,18 @@
     def obtain(self, receiver: int, until: int, new: bool = False) -> Link:
         """An idle link or a new one; OSError where none comes up in time, NoDescriptor where none may."""
         address = self.address_of(receiver)
-        waiting = self.idle.get(receiver)
-        while waiting and not new:
-            link = waiting.pop()
-            # Danger: a receiver closes what stood idle, and a shot written to it then is lost unseen.
-            fresh = link.address == address and self.clock.now() - link.idle_since < self.life
-            if fresh and not ended(link.sock):
-                return link
-            self._close(link)
-        self.descriptors.claim()
+        free_by = min(until, self.clock.now() + FREE_WITHIN)
+        while (link := None if new else self._kept(receiver, address)) is None:
+            try:
+                self.descriptors.claim()
+                break
+            except NoDescriptor:
+                # Danger: while idle clients hold them all, an envelope would be through its tries at once.
+                if self.clock.now() >= free_by:
+                    raise
+                gevent.sleep(FREE_LOOK)
+        if link is not None:
+            return link
         try:
             limit = min(self.connect_limit, until - self.clock.now())
             sock = connected(address, max(limit, 1000) / 1_000_000)
@@ -93,6 +98,18 @@
         self.counters.add("links opened")
         return Link(sock, receiver, address)
 
+    def _kept(self, receiver: int, address: tuple[str, int]) -> Link | None:
+        """An idle link that can still be used; what cannot is closed on the way."""
+        waiting = self.idle.get(receiver)
+        while waiting:
+            link = waiting.pop()
+            # Danger: a receiver closes what stood idle, and a shot written to it then is lost unseen.
+            fresh = link.address == address and self.clock.now() - link.idle_since < self.life
+            if fresh and not ended(link.sock):
+                return link
+            self._close(link)
+        return None
+
     def give_back(self, link: Link, usable: bool) -> None:
         if not usable or len(link.buffer):
             self._close(link)
--- a/cedarwick/net/shots.py
+++ b/cedarwick/net/shots.py
@@ -57,6 +57,7 @@
     last: bool = False
     report: Sequence[float] = ()
     kept_link: bool = False  # it went over a link that had been used before
+    held_back: bool = False  # no byte of it left, for a reason that a further look at it takes into account
 
 
 class Shots:
@@ -104,7 +105,7 @@
             link = self.links.obtain(call.receiver, call.until, call.new_link)
         except NoDescriptor as error:
             self.counters.trouble("no descriptor for a shot", error.within(f"receiver {call.receiver}"))
-            self._end(call, Outcome.MOOT)
+            self._hold_back(call)
             return
         except OSError as error:
             self.counters.trouble("a link did not come up", error)
@@ -124,14 +125,14 @@
         if ended(link.sock):
             # Danger: what lies there before the request would be read as its answer.
             if link.idle_since:
-                self._end(call, Outcome.MOOT)
+                self._hold_back(call)
             else:
                 self.counters.add("new links that ended or spoke before their request")
                 self._end(call, Outcome.CONNECT_FAILED)
             return False
         if self.clock.now() >= call.whole_by:
             self.counters.add("shots held back: their time was over")
-            self._end(call, Outcome.MOOT)
+            self._hold_back(call)
             return True
         call.kept_link = link.idle_since > 0
         return self._over(call, link)
@@ -148,7 +149,7 @@
             # Danger: the process was stopped, or a round was long: a refusal may lie unread in a socket.
             self.counters.add("clearances that grew old")
             self.polled.again()
-        self._end(call, Outcome.MOOT)
+        self._hold_back(call)
         return False
 
     def _over(self, call: Call, link: Link) -> bool:
@@ -275,10 +276,14 @@
         call.told = True
         self.tell(call, ending)
 
-    def _end(self, call: Call, outcome: Outcome) -> None:
+    def _end(self, call: Call, outcome: Outcome, held_back: bool = False) -> None:
         self.counters.add(f"shots without an answer: {outcome.value}")
         call.told = True
-        self.tell(call, Ending(outcome, self.clock.now() - call.ordered_at, kept_link=call.kept_link))
+        took = self.clock.now() - call.ordered_at
+        self.tell(call, Ending(outcome, took, kept_link=call.kept_link, held_back=held_back))
+
+    def _hold_back(self, call: Call) -> None:
+        self._end(call, Outcome.MOOT, held_back=True)
 
     def _report(self, text: str) -> Sequence[float]:
         """The values that an answer reports, in the order of the settings; nothing if it cannot be read."""
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -104,6 +104,10 @@
             self.sender.close(now, self)
         self.ended = True
 
+    def never_left(self) -> None:
+        """The shot whose ending was told was held back on the way out: it was none of the tries."""
+        self.shots -= 1
+
     def may_start(self, now: int, receiver: int) -> bool:
         """Asked before the first byte: while a link came up a wait, a drain or an end may have been heard."""
         record = self.sender.receivers[receiver]
--- a/tests/test_crossings_restarts.py
+++ b/tests/test_crossings_restarts.py
@@ -309,6 +309,8 @@
                             self.wait_for(lambda: self.partner.socks)
                             act(self.partner.socks[0])
                             acted.append(1)
+                        elif self.desk.handles:
+                            acted.append(self.desk.handles[call.kept.number].shots)
 
                     self.before_clearing(cross)
                     self.made.submit("a", band="once")
@@ -316,6 +318,20 @@
                     self.wait_for(lambda: not self.made.store.kept)
                     self.assertEqual([name for _, name in self.partner.arrived], ["first"] * kept + ["a"])
                     self.assertEqual(self.partner.connections, 2)
+                    self.assertEqual(acted, [1, 1 if kept else 2])  # what was held back is none of the tries
+
+    def test_no_descriptor_for_a_while_is_none_of_the_tries(self) -> None:
+        self.start()
+        self.links.descriptors.limit = 0
+        for name in "abc":
+            self.made.submit(name, band="once")
+        self.wait_for(lambda: self.counts["trouble: no descriptor for a shot"] >= 3)
+        self.assertEqual({handle.shots - handle.out for handle in self.desk.handles.values()}, {0})
+        self.links.descriptors.limit = 8
+        self.wait_for(lambda: len(self.partner.arrived) == 3)
+        self.wait_for(lambda: not self.made.store.kept)
+        self.assertEqual(self.desk.notices.owed, {})
+        self.assertLess(self.counts["trouble: no descriptor for a shot"], 9)
 
     def test_a_shot_that_is_cut_while_the_desk_is_asked_gives_its_link_back(self) -> None:
         self.start()
