Tests: SIGKILL at each step from a request to its notice, for each effect and three waits

Eight steps (read; kept; shot recorded; sent; outcome recorded; ended; notice posted; acknowledged), each on a copy of the folder as it stood there, the next process completing what it sends. No fault found: one final answer each, an at-most-once envelope goes out once, a numbered one within its window alone, the same notice twice only where the platform's 204 was not read, which does no harm.

--- a/tests/test_crossings_restarts.py
+++ b/tests/test_crossings_restarts.py
@@ -1,12 +1,15 @@
 """What a process leaves in its folder and the next one finds there: the moments between the two."""
 
 import copy
+import json
+import os
+import shutil
 import socket
 import tempfile
 import threading
 import time
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from types import SimpleNamespace
 from typing import Any, cast
 from unittest import mock
@@ -49,9 +52,11 @@
 class Process:
     """One process of a sender on its folder, without sockets: shots that are ordered stand in `calls`."""
 
-    def __init__(self, folder: str, settings: dict[str, Any], receivers: dict[str, str]) -> None:
-        """`receivers`: the zone of each, by its uid; all are up, at destination 0."""
+    def __init__(self, folder: str, settings: dict[str, Any], receivers: dict[str, str], later: int = 0) -> None:
+        """`receivers`: the zone of each, by its uid; all are up, at destination 0. `later`: wall time has gone on by
+        so many milliseconds."""
         self.clock, self.counters = Clock(), Counters()
+        self.clock.base += later * 1_000_000
         self.store = Store(folder, 1 << 20, now=self.clock.now)
         self.store.load()
         made = Assignment("n", ("", 0), ("", 0), folder, 1, 64, 1 << 20, {},
@@ -143,6 +148,84 @@
                                  ({"south"} if goes else set(), ends, {1} if band != "given-up" else set()))
 
 
+class KilledAt(unittest.TestCase):
+    """SIGKILL at each step from a request to the acknowledgement of its notice: the next process finds the folder as
+    it stood there. One final answer each, no effect twice."""
+
+    READ, KEPT, RECORDED, SENT, OUTCOME, ENDED, POSTED, ACKNOWLEDGED = range(8)
+
+    def steps(self, process: Process, band: str, outcome: Outcome, told: list[str]) -> Iterator[int]:
+        """One envelope with one shot, one step after another; `told` gets what other parties see."""
+        process.desk._take(Submission(Kept(0, "a", "", 0, band, "", 0, process.clock.now() + 8_000_000, b"x")))
+        yield self.READ
+        process.desk._decide()
+        yield self.KEPT  # whether its client has read the answer or not
+        self.assertTrue(process.cleared(process.calls[0]))
+        yield self.RECORDED
+        told.append("call")
+        yield self.SENT  # whether the answer has been read or not
+        process.desk._shot_ended(process.calls[0], Ending(outcome, last=outcome is Outcome.COMPLETED))
+        yield self.OUTCOME
+        process.desk._decide()
+        yield self.ENDED
+        told.extend(self.posted(process))
+        yield self.POSTED
+        process.desk._acknowledged(list(process.desk.notices.owed))
+        yield self.ACKNOWLEDGED
+
+    def posted(self, process: Process) -> list[str]:
+        return [json.loads(line)["state"] for line in process.desk.notices.owed.values()]
+
+    def seen(self, band: str, outcome: Outcome, at: int, later: int = 0) -> list[str]:
+        """What other parties see in all, where the next process completes what it sends."""
+        told: list[str] = []
+        with tempfile.TemporaryDirectory() as folder:
+            first = Process(folder, {**EARLIER, "classes": CLASSES + [ZONAL]}, {"one": "north"})
+            self.addCleanup(first.store.close)
+            for step in self.steps(first, band, outcome, told):
+                if step == at:
+                    break
+            with tempfile.TemporaryDirectory() as found:
+                for name in os.listdir(folder):
+                    shutil.copy(os.path.join(folder, name), found)
+                second = Process(found, {**EARLIER, "classes": CLASSES + [ZONAL]}, {"one": "north"}, later)
+                for _ in range(3):
+                    for handle in second.desk.handles.values():
+                        handle.due = 0
+                    second.desk._decide()
+                    for call in second.calls:
+                        self.assertTrue(second.cleared(call))
+                        told.append("call")
+                        second.desk._shot_ended(call, Ending(Outcome.COMPLETED, last=True))
+                    second.calls.clear()
+                told.extend(self.posted(second))
+                second.desk._acknowledged(list(second.desk.notices.owed))
+                self.assertEqual((second.store.kept, second.desk.handles), ({}, {}))
+                second.store.close()
+        return told
+
+    def test_each_step_of_each_effect(self) -> None:
+        done, reset, full = Outcome.COMPLETED, Outcome.RESET, Outcome.FULL
+        once, twice, failed = ["call"], ["call", "call"], ["call", "failed"]
+        table: list[tuple[str, Outcome, int, dict[int, list[str]]]] = [
+            ("free", done, 0, {self.READ: [], self.KEPT: once, self.RECORDED: once, self.SENT: twice,
+                               self.OUTCOME: once, self.ENDED: once, self.ACKNOWLEDGED: once}),
+            ("once", done, 0, {self.READ: [], self.KEPT: once, self.RECORDED: ["failed"], self.SENT: failed,
+                               self.OUTCOME: once, self.ACKNOWLEDGED: once}),
+            ("once", reset, 0, {self.OUTCOME: failed, self.ENDED: failed, self.POSTED: [*failed, "failed"],
+                                self.ACKNOWLEDGED: failed}),
+            ("once", full, 0, {self.OUTCOME: twice}),
+            ("zonal", done, 1000, {self.KEPT: once, self.RECORDED: once, self.SENT: twice, self.OUTCOME: once}),
+            ("zonal", reset, 1000, {self.SENT: twice, self.OUTCOME: twice}),
+            ("zonal", reset, 6001, {self.KEPT: once, self.RECORDED: ["failed"], self.SENT: failed,
+                                    self.OUTCOME: failed}),
+            ("free", reset, 20_000, {self.KEPT: ["returned"], self.RECORDED: ["failed"], self.SENT: failed})]
+        for band, outcome, later, expected in table:
+            for at, seen in expected.items():
+                with self.subTest(band=band, outcome=outcome, later=later, at=at):
+                    self.assertEqual(self.seen(band, outcome, at, later), seen)
+
+
 class TakenUp(unittest.TestCase):
     """What a restart finds untried is still tried."""
 
