What a restart finds of a class that is no more still goes out, once at most

To blame: Desk._take_up wrote such envelopes off. Their destination, body and outer limit are kept, and an effect that nobody knows is safe if it happens once at most: the decisions hold one more band, made of the defaults. What may have run of it is written off as before.

--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -18,7 +18,7 @@
 from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Call, Ending, Shots
 from cedarwick.net.sockets import Polled
-from cedarwick.policy import Handle, Sender
+from cedarwick.policy import Handle, Sender, band_of
 from cedarwick.state import FAR
 from cedarwick.store.files import DiskFault
 from cedarwick.store.journal import Lost, NoRoom, Store
@@ -82,6 +82,8 @@
                         for index in range(int(assignment.settings.get("realms.count") or 0))]
         self.zones = [zone_mark(name) for name in row(assignment.settings, "zones")]
         self.sender = Sender(assignment.settings, assignment.seed, clock.now())
+        # One more stands for what a restart finds of a band that is no more; as the settings lack it, at most once.
+        self.sender.bands.append(band_of(assignment.settings, len(self.sender.bands)))
         counters.figures.bands = list(self.bands)
         # Danger: shots that the decisions hold to share a call would each count at the destination's limit.
         self.sender.per_call = []
@@ -257,14 +259,14 @@
             kept = self.store.kept[number]
             self.numbers[kept.id] = number
             if kept.end is None and kept.band not in self.bands:
-                logger.error("an envelope of a band that is no more is written off: {}", kept.band)
-                self._recorded("the record of an end", self.store.ended, number, False, 0)
+                self.counters.trouble("an envelope of a band that is no more goes once at most", kept.band)
             if kept.end is not None:
                 self.untold.discard(number)
                 self.notices.post(number, kept.id, *kept.end)
                 continue
             shots = [shot._replace(zone=self._place_of(shot.zone)) for shot in kept.earlier_shots()]
-            owed.append(Owed(number, kept.destination, self.bands[kept.band], kept.outer_limit,
+            band = self.bands.get(kept.band, len(self.sender.bands) - 1)
+            owed.append(Owed(number, kept.destination, band, kept.outer_limit,
                              place(self.tenants, kept.tenant), kept.turn, shots))
         now = self.clock.now()
         if quietly and all(shot.outcome is not None and shot.outcome.never_ran for each in owed for shot in each.shots):
