--- a/cedarwick/net/desk.py
+++ b/cedarwick/net/desk.py
@@ -11,18 +11,18 @@
 from loguru import logger
 
 from cedarwick.errors import Trouble
-from cedarwick.interface import ListChange, Listing, Outcome, Owed
+from cedarwick.interface import ListChange, Listing, Outcome, Owed, row
 from cedarwick.net.assignment import Assignment, place
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Call, Ending, Shots
 from cedarwick.net.sockets import Polled
-from cedarwick.policy import Handle, Sender
+from cedarwick.policy import Handle, Sender, band_of
 from cedarwick.state import FAR
 from cedarwick.store.files import DiskFault
 from cedarwick.store.journal import Lost, NoRoom, Store
-from cedarwick.store.records import Kept
+from cedarwick.store.records import NOWHERE, Kept, zone_mark
 
 REMEMBERED = 15_000_000  # for so long after it was handed in, an id is not taken once more
 NO_RIGHT = 20_000  # until the next look whether this sender may decide, or its copies follow
@@ -80,7 +80,10 @@
                       for index in range(int(assignment.settings["classes.count"]))}
         self.tenants = [assignment.settings.get(f"realms.{index}.name", "")
                         for index in range(int(assignment.settings.get("realms.count") or 0))]
+        self.zones = [zone_mark(name) for name in row(assignment.settings, "zones")]
         self.sender = Sender(assignment.settings, assignment.seed, clock.now())
+        # One more stands for what a restart finds of a band that is no more; as the settings lack it, at most once.
+        self.sender.bands.append(band_of(assignment.settings, len(self.sender.bands)))
         counters.figures.bands = list(self.bands)
         # Danger: shots that the decisions hold to share a call would each count at the destination's limit.
         self.sender.per_call = []
@@ -256,14 +259,15 @@
             kept = self.store.kept[number]
             self.numbers[kept.id] = number
             if kept.end is None and kept.band not in self.bands:
-                logger.error("an envelope of a band that is no more is written off: {}", kept.band)
-                self._recorded("the record of an end", self.store.ended, number, False, 0)
+                self.counters.trouble("an envelope of a band that is no more goes once at most", kept.band)
             if kept.end is not None:
                 self.untold.discard(number)
                 self.notices.post(number, kept.id, *kept.end)
                 continue
-            owed.append(Owed(number, kept.destination, self.bands[kept.band], kept.outer_limit,
-                             place(self.tenants, kept.tenant), kept.turn, kept.earlier_shots()))
+            shots = [shot._replace(zone=self._place_of(shot.zone)) for shot in kept.earlier_shots()]
+            band = self.bands.get(kept.band, len(self.sender.bands) - 1)
+            owed.append(Owed(number, kept.destination, band, kept.outer_limit,
+                             place(self.tenants, kept.tenant), kept.turn, shots))
         now = self.clock.now()
         if quietly and all(shot.outcome is not None and shot.outcome.never_ran for each in owed for shot in each.shots):
             # Danger: sessions come one after another, and each `resume` has the keys of all others rest.
@@ -275,6 +279,10 @@
             self.handles[each.envelope] = handle
         return len(owed)
 
+    def _place_of(self, mark: int) -> int:
+        """A recorded zone among those of the settings; where none or several have its mark, none."""
+        return self.zones.index(mark) if self.zones.count(mark) == 1 else NOWHERE
+
     def _adopt(self, numbers: list[int], quietly: bool = False) -> None:
         known = [number for number in numbers if number in self.store.kept and number not in self.handles
                  and number not in self.store.inert and self.store.kept[number].turn not in self.frozen]
@@ -417,15 +425,18 @@
         call.looked_at = self.polled.at
         now, number = self.clock.now(), call.kept.number
         handle = self.handles.get(number)
-        may = handle is not None and handle.may_start(now, call.receiver) and not self.holding_fire
+        may = free = handle is not None and handle.may_start(now, call.receiver) and not self.holding_fire
         may = may and self.store.may_fire(number)
+        call.whole_by = handle.whole_by() if handle is not None else 0
         if may and number in self.store.kept and not call.recorded:
             zone = self.sender.receivers[call.receiver].zone
+            mark = self.zones[zone] if zone < len(self.zones) else NOWHERE
             may = self._with_body(call)
-            may = call.recorded = may and self._recorded("the record of a shot", self.store.shot, number, now, zone)
+            may = call.recorded = may and self._recorded("the record of a shot", self.store.shot, number, now, mark)
         if not may:
             answer.set(False)
-            self._shot_ended(call, Ending(Outcome.MOOT))
+            # Danger: what the folder does not take, or may not be fired for, would be looked at anew at once for ever.
+            self._shot_ended(call, Ending(Outcome.MOOT, held_back=not free))
         elif self.store.awaited and not call.flushed:
             call.flushed = True
             self.after_flush.append((lambda: answer.set(True), lambda: self._held_back(call, answer)))
@@ -465,6 +476,8 @@
             return
         handle.shot_ended(self.clock.now(), ending.outcome, call.shot, call.receiver, ending.took,
                           ending.told_wait, ending.last, ending.report, ending.kept_link)
+        if ending.held_back:
+            handle.never_left()
         if handle.ended:
             self.counters.add(f"envelopes over: {ending.outcome.value}")
             if ending.outcome is Outcome.COMPLETED:
--- a/cedarwick/net/shots.py
+++ b/cedarwick/net/shots.py
@@ -13,6 +13,7 @@
 from cedarwick.net.http import Answer, Unreadable
 from cedarwick.net.links import Link, Links, NoDescriptor
 from cedarwick.net.sockets import Polled, ended
+from cedarwick.state import FAR
 from cedarwick.store.records import Kept
 
 REPORT_HEADER = "x-pressure"
@@ -35,6 +36,7 @@
     receiver: int
     ordered_at: int
     until: int
+    whole_by: int = FAR  # its last byte must have gone then
     body: bytes = b""  # read from the folder as the shot may go
     recorded: bool = False  # the folder knows that it goes out
     flushed: bool = False  # and so does the disk, where the folder is durable
@@ -55,6 +57,7 @@
     last: bool = False
     report: Sequence[float] = ()
     kept_link: bool = False  # it went over a link that had been used before
+    held_back: bool = False  # no byte of it left, for a reason that a further look at it takes into account
 
 
 class Shots:
@@ -102,27 +105,38 @@
             link = self.links.obtain(call.receiver, call.until, call.new_link)
         except NoDescriptor as error:
             self.counters.trouble("no descriptor for a shot", error.within(f"receiver {call.receiver}"))
-            self._end(call, Outcome.MOOT)
+            self._hold_back(call)
             return
         except OSError as error:
             self.counters.trouble("a link did not come up", error)
             self._end(call, Outcome.CONNECT_FAILED)
             return
-        # Danger: while a link came up, a wait or a drain may have been heard or the envelope have ended.
-        if not self._cleared(call):
-            self.links.give_back(link, usable=True)
-            return
         usable = False
         try:
-            if link.idle_since and ended(link.sock):
-                # Danger: what came while the desk was asked would be read as the answer to this call.
-                self._end(call, Outcome.MOOT)
-                return
-            call.kept_link = link.idle_since > 0
-            usable = self._over(call, link)
+            # Danger: while a link came up, a wait or a drain may have been heard or the envelope have ended.
+            usable = not self._cleared(call)
+            if not usable:
+                usable = self._unless_crossed(call, link)
         finally:
             self.links.give_back(link, usable)
 
+    def _unless_crossed(self, call: Call, link: Link) -> bool:
+        """The call, unless something came while the desk was asked; whether the link can be used again."""
+        if ended(link.sock):
+            # Danger: what lies there before the request would be read as its answer.
+            if link.idle_since:
+                self._hold_back(call)
+            else:
+                self.counters.add("new links that ended or spoke before their request")
+                self._end(call, Outcome.CONNECT_FAILED)
+            return False
+        if self.clock.now() >= call.whole_by:
+            self.counters.add("shots held back: their time was over")
+            self._hold_back(call)
+            return True
+        call.kept_link = link.idle_since > 0
+        return self._over(call, link)
+
     def _cleared(self, call: Call) -> bool:
         """Whether it may go now; where it may not, it has ended."""
         for _ in range(MOST_ASKED):
@@ -135,7 +149,7 @@
             # Danger: the process was stopped, or a round was long: a refusal may lie unread in a socket.
             self.counters.add("clearances that grew old")
             self.polled.again()
-        self._end(call, Outcome.MOOT)
+        self._hold_back(call)
         return False
 
     def _over(self, call: Call, link: Link) -> bool:
@@ -143,7 +157,7 @@
         answer = Answer()
         broken: Outcome | None = Outcome.CONNECT_FAILED
         try:
-            self._wait_until(link, call.until)
+            self._wait_until(link, min(call.until, call.whole_by))
             whole = request(call, self.clock.now())
             # Danger: the right to fire may have run out since the desk was asked; another sender has it then.
             if not self.may_fire(call.kept.number):
@@ -262,10 +276,14 @@
         call.told = True
         self.tell(call, ending)
 
-    def _end(self, call: Call, outcome: Outcome) -> None:
+    def _end(self, call: Call, outcome: Outcome, held_back: bool = False) -> None:
         self.counters.add(f"shots without an answer: {outcome.value}")
         call.told = True
-        self.tell(call, Ending(outcome, self.clock.now() - call.ordered_at, kept_link=call.kept_link))
+        took = self.clock.now() - call.ordered_at
+        self.tell(call, Ending(outcome, took, kept_link=call.kept_link, held_back=held_back))
+
+    def _hold_back(self, call: Call) -> None:
+        self._end(call, Outcome.MOOT, held_back=True)
 
     def _report(self, text: str) -> Sequence[float]:
         """The values that an answer reports, in the order of the settings; nothing if it cannot be read."""
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -106,16 +106,23 @@
             self.sender.close(now, self)
         self.ended = True
 
+    def never_left(self) -> None:
+        """The shot whose ending was told was held back on the way out: it was none of the tries."""
+        self.shots -= 1
+
     def may_start(self, now: int, receiver: int) -> bool:
         """Asked before the first byte: while a link came up a wait, a drain or an end may have been heard."""
         record = self.sender.receivers[receiver]
-        until = min(self.outer_limit, self.repeat_until())
-        return record.ready and record.pace.wait_until <= now < until and not self.ended
+        return record.ready and record.pace.wait_until <= now < self.whole_by() and not self.ended
 
     def on_new_link(self) -> bool:
         """Danger: an at-most-once envelope is lost when the kept link breaks on which it went."""
         return self.band.at_most_once and self.sender.stale_links > STALE_LINKS
 
+    def whole_by(self) -> int:
+        """Danger: a receiver counts a call from its last byte, and forgets its number in time."""
+        return min(self.outer_limit, self.repeat_until())
+
     def repeat_until(self) -> int:
         return FAR if self.band.reissuable or not self.ran_at else self.ran_at + self.band.window
 
@@ -181,6 +188,8 @@
         # Danger: a shot that was out when the process ended may still run, of an ended envelope's key too.
         self.turns.all_rest = now + span(self.settings, "rules.turn-gap-ms")
         handles = [self.take(now, *each[:-1]) for each in owed]
+        # Danger: under settings that hold less, all that is beyond them would be given up without a call.
+        self.most_open = max(self.most_open, self.open + 2)
         for handle, each in zip(handles, owed, strict=True):
             handle.shots = len(each.shots)
             for shot in reversed(each.shots):
@@ -622,7 +631,9 @@
             return min(left, soon if envelope.band.reissuable else 3 * soon if crowded else FAR)
         window = envelope.band.window if not envelope.ran_at else envelope.ran_at + envelope.band.window - now
         patience = min(window - SECOND // 2, soon if receiver.out_since or crowded else 2 * soon)
-        return min(left, patience) if patience >= SECOND and envelope.shots < self.most_shots else left
+        # Danger: in a short window a hang would hold its slot to the end, and never be repeated.
+        enough = patience >= min(SECOND, usual)
+        return min(left, patience) if enough and envelope.shots < self.most_shots else left
 
     def _urgency(self, now: int, envelope: Envelope) -> tuple[float, int, int]:
         """Sorts the envelope first that loses most by waiting; over-share tenants go last."""
