The next call for the list comes within 4 s on sockets, and many leave out the first two

What counts as told 6 s after discovery had it and could be reached goes before all that is allowed after a failed call. The wait was drawn from a window of up to senders x 0.25 s and 60 s at most: with 200 senders it broke that clock by itself.

Ruled out: the clock of the connection (1 s) and of the first answer (1 s): they add to the wait, and end at 5 s together with it.

At fault: `list_call_failed`, whose bound was `WINDOW_CAP`. Now `LIST_WAIT`, 4 s, and where the window is cut by it the lower half of what is left is not drawn from: full jitter there brings a third more calls than needed at the return.

--- a/cedarwick/interface.py
+++ b/cedarwick/interface.py
@@ -19,6 +19,7 @@
     handle.on_new_link()                          whether an ordered shot may not go over a kept link
     handle.may_start(now, receiver)               whether an ordered shot may still go, before its first byte
     sender.link_life                              how long an idle link is used
+    sender.list_wait                              the longest wait after a call for the list that failed
     sender.per_call                               envelopes a call by kind; cleared where a call carries one
 
 `decide` also serves a wake-up: waking needs no call of its own. Times are whole microseconds of the
@@ -128,6 +129,7 @@
     """What a protocol may ask of the decisions."""
 
     link_life: int
+    list_wait: int
     per_call: list[int]
     room: int
 
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -11,6 +11,7 @@
 WINDOW_BASE = SECOND // 2
 WINDOW_CAP = 60 * SECOND
 LIST_GAP = SECOND // 4  # of a window for the next call for the list, for each sender
+LIST_WAIT = 4 * SECOND  # and the longest: with 1 s for a call that hangs, news comes before it counts as told
 CANCELLED_CAP = 2  # shots with an unclassified end
 SPAN = 2 * SECOND  # the share of refusals is measured over this
 THROTTLED = 0.15  # a larger share of refusals as full halves the pace: one in seven is more than chance
@@ -158,6 +159,7 @@
         self.looks = Plan()
         self.subscribe_at = now if settings.get("discovery") == "ask" else FAR
         self.asked_at, self.asked_in_vain = now, 0  # for the list: when last, how often of late
+        self.list_wait = span(settings, "rules.ask-within-ms") or LIST_WAIT  # on sockets no longer than that
         self.verdicts = Verdicts()
 
     def take(self, now: int, envelope: int, destination: int, band: int, outer_limit: int, tenant: int,
@@ -248,10 +250,12 @@
     def list_call_failed(self, now: int) -> None:
         """Danger: all senders lose the list at once; a call that discovery turns away has cost it work too,
         and as long as all together ask faster than it answers, it answers nobody."""
-        longest = span(self.settings, "rules.ask-within-ms", WINDOW_CAP / 1000)
-        self.asked_in_vain = 0 if now - self.asked_at >= longest else min(self.asked_in_vain, 16)
+        recent = now - self.asked_at < self.list_wait
+        self.asked_in_vain = min(self.asked_in_vain, 16) if recent else 0
         window = max(WINDOW_BASE << self.asked_in_vain, self.senders * LIST_GAP)
-        self.subscribe_at = now + 1 + self.chance.below(min(longest, window))
+        # Danger: in a window that is cut short more come than are answered; so its lower half is left out.
+        least = min(LIST_WAIT, self.list_wait) // 2 if window > self.list_wait else 0
+        self.subscribe_at = now + 1 + least + self.chance.below(max(1, min(self.list_wait, window) - least))
         self.asked_in_vain += 1
 
     def decide(self, now: int) -> Verdicts:
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -25,6 +25,7 @@
 from cedarwick.ops.address import Management
 from cedarwick.ops.handover import inherited_listener
 from cedarwick.ops.staff import Staff
+from cedarwick.policy import LIST_WAIT
 from cedarwick.store.files import DiskFault, InUse
 from cedarwick.store.journal import BODIES, Store
 
@@ -97,6 +98,8 @@
     try:
         polled = Polled(clock)
         desk = Desk(assignment, clock, counters, store, polled)
+        # On sockets news counts as told by one clock, whatever the settings allow after a call that failed.
+        desk.sender.list_wait = min(desk.sender.list_wait, LIST_WAIT)
         directory = Directory(assignment, counters, desk.listed, desk.list_call_failed)
         intake = Intake(assignment.listen, clock, counters, descriptors, desk,
                         lambda: directory.known and store.taking(), listener=inherited)
