A watch that trickles is left in 4.2 s, and a refusal has its wait from its own moment on

At fault: `_follow` and `_more`, whose time-outs were those of one read. Now what is whole (the answer, an object that ended, an empty line) counts, and a read waits for what is left of the limit; what lies there after a stop of the process is read first.

A call that waited 1 s and was then refused (another status) had its wait from the first second on, so that its next call came soon after the refusal. The test of that said that nothing is told at the refusal; it says now that the wait is drawn anew there, and that one which only broke off has its wait already: two cases in place of one.

A watch that was answered late and ended at once counted as one that had held (the time ran from the connection): it would have been made anew each second. It counts from the answer now.

Ruled out: a call in doubt that is listened to for ever (the decisions want the next within 4 s); moves in any state (starting, reading, in doubt, waiting, just ended; once, twice, `ask` on either side): 20 cases, none lost, nothing of the old agent believed.

--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -19,8 +19,9 @@
 PHASES = {"up": Phase.READY, "draining": Phase.DRAINING, "removed": Phase.GONE}
 CONNECT = 1.0  # seconds in which a connection to the platform must come up
 FIRST = 1.0  # seconds in which a call for the list must begin to be answered: the agent answers at once
-SILENT = 4.2  # seconds: an empty line comes every two, so two of them are missing; an object must end in that time too
-STOOD = 1.0  # seconds: a watch that was answered and held so long was no failed call, however it ends
+SILENT = 4.2  # seconds in which a line must end: an empty one comes every two, so two of them are missing
+AT_ONCE = 0.01  # seconds to read what lies there already, as after a stop of the process
+STOOD = 1.0  # seconds: a watch that held so long after its answer was no failed call, however it ends
 LONGEST_LINE = 1 << 22  # bytes of an object
 LARGEST_RATE = 1_000_000  # calls a second; what is listed above that is no rate
 FORGET = 60.0  # seconds after a receiver has gone: longer than any shot to it, and than the decisions know it
@@ -53,6 +54,7 @@
         self.moved = False  # the platform has another address since the watch was opened
         self.stood = False  # the last watch was answered, and held for a while
         self.doubted = False  # the call for the watch has been told as failed; it is still listened to
+        self.refused = False  # it was answered with another status
         self.first_news = gevent.event.Event()  # the agent has said what it has, or does not say it
         self.following: gevent.Greenlet | None = None
         self.known = False  # whether any receiver has been learned of
@@ -137,16 +139,16 @@
         """Never returns: keeps a watch open from the last version. One that stood opens anew at once: silence is no
         refusal, and the agent on this machine answers at no cost. After a call that failed the decisions say when."""
         while True:
-            self.moved = self.stood = self.doubted = False
+            self.moved = self.stood = self.doubted = self.refused = False
             self.following = gevent.spawn(self._follow_to_its_end)
             self.following.join()
             self.first_news.set()
             if self.moved or self.stood:
                 continue
-            if not self.doubted:
-                self._call_failed()
             # Danger: a call that waited and was then refused would be made anew at once by all that discovery is too
-            # busy for; what it was told as has its wait already.
+            # busy for: its wait begins at the refusal. What only broke off has its wait since it was told as failed.
+            if self.refused or not self.doubted:
+                self._call_failed()
             self.asked.wait()
 
     def _call_failed(self) -> None:
@@ -165,41 +167,47 @@
         text, raw = Buffer(), Buffer()
         answer, objects = Answer(text.append), Objects(LONGEST_LINE)
         sock = connected(self.platform, CONNECT)
-        opened = begun = time.monotonic()  # the watch, and the object that has not ended yet
+        alive = time.monotonic()  # the call, then its answer, each object that ends and each empty line
+        answered = 0.0
         try:
-            sock.settimeout(FIRST)
             host = f"{self.platform[0]}:{self.platform[1]}"
+            sock.settimeout(FIRST)
             sock.sendall(f"GET /catalog/members?follow=1&since={self.version} HTTP/1.1\r\n"
                          f"Host: {host}\r\nAccept: application/json\r\n\r\n".encode())
             self.counters.add("watches opened")
-            while not answer.complete and self._more(sock, raw, answer):
+            while not answer.complete and self._more(sock, raw, answer, alive):
                 if self.moved:
                     return  # Danger: a late line of the old agent would be believed over the new one's.
                 answer.feed(raw)
-                if answer.status not in (0, 200):
+                self.refused = answer.status not in (0, 200)
+                if self.refused:
                     raise Unreadable(f"status {answer.status}")
                 if not answer.status:
                     continue
                 self.doubted = False
-                # Danger: a dead platform says nothing, and its list would be believed for ever.
-                sock.settimeout(SILENT)
-                if len(text):
-                    begun = time.monotonic() if not objects.depth else begun
-                    for news in objects.read(text.take(len(text))):
-                        self.learn(news)
-                        begun = time.monotonic()
-                    if not objects.depth:
-                        self.first_news.set()  # an empty line says that there is nothing new
-                    elif time.monotonic() - begun > SILENT:
-                        # Danger: what follows an object that was torn would be taken for its inside.
-                        raise Unreadable("an object did not end")
+                if not answered:
+                    alive = answered = time.monotonic()
+                came = text.take(len(text))
+                for news in objects.read(came):
+                    self.learn(news)
+                    alive = time.monotonic()
+                if came and not objects.depth:
+                    self.first_news.set()  # an empty line says that there is nothing new
+                    alive = time.monotonic()
+                # Danger: what follows an object that was torn would be taken for its inside.
+                if time.monotonic() - alive > SILENT:
+                    raise Unreadable("no line ended")
             raise Unreadable("the watch ended")
         finally:
             sock.close()
-            self.stood = answer.status == 200 and time.monotonic() - opened >= STOOD
-
-    def _more(self, sock: gevent.socket.socket, raw: Buffer, answer: Answer) -> int:
-        """Read once; 0 at the end, TimeoutError where an answered watch falls silent."""
+            self.stood = bool(answered) and time.monotonic() - answered >= STOOD
+
+    def _more(self, sock: gevent.socket.socket, raw: Buffer, answer: Answer, alive: float) -> int:
+        """Read once; 0 at the end, TimeoutError where an answered watch says nothing whole any more."""
+        if not self.doubted:
+            # Danger: a dead platform says nothing, or a byte now and then, and its list would be believed for ever.
+            left = alive + (SILENT if answer.status else FIRST) - time.monotonic()
+            sock.settimeout(max(AT_ONCE, left))
         try:
             return raw.fill(sock)
         except TimeoutError:
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -1,12 +1,18 @@
 """The watch of the list where two events cross: silence, spoilt and old news, moves, late answers, many senders."""
 
+import contextlib
 import heapq
+import time
 import unittest
 from collections.abc import Callable
+from typing import Any
+
+import gevent
 
 from cedarwick.net import directory as module
 from cedarwick.policy import SECOND, Sender
 from tests.build import NOW, SETTINGS
+from tests.test_directory import HEAD, Watched, chunk
 
 
 class Fleet:
@@ -92,5 +98,140 @@
             self.assertGreater(min(waits), 1.99)  # many that lost it together: not so many that nobody is answered
 
 
+class Silence(Watched):
+    LATE = 0.3  # seconds after the limit
+
+    def test_what_says_nothing_whole_any_more_is_left_in_time(self) -> None:
+        """However it goes on: silent, or a byte now and then."""
+        blank, line = chunk(b"\n"), self.news(7)
+        begun = b"%x\r\n" % (len(line) + 99)
+        cases: list[tuple[str, bytes, bytes]] = [
+            ("the head", HEAD, b""),
+            ("empty lines", HEAD + blank + blank, b""),
+            ("half an object", HEAD + blank + chunk(line[:20]), b""),
+            ("an object, then half of one", HEAD + chunk(line + line[:20]), b""),
+            ("an object byte by byte", HEAD + blank, b"".join(chunk(line[at:at + 1]) for at in range(len(line)))),
+            ("a chunk byte by byte", HEAD + blank + begun, line * 9),
+            ("a size byte by byte", HEAD + blank, b"0" * 99),
+            ("a head byte by byte", HEAD[:17] + b"X: ", b"y" * 99),
+        ]
+        for name, first, more in cases:
+            with self.subTest(after=name):
+                sock, _ = self.opened(within=2.0)
+                said = time.monotonic()
+                sock.sendall(first)
+                step = len(chunk(b"x")) if name == "an object byte by byte" else 1
+
+                def go_on(sock: Any = sock, more: bytes = more, step: int = step) -> None:
+                    with contextlib.suppress(OSError):
+                        for at in range(0, len(more), step):
+                            gevent.sleep(module.SILENT - 0.01)  # each within the limit since the one before
+                            sock.sendall(more[at:at + step])
+
+                going = gevent.spawn(go_on)
+                self.addCleanup(going.kill)
+                again, _ = self.opened(within=module.SILENT + 0.8)
+                self.assertLess(time.monotonic() - said, module.SILENT + self.LATE)
+                going.kill()
+                again.sendall(HEAD + chunk(b"\n"))
+                self.happens(lambda: not self.made.doubted)
+                gevent.sleep(module.STOOD + 0.15)
+                again.close()
+        self.assertEqual(self.failed, [])
+
+    def test_a_head_that_trickles_before_its_status_has_failed_in_time(self) -> None:
+        sock, _ = self.opened()
+        begun = time.monotonic()
+        for byte in b"HTTP/1.1 100 Go\r\n\r\nHTTP/1":
+            if self.failed:
+                break
+            sock.sendall(bytes([byte]))
+            gevent.sleep(module.FIRST / 5)
+        self.assertLess(self.failed[0] - begun, module.FIRST + self.LATE)
+
+    def test_a_watch_that_was_answered_late_and_ended_at_once_was_no_watch(self) -> None:
+        sock, _ = self.opened()
+        self.happens(lambda: self.failed)
+        sock.sendall(HEAD + chunk(self.news(3)) + b"0\r\n\r\n")
+        self.happens(lambda: len(self.failed) == 2)
+        self.assertEqual(self.made.version, 3)
+        with self.assertRaises(gevent.Timeout):
+            self.opened(within=0.2)
+
+    def test_what_lies_there_after_a_stop_of_the_process_is_read(self) -> None:
+        sock, _ = self.opened()
+        sock.sendall(HEAD + chunk(b"\n"))
+        self.happens(self.made.first_news.is_set)
+        sock.sendall(chunk(self.news(4)))
+        time.sleep(module.SILENT + 0.1)  # all stands still
+        self.happens(lambda: self.made.version == 4)
+
+
+class Moves(Watched):
+    def test_a_move_in_any_state_of_the_watch_opens_the_new_one_at_once(self) -> None:
+        """In each: told once, then twice in a row, and with `ask` on either side of it."""
+        def move(new: Any) -> None:
+            self.made.move(new.getsockname())
+
+        def twice(new: Any) -> None:
+            move(self.agent())
+            move(new)
+
+        def asked_first(new: Any) -> None:
+            self.made.ask()
+            move(new)
+
+        def asked_after(new: Any) -> None:
+            move(new)
+            self.made.ask()
+
+        for how in (move, twice, asked_first, asked_after):
+            for state in ("starting", "reading", "in doubt", "waiting", "ending"):
+                with self.subTest(state=state, how=how.__name__):
+                    self.made.move(self.listener.getsockname())
+                    sock, _ = self.opened()
+                    failed = len(self.failed)
+                    if state in ("reading", "ending"):
+                        sock.sendall(HEAD + chunk(self.news(7)))
+                        self.happens(lambda: self.made.version == 7)
+                    elif state == "in doubt":
+                        self.happens(lambda: self.made.doubted)
+                    elif state == "waiting":
+                        sock.close()
+                        self.happens(lambda: len(self.failed) > failed)  # noqa: B023
+                    new, old = self.agent(), self.made.following
+                    if state == "ending":  # the watch has ended, and nobody has seen it yet
+                        assert old is not None
+                        old.link(lambda _, how=how, new=new: how(new))
+                        sock.close()
+                    else:
+                        how(new)
+                    fresh, line = self.opened(new, within=0.2)
+                    self.assertIn(b"since=0 ", line)
+                    if state == "reading":
+                        with contextlib.suppress(OSError):
+                            sock.sendall(chunk(self.news(90)))
+                    fresh.sendall(HEAD + chunk(self.news(3)))
+                    self.happens(lambda: self.made.version == 3)
+                    gevent.sleep(0.02)
+                    self.assertEqual((self.made.version, self.made.platform), (3, new.getsockname()))
+
+    def test_a_new_address_that_is_not_up_yet_is_asked_when_the_decisions_say_so(self) -> None:
+        self.opened()
+        new = self.agent()
+        address = new.getsockname()
+        new.close()
+        self.made.move(address)
+        self.happens(lambda: self.failed)
+        again = gevent.socket.socket()
+        self.addCleanup(again.close)
+        again.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
+        again.bind(address)
+        again.listen()
+        self.made.ask()
+        _, line = self.opened(again, within=0.2)
+        self.assertIn(b"since=0 ", line)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -63,7 +63,7 @@
         self.assertEqual((len(found), loads.call_count, looked), (1, 1, 0))
 
 
-class Watch(unittest.TestCase):
+class Watched(unittest.TestCase):
     """A directory against a stand-in of the agent, with short limits."""
 
     GOOD = {"uid": "s", "endpoint": "127.0.0.1:9", "az": "a", "model": "k", "pod_group": 4, "state": "up"}
@@ -106,6 +106,8 @@
             while not true():
                 gevent.sleep(0.005)
 
+
+class Watch(Watched):
     def test_an_indented_list_is_learned(self) -> None:
         sock, _ = self.opened()
         text = self.news(3, indent=2)
@@ -162,15 +164,19 @@
         with self.assertRaises(gevent.Timeout):
             self.opened(within=0.2)
 
-    def test_a_call_that_waited_and_was_then_refused_has_its_wait_before_the_next_one(self) -> None:
-        sock, _ = self.opened()
-        self.happens(lambda: self.failed)
-        sock.sendall(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
-        with self.assertRaises(gevent.Timeout):
-            self.opened(within=0.3)
-        self.assertEqual(len(self.failed), 1)
-        self.made.ask()
-        self.opened(within=0.3)
+    def test_a_call_that_waited_and_was_then_refused_has_its_wait_from_the_refusal_on(self) -> None:
+        """One that waited and only broke off has its wait since it was told as failed."""
+        for refused, text in ((1, b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), (0, b"")):
+            with self.subTest(refused=refused):
+                before = len(self.failed)
+                sock, _ = self.opened()
+                self.happens(lambda: len(self.failed) == before + 1)  # noqa: B023
+                sock.sendall(text)
+                sock.close()
+                with self.assertRaises(gevent.Timeout):
+                    self.opened(within=0.3)
+                self.assertEqual(len(self.failed), before + 1 + refused)
+                self.made.ask()
 
     def test_an_object_that_was_torn_does_not_swallow_what_follows(self) -> None:
         sock, _ = self.opened()
