Spoilt lines of the list are taken carefully, older news is not believed, both ask for all anew

"all" as the text "false": taken for a whole list, and b gone. At fault: `learn`, which read a whole list with one spoilt line as changes, took any version, and believed a line wholly or not at all.

Now a line that names its receiver keeps it as it was, and its state counts where that says draining or removed; a receiver that a whole list does not name is gone, also where another line is spoilt. A version below the last is not believed. Both end the watch and ask for the whole list at once (since=0), the first object of which counts whatever its version: an agent that counts anew is heard. Asked for once without a wait: an agent that spoils its whole list again is listened to, and one whose versions go back again is a failed call. The first shots wait for that second answer too. A version below the saved list's is the same case.

A uid has to be text: `null` or a number named a receiver of its own. Ruled out: a whole list told twice, and changes between two of the same version: taken as they are, nothing undone.

--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -45,7 +45,8 @@
         self.counters = counters
         self.tell = tell
         self.tell_failed = tell_failed
-        self.version = 0
+        self.version = 0  # of the list as it was told; 0 asks for the whole list
+        self.unsure = False  # something in the news could not be read or was out of order
         self.numbers: dict[str, int] = {}
         self.next_number = 1  # never used twice: a new receiver must not inherit what is known of a gone one
         self.addresses: dict[int, tuple[str, int]] = {}
@@ -55,36 +56,52 @@
         self.stood = False  # the last watch was answered, and held for a while
         self.doubted = False  # the call for the watch has been told as failed; it is still listened to
         self.refused = False  # it was answered with another status
+        self.renewed = False  # the call for the watch asks for the whole list, since the one before was unclear
         self.first_news = gevent.event.Event()  # the agent has said what it has, or does not say it
         self.following: gevent.Greenlet | None = None
         self.known = False  # whether any receiver has been learned of
         self.last: dict[str, Listing] = {}  # by uid: the newest line of the list as the platform gave it
         self.held_out: set[str] = set()  # uids that the operators took out: draining, whatever the list says
 
-    def learn(self, news: dict[str, Any], saved: bool = False) -> None:
-        """Pass on one piece of list news; `BadNews` where it cannot be read."""
+    def learn(self, news: dict[str, Any], saved: bool = False) -> bool:
+        """Pass on one piece of list news; False where a line of it is unclear, `BadNews` where all of it is."""
         try:
-            entries, version, whole = list(news["targets"]), int(news["rev"]), bool(news["all"])
+            entries, version, whole = list(news["targets"]), int(news["rev"]), news["all"]
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise BadNews(f"list news without {error}") from None
-        if whole and not entries and self.known:
-            # Danger: platforms that start anew have an empty list for a moment; believed, it would end all traffic.
-            raise BadNews("a whole list with nothing in it")
-        listings, named = [], set()
+        if not isinstance(whole, bool):
+            raise BadNews(f"whole or changes: {str(whole)[:40]!r}")
+        if version < self.version:
+            # Danger: a list that comes late would undo a drain; one that counts anew would never be heard again.
+            self.unsure = True
+            raise BadNews(f"version {version} after {self.version}")
+        listings, named, clear = [], set(), True
         for entry in entries:
+            uid = ""
             try:
-                listing = self.last[str(entry["uid"])] = self._listing(entry)
-                listings.append(self._as_held(str(entry["uid"]), listing))
-                if listing.phase is not Phase.GONE:
-                    named.add(str(entry["uid"]))
+                uid = _uid(entry["uid"])
+                listing = self._listing(uid, entry)
             except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
                 # Danger: one line that cannot be read would keep all others from being heard.
                 self.counters.trouble("a line of the list cannot be read", BadNews(f"{type(error).__name__}: {error}"))
-                whole = False  # Danger: a receiver whose line is spoilt would be taken for one that has gone
+                clear = False
+                if uid not in self.last:
+                    continue
+                listing = self.last[uid]  # Danger: named, it would be taken for one that has gone
+            self.last[uid] = listing
+            listings.append(self._as_held(uid, listing))
+            if listing.phase is not Phase.GONE:
+                named.add(uid)
+        if whole and not listings and self.known:
+            # Danger: platforms that start anew have an empty list for a moment; believed, it would end all traffic.
+            raise BadNews("a whole list with nothing in it")
         self._forget(named, whole)
         self.version = version
+        # Danger: what a spoilt line said is in no later change; only a whole list tells it.
+        self.unsure = not clear or self.unsure and not whole
         self.known = self.known or bool(listings)
         self.tell(ListChange.SAVED if saved else ListChange.WHOLE if whole else ListChange.CHANGES, listings)
+        return clear
 
     def _forget(self, named: set[str], whole: bool) -> None:
         """Danger: where receivers are replaced all day, those that have gone add up."""
@@ -137,14 +154,16 @@
 
     def watch(self) -> None:
         """Never returns: keeps a watch open from the last version. One that stood opens anew at once: silence is no
-        refusal, and the agent on this machine answers at no cost. After a call that failed the decisions say when."""
+        refusal, and the agent on this machine answers at no cost; so does one that is to tell the whole list instead.
+        After a call that failed the decisions say when."""
         while True:
             self.moved = self.stood = self.doubted = self.refused = False
             self.following = gevent.spawn(self._follow_to_its_end)
             self.following.join()
-            self.first_news.set()
-            if self.moved or self.stood:
+            first, self.renewed = self.unsure and not self.renewed, self.unsure
+            if self.moved or self.stood or first:
                 continue
+            self.first_news.set()
             # Danger: a call that waited and was then refused would be made anew at once by all that discovery is too
             # busy for: its wait begins at the refusal. What only broke off has its wait since it was told as failed.
             if self.refused or not self.doubted:
@@ -166,6 +185,8 @@
     def _follow(self) -> None:
         text, raw = Buffer(), Buffer()
         answer, objects = Answer(text.append), Objects(LONGEST_LINE)
+        if self.unsure:
+            self.version = 0
         sock = connected(self.platform, CONNECT)
         alive = time.monotonic()  # the call, then its answer, each object that ends and each empty line
         answered = 0.0
@@ -175,6 +196,7 @@
             sock.sendall(f"GET /catalog/members?follow=1&since={self.version} HTTP/1.1\r\n"
                          f"Host: {host}\r\nAccept: application/json\r\n\r\n".encode())
             self.counters.add("watches opened")
+            told = False  # an object of this watch
             while not answer.complete and self._more(sock, raw, answer, alive):
                 if self.moved:
                     return  # Danger: a late line of the old agent would be believed over the new one's.
@@ -189,8 +211,9 @@
                     alive = answered = time.monotonic()
                 came = text.take(len(text))
                 for news in objects.read(came):
-                    self.learn(news)
-                    alive = time.monotonic()
+                    if not self.learn(news) and (told or not self.renewed):
+                        raise BadNews("unclear changes: the whole list is asked for")
+                    told, alive = True, time.monotonic()
                 if came and not objects.depth:
                     self.first_news.set()  # an empty line says that there is nothing new
                     alive = time.monotonic()
@@ -222,21 +245,29 @@
         sock.settimeout(None)
         return raw.fill(sock)
 
-    def _listing(self, entry: dict[str, Any]) -> Listing:
-        uid = str(entry["uid"])
+    def _listing(self, uid: str, entry: dict[str, Any]) -> Listing:
         phase = PHASES.get(entry["state"])
         if phase is None:
             raise ValueError(f"unknown state {entry['state']!r}")
+        try:
+            at = address(str(entry["endpoint"])) if phase is not Phase.GONE or "endpoint" in entry else None
+            group = int(entry.get("pod_group", 0))
+            zone, kind = place(self.zones, entry.get("az")), place(self.kinds, entry.get("model"))
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            if phase is Phase.READY or uid not in self.last:
+                raise
+            # Danger: a field that is spoilt would hide the drain that stands in the same line.
+            self.counters.trouble("a line of the list is spoilt", BadNews(f"{uid}: {type(error).__name__}: {error}"))
+            at, (_, zone, kind, group, *_) = None, self.last[uid]
         if uid not in self.numbers:
             self.numbers[uid] = self.next_number
             self.next_number += 1
         number = self.numbers[uid]
         if phase is Phase.GONE:
             self.gone_since.setdefault(uid, time.monotonic())
-        if phase is not Phase.GONE or "endpoint" in entry:
-            self.addresses[number] = address(str(entry["endpoint"]))
-        return Listing(number, place(self.zones, entry.get("az")), place(self.kinds, entry.get("model")),
-                       int(entry.get("pod_group", 0)), phase, self._rate(uid, entry.get("capacity_hint", 0.0)))
+        if at is not None:
+            self.addresses[number] = at
+        return Listing(number, zone, kind, group, phase, self._rate(uid, entry.get("capacity_hint", 0.0)))
 
     def _rate(self, uid: str, hint: object) -> float:
         """The listed rate; where it is no rate, the one that was listed before, or none."""
@@ -245,3 +276,9 @@
         # Danger: one spoilt figure would hide a drain that stands in the same line, or let everything go at once.
         self.counters.trouble("a listed rate that is none", BadNews(f"{uid}: {str(hint)[:40]}"))
         return self.last[uid].rate if uid in self.last else 0.0
+
+
+def _uid(told: object) -> str:
+    if not isinstance(told, str):
+        raise ValueError(f"no uid: {str(told)[:40]}")
+    return told
