Until the agent's first answer envelopes are kept and answered, not shot, for 1 s at most

What the agent has counts as told from the first moment of a new process, and a first answer may come slowly.

An agent that says nothing (5 s): +OK after 0.2 s, first shots after 1.0 s instead of 0.2 s. An agent that answers within 0.1 s or refuses: as before.

Now the desk holds fire from 0.2 s on and keeps what comes, as at a hand-over, until the agent has said what it has, its call is in doubt or has failed, or 1 s is over. A SIGTERM in between leaves it so: what is kept is the next process's.

--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -41,6 +41,7 @@
 # then for clients that were let go to close, before the folder is the next process's.
 HANDOVER, ANSWERING, LINGERING = 0.2, 0.05, 1.1
 FIRST_NEWS = 0.2  # seconds that the decisions wait for it; a client that has its PONG waits 0.4 for an answer
+FIRST_SHOT = 0.8  # and seconds more for which envelopes are kept and answered, but not shot; silence is told by then
 LOOK = 0.01  # seconds between two looks at a folder that another process still holds
 
 
@@ -176,9 +177,20 @@
     def decide() -> None:
         """Never returns: the desk, once the agent has said what it has; that counts as told from the first moment."""
         # Danger: a shot of a kept envelope would go to a receiver that the saved list does not know to be draining.
-        directory.first_news.wait(FIRST_NEWS)
+        if not directory.first_news.wait(FIRST_NEWS):
+            desk.holding_fire = desk.keeping = True
+            gevent.spawn(fire)
         desk.run()
 
+    def fire() -> None:
+        directory.first_news.wait(FIRST_SHOT)
+        desk.queue.put((begin, ()))
+
+    def begin() -> None:
+        # Danger: at the end of the process the desk holds fire for good.
+        if not stopping.is_set():
+            desk.holding_fire = desk.keeping = False
+
     stopping = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -7,13 +7,14 @@
 import unittest
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import gevent
 
 from cedarwick.interface import ListChange, Phase
 from cedarwick.net import directory as module
-from cedarwick.policy import SECOND, Sender
-from tests.build import NOW, SETTINGS
+from cedarwick.policy import LIST_WAIT, SECOND, Sender
+from tests.build import NOW, SETTINGS, Program, Receiver, line_of, reply, submit, until
 from tests.test_directory import HEAD, Watched, chunk
 
 
@@ -325,5 +326,36 @@
         self.assertIn(b"since=0 ", line)
 
 
+class FirstShots(unittest.TestCase):
+    def test_while_the_first_answer_is_late_envelopes_are_kept_and_not_shot_on_the_saved_list(self) -> None:
+        program = Program([Receiver(None), Receiver(reply(200))])
+        self.addCleanup(program.close)
+        program.configure(known={"rev": 0, "all": True, "targets": [program.target(0), program.target(1)]})
+        program.platform.targets = [program.target(0, "draining"), program.target(1)]
+        answers = program.platform.finish_request
+        for late in (0.5, 5.0):
+            def answer(*told: Any, late: float = late) -> None:
+                time.sleep(late)
+                answers(*told)
+
+            with mock.patch.object(program.platform, "finish_request", answer):
+                program.start()
+                begun = time.monotonic()
+                with program.connect() as sock:
+                    for dest in (0, 1):
+                        sock.sendall(submit(f"{late}-{dest}", dest=dest))
+                        self.assertEqual(line_of(sock), b"+OK\r\n")
+                self.assertLess(time.monotonic() - begun, 0.38)
+                until(lambda: len(program.receivers[1].calls) == 1 + (late > 1))  # noqa: B023
+                self.assertLess(time.monotonic() - begun, 1.3)
+                time.sleep(0.3)
+                self.assertEqual(bool(program.receivers[0].calls), late > 1)
+            program.kill()
+
+    def test_the_longest_wait_and_the_net_limits_stay_under_the_clock(self) -> None:
+        self.assertLess(module.CONNECT + LIST_WAIT / SECOND, 5.5)
+        self.assertLess(module.FIRST + LIST_WAIT / SECOND, 5.5)
+
+
 if __name__ == "__main__":
     unittest.main()
