--- a/cedarwick/interface.py
+++ b/cedarwick/interface.py
@@ -21,6 +21,7 @@
     handle.whole_by()                             when the last byte of an ordered shot must have gone
     handle.never_left()                           after an outcome: that shot was held back, and is no try
     sender.link_life                              how long an idle link is used
+    sender.list_wait                              the longest wait after a call for the list that failed
     sender.per_call                               envelopes a call by kind; cleared where a call carries one
 
 `decide` also serves a wake-up: waking needs no call of its own. Times are whole microseconds of the
@@ -134,6 +135,7 @@
     """What a protocol may ask of the decisions."""
 
     link_life: int
+    list_wait: int
     per_call: list[int]
     room: int
 
