The run line ignores SIGHUP until the sender listens to it

Seen: a SIGHUP in the first 30 ms of a process, before its first line of Python runs, ended it (12 of 12 on a loaded machine).

--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -6,8 +6,10 @@
 import signal
 import socket
 import struct
+import subprocess
 import tempfile
 import time
+import tomllib
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -348,6 +350,13 @@
                 self.assertIsNone(program.process.poll())
                 program.kill()
 
+    def test_the_run_line_ignores_it_before_the_interpreter_starts(self) -> None:
+        with open("deploy/balancer.toml", "rb") as file:
+            line = tomllib.load(file)["run"]
+        shown = line.replace("-m cedarwick", "-c 'import signal; print(signal.getsignal(signal.SIGHUP).name)'")
+        self.assertNotEqual(shown, line)
+        self.assertEqual(subprocess.check_output(["/bin/sh", "-c", shown], text=True), "SIG_IGN\n")
+
 
 if __name__ == "__main__":
     unittest.main()
