Where descriptors are short, who was told the end makes way before a connection that has not asked yet

Clients that were told the end while their next request crossed it are held for 0.3 s, so that they read the end before the reset; on these nobody is served, yet `Intake._make_room` took only connections between requests, which are then the newest ones.

Now those that were let go 50 ms ago come first, and the 0.3 s end as they are cut.

--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import gevent
+import gevent.event
 import gevent.socket
 
 from cedarwick.errors import Trouble
@@ -31,6 +32,7 @@
 SLOW = 0.3  # seconds without a byte of a begun request, after which it may have to make way
 LINGER = 1.0  # seconds in which a client that was let go may close by itself
 CROSSED = 0.3  # seconds in which one whose request crossed that reads the end, before the close is a reset
+TOLD = 0.05  # seconds after which it makes way, where descriptors are short
 WASTED = 1 << 18  # bytes that are read after a refusal, so that the client can read its error
 UNUSABLE = 8  # so many requests in a row that cannot be used end the connection
 DOUBTED = 3  # so many count of those that may be right, as where the list is old: they are answered within their time
@@ -78,8 +80,8 @@
 class Client:
     """One connection from a client."""
 
-    __slots__ = ("sock", "buffer", "waiting", "answering", "cut", "let_go", "idle_since", "begun_at", "asked",
-                 "served", "unusable")
+    __slots__ = ("sock", "buffer", "waiting", "answering", "cut", "let_go", "leave", "idle_since", "begun_at",
+                 "asked", "served", "unusable")
 
     def __init__(self, sock: gevent.socket.socket, now: int) -> None:
         self.sock = sock
@@ -88,7 +90,8 @@
         self.answering = False  # a request was read, and its answer is not written
         self.cut = False
         self.let_go = False  # it is told the end; nothing more is read from it
-        self.idle_since = now  # the last byte read, or the last answer
+        self.leave = gevent.event.Event()  # it is cut, also where its request crossed the end
+        self.idle_since = now  # the last byte read, or the last answer; of one that was let go: when
         self.begun_at = 0  # when the first byte of a request came that is not whole yet; 0: none has
         self.asked = False  # it has sent a request of any kind
         self.served = False  # it has handed in something that could be used
@@ -231,15 +234,17 @@
             return
         # Danger: one that was cut counts until its greenlet has run; cutting on would reach the newest.
         if not any(client.cut for client in self.clients):
-            slow = self.clock.now() - round(SLOW * 1_000_000)
-            idle = [client for client in self.clients
-                    if client.waiting or client.begun_at and client.idle_since < slow]
+            slow, told = (self.clock.now() - round(each * 1_000_000) for each in (SLOW, TOLD))
+            idle = [client for client in self.clients if client.waiting or client.begun_at and client.idle_since < slow
+                    or client.let_go and client.idle_since < told]
             # Danger: a first request may be on its way on a new connection, and fails with it; who has been
             # answered asks again elsewhere. Only what has been silent for long is of less use than that.
             late = self.clock.now() - round(SILENT * 900_000)
-            idle.sort(key=lambda client: (young := client.idle_since > late, client.served != young,
-                                          client.idle_since))
-            for client in itertools.islice(filter(self._silent, idle), 1 + len(idle) // 8):
+            # Those that were let go come first: nobody is served on them any more.
+            idle.sort(key=lambda client: (not client.let_go, young := client.idle_since > late,
+                                          client.served != young, client.idle_since))
+            free = (client for client in idle if client.let_go or self._silent(client))
+            for client in itertools.islice(free, 1 + len(idle) // 8):
                 self._turn_away(client)
                 self._cut(client)
         if self.descriptors.used >= limit or not any(each.cut for each in self.clients):
@@ -248,7 +253,7 @@
     def _let_go(self, client: Client) -> None:
         """The client reads the end and goes. Danger: what crosses that must stay unread: the client sends it once more
         on a new connection, but a request that was read is lost without its answer."""
-        client.waiting, client.let_go = False, True
+        client.waiting, client.let_go, client.idle_since = False, True, self.clock.now()
         try:
             client.sock.shutdown(gevent.socket.SHUT_WR)
         except OSError:
@@ -259,6 +264,7 @@
         """The client goes at once: it was let go and does not close, or its descriptor is wanted."""
         if client in self.clients:
             client.cut = True
+            client.leave.set()
             try:
                 client.sock.shutdown(gevent.socket.SHUT_RDWR)
             except OSError:
@@ -352,7 +358,7 @@
         with contextlib.suppress(OSError):
             client.sock.settimeout(LINGER)
             if client.sock.recv(1, gevent.socket.MSG_PEEK):
-                gevent.sleep(CROSSED)
+                client.leave.wait(CROSSED)
 
     def _refuse(self, client: Client, reply: bytes) -> None:
         """Answer, then read on to the end for a moment: unread input would turn the close into a reset."""
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -170,6 +170,20 @@
                     self.assertRaises(NoDescriptor, self.door._make_room)
                 self.assertEqual(self.heard(sock, 1.0), expected)
 
+    def test_who_was_told_the_end_makes_way_before_a_connection_that_has_not_asked_yet(self) -> None:
+        self.open(sockets=64 + 8)
+        fresh = self.connect()
+        self.door.closing = True
+        crossed = self.connect(submit("a"), submit("b"))
+        self.door.descriptors.used = 8
+        for client in self.door.clients:
+            client.idle_since -= 1_000_000
+        with mock.patch.object(self.door, "clients", Crowd(self.door.clients)):
+            self.assertRaises(NoDescriptor, self.door._make_room)
+        self.assertEqual(self.heard(crossed), (BUSY, "end"))
+        fresh.sendall(submit("c"))
+        self.assertEqual(self.heard(fresh), (BUSY, "end"))
+
     def test_a_request_that_comes_as_the_time_for_it_runs_out_is_answered(self) -> None:
         wait = gevent.socket.socket._wait
 
