A call for the list that failed while the folder was waited for is made anew once it is held

At a hand-over the next process opens its watch while the old one holds the folder; its desk runs only after that. A call that failed in the meantime was told to decisions that did not run: they heard of it as the desk began, and wanted the next one up to 4 s later (up to 50 s at 200 senders before), though news counts as told 2 s after the yes.

At fault: `serve`, which left the watch to the decisions alone. An answered watch is not touched by it.

--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -136,6 +136,8 @@
             raise CannotStart(f"cannot start: {type(error).__name__}: {error}") from None
         logger.info("{} holds the folder", assignment.name)
         staff.take_over()
+        # Danger: no round has run yet that could have wanted a call which failed in the meantime made anew.
+        directory.ask()
     links = Links(clock, counters, descriptors, directory.address_of, desk.sender.link_life,
                   span(assignment.settings, "policy-limits.connect-timeout-ms", 1000.0))
     notices = desk.notices = Notices(assignment.platform, counters, desk.acknowledged)
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -3,6 +3,8 @@
 import contextlib
 import heapq
 import json
+import signal
+import socket
 import time
 import unittest
 from collections.abc import Callable
@@ -14,7 +16,7 @@
 from cedarwick.interface import ListChange, Phase
 from cedarwick.net import directory as module
 from cedarwick.policy import LIST_WAIT, SECOND, Sender
-from tests.build import NOW, SETTINGS, Program, Receiver, line_of, reply, submit, until
+from tests.build import NESTED, NOW, SETTINGS, Program, Receiver, free_port, line_of, reply, submit, until
 from tests.test_directory import HEAD, Watched, chunk
 
 
@@ -354,6 +356,33 @@
                 self.assertEqual(bool(program.receivers[0].calls), late > 1)
             program.kill()
 
+    def test_a_call_that_failed_while_the_folder_was_waited_for_is_made_anew_as_soon_as_it_is_held(self) -> None:
+        """Of many senders the decisions, which run from then on only, would want it 2 to 4 s later."""
+        program = Program([Receiver(None)])
+        self.addCleanup(program.close)
+        program.configure(known={"rev": 0, "all": True, "targets": [program.target(0)]},
+                          settings={**NESTED, "balancers": 200})
+        gone = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(gone.close)
+        with socket.create_server(("127.0.0.1", program.port), backlog=64) as listener:
+            fd = listener.fileno()
+            program.start((fd,), RELAY_SOCKET_FD=str(fd), RELAY_MANAGEMENT=f"127.0.0.1:{free_port()}")
+            program.configure(discovery=f"127.0.0.1:{gone.getsockname()[1]}")  # connections come up there, no more
+            newer = program.spawn((fd,), RELAY_SOCKET_FD=str(fd), RELAY_MANAGEMENT=f"127.0.0.1:{free_port()}")
+            self.addCleanup(newer.communicate)
+            self.addCleanup(newer.kill)
+            gone.settimeout(8)
+            first, _ = gone.accept()
+            self.addCleanup(first.close)
+            time.sleep(module.FIRST + 0.5)
+            program.signal(signal.SIGTERM)
+            assert program.process is not None
+            program.process.wait(8)
+            held = time.monotonic()
+            again, _ = gone.accept()
+            again.close()
+            self.assertLess(time.monotonic() - held, 1.0)
+
     def test_the_longest_wait_and_the_net_limits_stay_under_the_clock(self) -> None:
         self.assertLess(module.CONNECT + LIST_WAIT / SECOND, 5.5)
         self.assertLess(module.FIRST + LIST_WAIT / SECOND, 5.5)
