--- a/cedarwick/interface.py
+++ b/cedarwick/interface.py
@@ -18,7 +18,10 @@
     sender.told_waits(now)                        the waits that a replaced process hands to its successor
     handle.on_new_link()                          whether an ordered shot may not go over a kept link
     handle.may_start(now, receiver)               whether an ordered shot may still go, before its first byte
+    handle.whole_by()                             when the last byte of an ordered shot must have gone
+    handle.never_left()                           after an outcome: that shot was held back, and is no try
     sender.link_life                              how long an idle link is used
+    sender.list_wait                              the longest wait after a call for the list that failed
     sender.per_call                               envelopes a call by kind; cleared where a call carries one
 
 `decide` also serves a wake-up: waking needs no call of its own. Times are whole microseconds of the
@@ -121,6 +124,10 @@
 
     def may_start(self, now: int, receiver: int) -> bool: ...
 
+    def whole_by(self) -> int: ...
+
+    def never_left(self) -> None: ...
+
     def on_new_link(self) -> bool: ...
 
 
@@ -128,6 +135,7 @@
     """What a protocol may ask of the decisions."""
 
     link_life: int
+    list_wait: int
     per_call: list[int]
     room: int
 
--- a/cedarwick/net/directory.py
+++ b/cedarwick/net/directory.py
@@ -19,8 +19,10 @@
 PHASES = {"up": Phase.READY, "draining": Phase.DRAINING, "removed": Phase.GONE}
 CONNECT = 1.0  # seconds in which a connection to the platform must come up
 FIRST = 1.0  # seconds in which a call for the list must begin to be answered: the agent answers at once
-SILENT = 4.2  # seconds: an empty line comes every two, so two of them are missing; an object must end in that time too
-STOOD = 1.0  # seconds: a watch that was answered and held so long was no failed call, however it ends
+SILENT = 4.2  # seconds in which a line must end: an empty one comes every two, so two of them are missing
+AT_ONCE = 0.01  # seconds to read what lies there already, as after a stop of the process
+STOOD = 1.0  # seconds: a watch that held so long after its answer was no failed call, however it ends
+MOVED = 4.0  # seconds after a move at which the new agent's news counts as told, whether or not it is up by then
 LONGEST_LINE = 1 << 22  # bytes of an object
 LARGEST_RATE = 1_000_000  # calls a second; what is listed above that is no rate
 FORGET = 60.0  # seconds after a receiver has gone: longer than any shot to it, and than the decisions know it
@@ -44,45 +46,65 @@
         self.counters = counters
         self.tell = tell
         self.tell_failed = tell_failed
-        self.version = 0
+        self.version = 0  # of the list as it was told; 0 asks for the whole list
+        self.unsure = False  # something in the news could not be read or was out of order
         self.numbers: dict[str, int] = {}
         self.next_number = 1  # never used twice: a new receiver must not inherit what is known of a gone one
         self.addresses: dict[int, tuple[str, int]] = {}
         self.gone_since: dict[str, float] = {}  # by uid
         self.asked = gevent.event.Event()
         self.moved = False  # the platform has another address since the watch was opened
+        self.moved_at = -MOVED
+        self.reached = False  # the last call found somebody at the address
         self.stood = False  # the last watch was answered, and held for a while
         self.doubted = False  # the call for the watch has been told as failed; it is still listened to
+        self.refused = False  # it was answered with another status
+        self.renewed = False  # the call for the watch asks for the whole list, since the one before was unclear
         self.first_news = gevent.event.Event()  # the agent has said what it has, or does not say it
         self.following: gevent.Greenlet | None = None
         self.known = False  # whether any receiver has been learned of
         self.last: dict[str, Listing] = {}  # by uid: the newest line of the list as the platform gave it
         self.held_out: set[str] = set()  # uids that the operators took out: draining, whatever the list says
 
-    def learn(self, news: dict[str, Any], saved: bool = False) -> None:
-        """Pass on one piece of list news; `BadNews` where it cannot be read."""
+    def learn(self, news: dict[str, Any], saved: bool = False) -> bool:
+        """Pass on one piece of list news; False where a line of it is unclear, `BadNews` where all of it is."""
         try:
-            entries, version, whole = list(news["targets"]), int(news["rev"]), bool(news["all"])
+            entries, version, whole = list(news["targets"]), int(news["rev"]), news["all"]
         except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise BadNews(f"list news without {error}") from None
-        if whole and not entries and self.known:
-            # Danger: platforms that start anew have an empty list for a moment; believed, it would end all traffic.
-            raise BadNews("a whole list with nothing in it")
-        listings, named = [], set()
+        if not isinstance(whole, bool):
+            raise BadNews(f"whole or changes: {str(whole)[:40]!r}")
+        if version < self.version:
+            # Danger: a list that comes late would undo a drain; one that counts anew would never be heard again.
+            self.unsure = True
+            raise BadNews(f"version {version} after {self.version}")
+        listings, named, clear = [], set(), True
         for entry in entries:
+            uid = ""
             try:
-                listing = self.last[str(entry["uid"])] = self._listing(entry)
-                listings.append(self._as_held(str(entry["uid"]), listing))
-                if listing.phase is not Phase.GONE:
-                    named.add(str(entry["uid"]))
+                uid = _uid(entry["uid"])
+                listing = self._listing(uid, entry)
             except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
                 # Danger: one line that cannot be read would keep all others from being heard.
                 self.counters.trouble("a line of the list cannot be read", BadNews(f"{type(error).__name__}: {error}"))
-                whole = False  # Danger: a receiver whose line is spoilt would be taken for one that has gone
+                clear = False
+                if uid not in self.last:
+                    continue
+                listing = self.last[uid]  # Danger: named, it would be taken for one that has gone
+            self.last[uid] = listing
+            listings.append(self._as_held(uid, listing))
+            if listing.phase is not Phase.GONE:
+                named.add(uid)
+        if whole and not listings and self.known:
+            # Danger: platforms that start anew have an empty list for a moment; believed, it would end all traffic.
+            raise BadNews("a whole list with nothing in it")
         self._forget(named, whole)
         self.version = version
+        # Danger: what a spoilt line said is in no later change; only a whole list tells it.
+        self.unsure = not clear or self.unsure and not whole
         self.known = self.known or bool(listings)
         self.tell(ListChange.SAVED if saved else ListChange.WHOLE if whole else ListChange.CHANGES, listings)
+        return clear
 
     def _forget(self, named: set[str], whole: bool) -> None:
         """Danger: where receivers are replaced all day, those that have gone add up."""
@@ -128,26 +150,30 @@
         self.platform = platform
         # Danger: another agent may count its versions anew, and what follows ours would leave something out.
         self.version = 0
-        self.moved = True
+        self.moved, self.moved_at = True, time.monotonic()
         self.asked.set()
         if self.following is not None:
             self.following.kill(block=False)
 
     def watch(self) -> None:
         """Never returns: keeps a watch open from the last version. One that stood opens anew at once: silence is no
-        refusal, and the agent on this machine answers at no cost. After a call that failed the decisions say when."""
+        refusal, and the agent on this machine answers at no cost; so does one that is to tell the whole list instead.
+        After a call that failed the decisions say when."""
         while True:
-            self.moved = self.stood = self.doubted = False
+            self.moved = self.stood = self.doubted = self.refused = self.reached = False
             self.following = gevent.spawn(self._follow_to_its_end)
             self.following.join()
-            self.first_news.set()
-            if self.moved or self.stood:
+            first, self.renewed = self.unsure and not self.renewed, self.unsure
+            if self.moved or self.stood or first:
                 continue
-            if not self.doubted:
-                self._call_failed()
+            self.first_news.set()
             # Danger: a call that waited and was then refused would be made anew at once by all that discovery is too
-            # busy for; what it was told as has its wait already.
-            self.asked.wait()
+            # busy for: its wait begins at the refusal. What only broke off has its wait since it was told as failed.
+            if self.refused or not self.doubted:
+                self._call_failed()
+            # Danger: a new address that is not up yet would be called seconds too late; a call there costs nobody.
+            soon = not self.reached and time.monotonic() - self.moved_at < MOVED
+            self.asked.wait(STOOD if soon else None)
 
     def _call_failed(self) -> None:
         self.asked.clear()  # Danger: what was asked before it failed would open the next one at once
@@ -164,42 +190,53 @@
     def _follow(self) -> None:
         text, raw = Buffer(), Buffer()
         answer, objects = Answer(text.append), Objects(LONGEST_LINE)
+        if self.unsure:
+            self.version = 0
         sock = connected(self.platform, CONNECT)
-        opened = begun = time.monotonic()  # the watch, and the object that has not ended yet
+        self.reached = True
+        alive = time.monotonic()  # the call, then its answer, each object that ends and each empty line
+        answered = 0.0
         try:
-            sock.settimeout(FIRST)
             host = f"{self.platform[0]}:{self.platform[1]}"
+            sock.settimeout(FIRST)
             sock.sendall(f"GET /catalog/members?follow=1&since={self.version} HTTP/1.1\r\n"
                          f"Host: {host}\r\nAccept: application/json\r\n\r\n".encode())
             self.counters.add("watches opened")
-            while not answer.complete and self._more(sock, raw, answer):
+            told = False  # an object of this watch
+            while not answer.complete and self._more(sock, raw, answer, alive):
                 if self.moved:
                     return  # Danger: a late line of the old agent would be believed over the new one's.
                 answer.feed(raw)
-                if answer.status not in (0, 200):
+                self.refused = answer.status not in (0, 200)
+                if self.refused:
                     raise Unreadable(f"status {answer.status}")
                 if not answer.status:
                     continue
                 self.doubted = False
-                # Danger: a dead platform says nothing, and its list would be believed for ever.
-                sock.settimeout(SILENT)
-                if len(text):
-                    begun = time.monotonic() if not objects.depth else begun
-                    for news in objects.read(text.take(len(text))):
-                        self.learn(news)
-                        begun = time.monotonic()
-                    if not objects.depth:
-                        self.first_news.set()  # an empty line says that there is nothing new
-                    elif time.monotonic() - begun > SILENT:
-                        # Danger: what follows an object that was torn would be taken for its inside.
-                        raise Unreadable("an object did not end")
+                if not answered:
+                    alive = answered = time.monotonic()
+                came = text.take(len(text))
+                for news in objects.read(came):
+                    if not self.learn(news) and (told or not self.renewed):
+                        raise BadNews("unclear changes: the whole list is asked for")
+                    told, alive = True, time.monotonic()
+                if came and not objects.depth:
+                    self.first_news.set()  # an empty line says that there is nothing new
+                    alive = time.monotonic()
+                # Danger: what follows an object that was torn would be taken for its inside.
+                if time.monotonic() - alive > SILENT:
+                    raise Unreadable("no line ended")
             raise Unreadable("the watch ended")
         finally:
             sock.close()
-            self.stood = answer.status == 200 and time.monotonic() - opened >= STOOD
+            self.stood = bool(answered) and time.monotonic() - answered >= STOOD
 
-    def _more(self, sock: gevent.socket.socket, raw: Buffer, answer: Answer) -> int:
-        """Read once; 0 at the end, TimeoutError where an answered watch falls silent."""
+    def _more(self, sock: gevent.socket.socket, raw: Buffer, answer: Answer, alive: float) -> int:
+        """Read once; 0 at the end, TimeoutError where an answered watch says nothing whole any more."""
+        if not self.doubted:
+            # Danger: a dead platform says nothing, or a byte now and then, and its list would be believed for ever.
+            left = alive + (SILENT if answer.status else FIRST) - time.monotonic()
+            sock.settimeout(max(AT_ONCE, left))
         try:
             return raw.fill(sock)
         except TimeoutError:
@@ -214,21 +251,29 @@
         sock.settimeout(None)
         return raw.fill(sock)
 
-    def _listing(self, entry: dict[str, Any]) -> Listing:
-        uid = str(entry["uid"])
+    def _listing(self, uid: str, entry: dict[str, Any]) -> Listing:
         phase = PHASES.get(entry["state"])
         if phase is None:
             raise ValueError(f"unknown state {entry['state']!r}")
+        try:
+            at = address(str(entry["endpoint"])) if phase is not Phase.GONE or "endpoint" in entry else None
+            group = int(entry.get("pod_group", 0))
+            zone, kind = place(self.zones, entry.get("az")), place(self.kinds, entry.get("model"))
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            if phase is Phase.READY or uid not in self.last:
+                raise
+            # Danger: a field that is spoilt would hide the drain that stands in the same line.
+            self.counters.trouble("a line of the list is spoilt", BadNews(f"{uid}: {type(error).__name__}: {error}"))
+            at, (_, zone, kind, group, *_) = None, self.last[uid]
         if uid not in self.numbers:
             self.numbers[uid] = self.next_number
             self.next_number += 1
         number = self.numbers[uid]
         if phase is Phase.GONE:
             self.gone_since.setdefault(uid, time.monotonic())
-        if phase is not Phase.GONE or "endpoint" in entry:
-            self.addresses[number] = address(str(entry["endpoint"]))
-        return Listing(number, place(self.zones, entry.get("az")), place(self.kinds, entry.get("model")),
-                       int(entry.get("pod_group", 0)), phase, self._rate(uid, entry.get("capacity_hint", 0.0)))
+        if at is not None:
+            self.addresses[number] = at
+        return Listing(number, zone, kind, group, phase, self._rate(uid, entry.get("capacity_hint", 0.0)))
 
     def _rate(self, uid: str, hint: object) -> float:
         """The listed rate; where it is no rate, the one that was listed before, or none."""
@@ -237,3 +282,9 @@
         # Danger: one spoilt figure would hide a drain that stands in the same line, or let everything go at once.
         self.counters.trouble("a listed rate that is none", BadNews(f"{uid}: {str(hint)[:40]}"))
         return self.last[uid].rate if uid in self.last else 0.0
+
+
+def _uid(told: object) -> str:
+    if not isinstance(told, str):
+        raise ValueError(f"no uid: {str(told)[:40]}")
+    return told
--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -1,13 +1,16 @@
 """The listener and the clients' connections: RESP2 in, answers out."""
 
 import contextlib
+import itertools
 import re
 from collections.abc import Callable
 
 import gevent
+import gevent.event
 import gevent.socket
 
 from cedarwick.errors import Trouble
+from cedarwick.net.assignment import word
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -30,8 +33,10 @@
 SLOW = 0.3  # seconds without a byte of a begun request, after which it may have to make way
 LINGER = 1.0  # seconds in which a client that was let go may close by itself
 CROSSED = 0.3  # seconds in which one whose request crossed that reads the end, before the close is a reset
+TOLD = 0.05  # seconds after which it makes way, where descriptors are short
 WASTED = 1 << 18  # bytes that are read after a refusal, so that the client can read its error
 UNUSABLE = 8  # so many requests in a row that cannot be used end the connection
+DOUBTED = 3  # so many count of those that may be right, as where the list is old: they are answered within their time
 PAUSE = 0.02  # seconds after the first of them, doubling up to LONGEST_PAUSE
 LONGEST_PAUSE = 0.5
 MOST_BUFFERED = 1 << 23  # bytes in the buffers of all clients together; what needs more is turned away
@@ -41,6 +46,7 @@
 LEFT_FREE = 8  # this part of the descriptors is left to links where clients hold more than half
 BACKLOG = 1024
 WORD = re.compile(rb"[!-~]{1,200}")
+NAME = re.compile(r"[^\x00-\x1f\x7f]{1,200}")  # of a class or tenant, as its operator writes it
 NUMBER = re.compile(rb"[0-9]{1,9}")
 TURN = re.compile(rb"[0-9a-fA-F]{1,16}")
 
@@ -76,16 +82,18 @@
 class Client:
     """One connection from a client."""
 
-    __slots__ = ("sock", "buffer", "waiting", "cut", "let_go", "idle_since", "begun_at", "asked", "served",
-                 "unusable")
+    __slots__ = ("sock", "buffer", "waiting", "answering", "cut", "let_go", "leave", "idle_since", "begun_at",
+                 "asked", "served", "unusable")
 
     def __init__(self, sock: gevent.socket.socket, now: int) -> None:
         self.sock = sock
         self.buffer = Buffer()
         self.waiting = True  # between requests: nothing of a next one has been read
+        self.answering = False  # a request was read, and its answer is not written
         self.cut = False
         self.let_go = False  # it is told the end; nothing more is read from it
-        self.idle_since = now  # the last byte read, or the last answer
+        self.leave = gevent.event.Event()  # it is cut, also where its request crossed the end
+        self.idle_since = now  # the last byte read, or the last answer; of one that was let go: when
         self.begun_at = 0  # when the first byte of a request came that is not whole yet; 0: none has
         self.asked = False  # it has sent a request of any kind
         self.served = False  # it has handed in something that could be used
@@ -108,7 +116,6 @@
         self.clients: set[Client] = set()
         self.ready = ready  # whether the folder is read and the list known
         self.closing = False
-        self.answering = 0  # requests read and not answered
         self.paused = False  # drained by the operators: PING says no, clients are let go between requests
         self.still_taking = False  # while closing: requests that were read are still kept, for a hand-over
         self.waste = bytearray(1 << 16)
@@ -140,14 +147,17 @@
                 self.counters.trouble("accepting failed", error)
                 gevent.sleep(0.02)
                 continue
-            self.counters.add("clients accepted")
-            client = Client(sock, self.clock.now())
-            self.clients.add(client)
-            gevent.spawn(self._serve, client)
+            self._take_in(sock)
+
+    def _take_in(self, sock: gevent.socket.socket) -> None:
+        self.counters.add("clients accepted")
+        client = Client(sock, self.clock.now())
+        self.clients.add(client)
+        gevent.spawn(self._serve, client)
 
     def mid_request(self) -> bool:
-        """Whether a client has begun a request that is not answered yet."""
-        return self.answering > 0 or any(client.begun_at for client in self.clients)
+        """Whether of a client a request, or the first bytes of one, were read and are not answered yet."""
+        return any(client.answering or len(client.buffer) for client in self.clients)
 
     def pause(self) -> None:
         """The front is to send clients elsewhere: what is read is served, every connection goes when idle."""
@@ -163,19 +173,46 @@
         self._let_go_idle()
 
     def end(self, seconds: float) -> None:
-        """At the very end: returns once every request that was read has its answer, or after so long; what has not
-        come whole by then is turned away as it is."""
-        self.listener.close()
+        """At the very end: returns once all that was asked has its answer and every client is gone, or after so
+        long; what has not come whole by then is turned away as it is."""
         self._let_go_idle(fresh=True)
+        self._take_in_waiting()
+        self.listener.close()
         with gevent.Timeout(seconds, False):
-            while self.mid_request():
+            while self.clients:
                 gevent.sleep(LOOK)
+                self._let_go_idle()
+        self._let_go_idle(fresh=True)
         for client in self.clients:
-            if client.begun_at:
-                client.sock.settimeout(0.0)
-                with contextlib.suppress(OSError):
-                    client.sock.send(BUSY)
-                    client.sock.shutdown(gevent.socket.SHUT_WR)
+            # Danger: of one whose answer is under way, this would be read as that answer.
+            if len(client.buffer) and not client.answering:
+                self._turn_away(client)
+
+    def _take_in_waiting(self) -> None:
+        """Danger: a connection that waits to be accepted is reset with the listener, its request unanswered."""
+        self.listener.settimeout(0.0)
+        with contextlib.suppress(NoDescriptor):
+            while True:
+                self.descriptors.claim()
+                try:
+                    sock, _ = self.listener.accept()
+                except OSError:  # there is none, or the listener is another process's already
+                    self.descriptors.give_back()
+                    return
+                self._take_in(sock)
+
+    def _turn_away(self, client: Client) -> None:
+        """All that was read of a client is refused, what is not whole yet too, and it is told the end."""
+        owed = 0
+        with contextlib.suppress(Malformed):
+            while command(client.buffer) is not None:
+                owed += 1
+        owed += len(client.buffer) > 0
+        client.buffer.skip(len(client.buffer))
+        client.sock.settimeout(0.0)
+        with contextlib.suppress(OSError):
+            client.sock.send(BUSY * owed)
+            client.sock.shutdown(gevent.socket.SHUT_WR)
 
     def _let_go_idle(self, fresh: bool = False) -> None:
         """Every client between requests is let go; the others go after their answer, fresh ones after their first."""
@@ -199,15 +236,18 @@
             return
         # Danger: one that was cut counts until its greenlet has run; cutting on would reach the newest.
         if not any(client.cut for client in self.clients):
-            slow = self.clock.now() - round(SLOW * 1_000_000)
-            idle = [client for client in self.clients
-                    if client.waiting or client.begun_at and client.idle_since < slow]
+            slow, told = (self.clock.now() - round(each * 1_000_000) for each in (SLOW, TOLD))
+            idle = [client for client in self.clients if client.waiting or client.begun_at and client.idle_since < slow
+                    or client.let_go and client.idle_since < told]
             # Danger: a first request may be on its way on a new connection, and fails with it; who has been
             # answered asks again elsewhere. Only what has been silent for long is of less use than that.
             late = self.clock.now() - round(SILENT * 900_000)
-            idle.sort(key=lambda client: (young := client.idle_since > late, client.served != young,
-                                          client.idle_since))
-            for client in idle[:1 + len(idle) // 8]:
+            # Those that were let go come first: nobody is served on them any more.
+            idle.sort(key=lambda client: (not client.let_go, young := client.idle_since > late,
+                                          client.served != young, client.idle_since))
+            free = (client for client in idle if client.let_go or self._silent(client))
+            for client in itertools.islice(free, 1 + len(idle) // 8):
+                self._turn_away(client)
                 self._cut(client)
         if self.descriptors.used >= limit or not any(each.cut for each in self.clients):
             raise NoDescriptor(f"{len(self.clients)} clients hold all that they may")
@@ -215,7 +255,7 @@
     def _let_go(self, client: Client) -> None:
         """The client reads the end and goes. Danger: what crosses that must stay unread: the client sends it once more
         on a new connection, but a request that was read is lost without its answer."""
-        client.waiting, client.let_go = False, True
+        client.waiting, client.let_go, client.idle_since = False, True, self.clock.now()
         try:
             client.sock.shutdown(gevent.socket.SHUT_WR)
         except OSError:
@@ -226,6 +266,7 @@
         """The client goes at once: it was let go and does not close, or its descriptor is wanted."""
         if client in self.clients:
             client.cut = True
+            client.leave.set()
             try:
                 client.sock.shutdown(gevent.socket.SHUT_RDWR)
             except OSError:
@@ -235,27 +276,26 @@
         try:
             client.sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
             while (parts := self._next(client)) is not None:
-                self.answering += 1
-                try:
-                    reply = self._answer(client, parts)
-                finally:
-                    self.answering -= 1
+                client.answering = True
+                reply = self._answer(client, parts)
                 if not reply:
                     # Danger: any answer might be wrong, and an end at once would be taken for one.
                     self._outlast(client)
+                    client.answering = False
                     break
                 if reply.startswith(BUSY[:5]) and len(parts) == 5:
                     self._dropped(parts[3])
                 last = (self.closing or self.paused) and not len(client.buffer) and self._silent(client)
                 client.sock.settimeout(STALLED)
                 client.sock.sendall(reply)
+                client.answering = False
                 if last:
                     break
                 if client.unusable >= UNUSABLE:
                     raise Malformed("too many requests that cannot be used")
                 if client.unusable:
                     # Danger: who sends the same again as soon as it is turned away would fill the core.
-                    client.waiting, client.idle_since = True, self.clock.now()
+                    client.waiting, client.idle_since = not len(client.buffer), self.clock.now()
                     gevent.sleep(min(LONGEST_PAUSE, PAUSE * (1 << client.unusable - 1)))
                 elif len(client.buffer):
                     gevent.sleep(0)  # hundreds of commands at once must not hold up all others
@@ -298,6 +338,8 @@
             except TimeoutError:
                 if begun:
                     raise Malformed("Protocol error: the request did not end") from None
+                if not self._silent(client):
+                    continue  # it came as the time ran out
                 self.counters.add("clients let go that asked for nothing")
                 return None
         client.waiting, client.begun_at, client.asked = False, 0, True
@@ -318,10 +360,12 @@
         with contextlib.suppress(OSError):
             client.sock.settimeout(LINGER)
             if client.sock.recv(1, gevent.socket.MSG_PEEK):
-                gevent.sleep(CROSSED)
+                client.leave.wait(CROSSED)
 
     def _refuse(self, client: Client, reply: bytes) -> None:
         """Answer, then read on to the end for a moment: unread input would turn the close into a reset."""
+        client.waiting, client.begun_at = False, 0
+        client.buffer.skip(len(client.buffer))
         try:
             with gevent.Timeout(LINGER, False):
                 client.sock.sendall(reply)
@@ -332,7 +376,6 @@
 
     def _read_out(self, client: Client) -> None:
         """Danger: 60 MB at full speed would take the core from everyone; then a reset is good enough."""
-        client.buffer.skip(len(client.buffer))
         wasted = 0
         while wasted < WASTED and (got := client.sock.recv_into(self.waste)):
             wasted += got
@@ -342,7 +385,7 @@
         for pair in pairs.split(b","):
             name, _, value = pair.partition(b"=")
             if name == b"c":
-                band = value.decode("ascii", "replace")
+                band = word(value.decode("utf-8", "replace"))
                 if band in self.counters.figures.bands:
                     self.counters.figures.dropped[band] += 1
                 return
@@ -351,22 +394,26 @@
         name = parts[0].upper() if parts else b""
         if name == b"PING":
             return PAUSED if self.paused else PONG if self.ready() else LOADING
-        client.unusable += 1
         if name != b"SUBMIT":
+            client.unusable += 1
             self.counters.add("unknown commands")
             return b"-ERR unknown command\r\n"
         try:
             kept, again = read_submission(parts, self.clock.now())
         except BadSubmit as error:
+            client.unusable += 1
             self.counters.trouble("a request that cannot be taken", error)
             return f"-ERR {error}\r\n".encode()
         self.counters.add("handed in again" if again else "handed in")
         if self.closing and not self.still_taking or not self.ready():
             self.counters.add("turned away at a start or an end")
+            client.unusable += not self.closing and client.unusable < DOUBTED
             return BUSY
         answered, wait_ms, withdraw = self.hand_in(kept)
         if answered in (Answered.KEPT, Answered.BUSY):
             client.served, client.unusable = True, 0
+        elif answered in (Answered.UNKNOWN_BAND, Answered.REPEATED) or client.unusable < DOUBTED:
+            client.unusable += 1
         if withdraw is not None and lies_there(client.sock) == b"":
             # Danger: who has gone before the answer hands it in elsewhere; nothing has gone out yet.
             self.counters.add("clients gone before their answer")
@@ -429,6 +476,17 @@
     return int(digits), end + 2
 
 
+def name_in(told: dict[bytes, bytes], which: bytes) -> str:
+    """The name of a class or tenant, written as the settings hold it; nothing where none is told."""
+    try:
+        name = told.get(which, b"").decode("utf-8")
+    except UnicodeDecodeError:
+        name = "\0"
+    if name and not NAME.fullmatch(name):
+        raise BadSubmit(f"{which.decode()} cannot be read")
+    return word(name)
+
+
 def read_submission(parts: list[bytes], now: int) -> tuple[Kept, bool]:
     """The envelope of a SUBMIT, and whether a sender had it before; `BadSubmit` says what is wrong."""
     if len(parts) != 5:
@@ -444,13 +502,9 @@
         raise BadSubmit("the key cannot be read")
     if not NUMBER.fullmatch(told.get(b"d", b"")) or not NUMBER.fullmatch(told.get(b"dest", b"")):
         raise BadSubmit("d and dest must be whole numbers")
-    band = told.get(b"c", b"")
-    if not WORD.fullmatch(band):
+    band, tenant = name_in(told, b"c"), name_in(told, b"t")
+    if not band:
         raise BadSubmit("c is missing")
-    tenant = told.get(b"t", b"")
-    if tenant and not WORD.fullmatch(tenant):
-        raise BadSubmit("t cannot be read")
     limit = now + int(told[b"d"]) * 1000 - READ_LATE
-    kept = Kept(0, envelope.decode(), key.decode(), int(turn, 16), band.decode(), tenant.decode(),
-                int(told[b"dest"]), limit, body)
+    kept = Kept(0, envelope.decode(), key.decode(), int(turn, 16), band, tenant, int(told[b"dest"]), limit, body)
     return kept, told.get(b"again") == b"1"
--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -11,6 +11,7 @@
 WINDOW_BASE = SECOND // 2
 WINDOW_CAP = 60 * SECOND
 LIST_GAP = SECOND // 4  # of a window for the next call for the list, for each sender
+LIST_WAIT = 4 * SECOND  # and the longest: with 1 s for a call that hangs, news comes before it counts as told
 CANCELLED_CAP = 2  # shots with an unclassified end
 SPAN = 2 * SECOND  # the share of refusals is measured over this
 THROTTLED = 0.15  # a larger share of refusals as full halves the pace: one in seven is more than chance
@@ -95,7 +96,9 @@
         # Danger: a receiver closes an idle link and the next call breaks: no evidence, so no backing off.
         wait = told_wait if told_wait and not sender.many else told_wait + sender.chance.below(window)
         self.due = now + (1 if outcome is Outcome.MOOT or stale else wait)
-        self.due = max(now, min(self.due, self.repeat_until() - sender.tick * 4))  # the window must not close
+        # Danger: past its last useful start it is given up at once, with tries and most of its time left.
+        useful = self.outer_limit - round(sender.destinations[self.destination].quickest or SECOND / 2)
+        self.due = max(now, min(self.due, min(self.repeat_until(), useful) - sender.tick * 4))
         sender.hold(now, self)
 
     def withdrawn(self, now: int) -> None:
@@ -104,16 +107,23 @@
             self.sender.close(now, self)
         self.ended = True
 
+    def never_left(self) -> None:
+        """The shot whose ending was told was held back on the way out: it was none of the tries."""
+        self.shots -= 1
+
     def may_start(self, now: int, receiver: int) -> bool:
         """Asked before the first byte: while a link came up a wait, a drain or an end may have been heard."""
         record = self.sender.receivers[receiver]
-        until = min(self.outer_limit, self.repeat_until())
-        return record.ready and record.pace.wait_until <= now < until and not self.ended
+        return record.ready and record.pace.wait_until <= now < self.whole_by() and not self.ended
 
     def on_new_link(self) -> bool:
         """Danger: an at-most-once envelope is lost when the kept link breaks on which it went."""
         return self.band.at_most_once and self.sender.stale_links > STALE_LINKS
 
+    def whole_by(self) -> int:
+        """Danger: a receiver counts a call from its last byte, and forgets its number in time."""
+        return min(self.outer_limit, self.repeat_until())
+
     def repeat_until(self) -> int:
         return FAR if self.band.reissuable or not self.ran_at else self.ran_at + self.band.window
 
@@ -158,6 +168,7 @@
         self.looks = Plan()
         self.subscribe_at = now if settings.get("discovery") == "ask" else FAR
         self.asked_at, self.asked_in_vain = now, 0  # for the list: when last, how often of late
+        self.list_wait = span(settings, "rules.ask-within-ms") or LIST_WAIT  # on sockets no longer than that
         self.verdicts = Verdicts()
 
     def take(self, now: int, envelope: int, destination: int, band: int, outer_limit: int, tenant: int,
@@ -179,6 +190,8 @@
         # Danger: a shot that was out when the process ended may still run, of an ended envelope's key too.
         self.turns.all_rest = now + span(self.settings, "rules.turn-gap-ms")
         handles = [self.take(now, *each[:-1]) for each in owed]
+        # Danger: under settings that hold less, all that is beyond them would be given up without a call.
+        self.most_open = max(self.most_open, self.open + 2)
         for handle, each in zip(handles, owed, strict=True):
             handle.shots = len(each.shots)
             for shot in reversed(each.shots):
@@ -248,10 +261,12 @@
     def list_call_failed(self, now: int) -> None:
         """Danger: all senders lose the list at once; a call that discovery turns away has cost it work too,
         and as long as all together ask faster than it answers, it answers nobody."""
-        longest = span(self.settings, "rules.ask-within-ms", WINDOW_CAP / 1000)
-        self.asked_in_vain = 0 if now - self.asked_at >= longest else min(self.asked_in_vain, 16)
+        recent = now - self.asked_at < self.list_wait
+        self.asked_in_vain = min(self.asked_in_vain, 16) if recent else 0
         window = max(WINDOW_BASE << self.asked_in_vain, self.senders * LIST_GAP)
-        self.subscribe_at = now + 1 + self.chance.below(min(longest, window))
+        # Danger: in a window that is cut short more come than are answered; so its lower half is left out.
+        least = min(LIST_WAIT, self.list_wait) // 2 if window > self.list_wait else 0
+        self.subscribe_at = now + 1 + least + self.chance.below(max(1, min(self.list_wait, window) - least))
         self.asked_in_vain += 1
 
     def decide(self, now: int) -> Verdicts:
@@ -620,7 +635,9 @@
             return min(left, soon if envelope.band.reissuable else 3 * soon if crowded else FAR)
         window = envelope.band.window if not envelope.ran_at else envelope.ran_at + envelope.band.window - now
         patience = min(window - SECOND // 2, soon if receiver.out_since or crowded else 2 * soon)
-        return min(left, patience) if patience >= SECOND and envelope.shots < self.most_shots else left
+        # Danger: in a short window a hang would hold its slot to the end, and never be repeated.
+        enough = patience >= min(SECOND, usual)
+        return min(left, patience) if enough and envelope.shots < self.most_shots else left
 
     def _urgency(self, now: int, envelope: Envelope) -> tuple[float, int, int]:
         """Sorts the envelope first that loses most by waiting; over-share tenants go last."""
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -25,6 +25,7 @@
 from cedarwick.ops.address import Management
 from cedarwick.ops.handover import inherited_listener
 from cedarwick.ops.staff import Staff
+from cedarwick.policy import LIST_WAIT
 from cedarwick.store.files import DiskFault, InUse
 from cedarwick.store.journal import BODIES, Store
 
@@ -40,6 +41,7 @@
 # then for clients that were let go to close, before the folder is the next process's.
 HANDOVER, ANSWERING, LINGERING = 0.2, 0.05, 1.1
 FIRST_NEWS = 0.2  # seconds that the decisions wait for it; a client that has its PONG waits 0.4 for an answer
+FIRST_SHOT = 0.8  # and seconds more for which envelopes are kept and answered, but not shot; silence is told by then
 LOOK = 0.01  # seconds between two looks at a folder that another process still holds
 
 
@@ -97,6 +99,8 @@
     try:
         polled = Polled(clock)
         desk = Desk(assignment, clock, counters, store, polled)
+        # On sockets news counts as told by one clock, whatever the settings allow after a call that failed.
+        desk.sender.list_wait = min(desk.sender.list_wait, LIST_WAIT)
         directory = Directory(assignment, counters, desk.listed, desk.list_call_failed)
         intake = Intake(assignment.listen, clock, counters, descriptors, desk,
                         lambda: directory.known and store.taking(), listener=inherited)
@@ -132,6 +136,8 @@
             raise CannotStart(f"cannot start: {type(error).__name__}: {error}") from None
         logger.info("{} holds the folder", assignment.name)
         staff.take_over()
+        # Danger: no round has run yet that could have wanted a call which failed in the meantime made anew.
+        directory.ask()
     links = Links(clock, counters, descriptors, directory.address_of, desk.sender.link_life,
                   span(assignment.settings, "policy-limits.connect-timeout-ms", 1000.0))
     notices = desk.notices = Notices(assignment.platform, counters, desk.acknowledged)
@@ -173,9 +179,20 @@
     def decide() -> None:
         """Never returns: the desk, once the agent has said what it has; that counts as told from the first moment."""
         # Danger: a shot of a kept envelope would go to a receiver that the saved list does not know to be draining.
-        directory.first_news.wait(FIRST_NEWS)
+        if not directory.first_news.wait(FIRST_NEWS):
+            desk.holding_fire = desk.keeping = True
+            gevent.spawn(fire)
         desk.run()
 
+    def fire() -> None:
+        directory.first_news.wait(FIRST_SHOT)
+        desk.queue.put((begin, ()))
+
+    def begin() -> None:
+        # Danger: at the end of the process the desk holds fire for good.
+        if not stopping.is_set():
+            desk.holding_fire = desk.keeping = False
+
     stopping = gevent.event.Event()
     gevent.signal_handler(signal.SIGTERM, stopping.set)
     gevent.signal_handler(signal.SIGINT, stopping.set)
@@ -207,6 +224,7 @@
         with gevent.Timeout(LINGERING, False):
             while intake.clients:
                 gevent.sleep(LOOK)
+        intake.end(LAST)
         counters.print()
         return 0
     if node is not None and node.traffic is not None:
