--- a/cedarwick/net/intake.py
+++ b/cedarwick/net/intake.py
@@ -90,7 +90,7 @@
         self.answering = False  # a request was read, and its answer is not written
         self.cut = False
         self.let_go = False  # it is told the end; nothing more is read from it
-        self.leave = gevent.event.Event()  # it is cut, also where its request crossed the end
+        self.leave = gevent.event.Event()  # its descriptor is wanted, also where its request crossed the end
         self.idle_since = now  # the last byte read, or the last answer; of one that was let go: when
         self.begun_at = 0  # when the first byte of a request came that is not whole yet; 0: none has
         self.asked = False  # it has sent a request of any kind
@@ -247,6 +247,7 @@
             for client in itertools.islice(free, 1 + len(idle) // 8):
                 self._turn_away(client)
                 self._cut(client)
+                client.leave.set()
         if self.descriptors.used >= limit or not any(each.cut for each in self.clients):
             raise NoDescriptor(f"{len(self.clients)} clients hold all that they may")
 
@@ -264,7 +265,6 @@
         """The client goes at once: it was let go and does not close, or its descriptor is wanted."""
         if client in self.clients:
             client.cut = True
-            client.leave.set()
             try:
                 client.sock.shutdown(gevent.socket.SHUT_RDWR)
             except OSError:
