--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -133,6 +133,19 @@
         gate.set()
         self.assertEqual((self.taken, self.heard(sock)), (["a"], (OK + BUSY, "end")))
 
+    def test_who_crosses_the_end_late_reads_it_before_the_reset_all_the_same(self) -> None:
+        with mock.patch.object(module, "LINGER", 0.05), mock.patch.object(module, "CROSSED", 5.0):
+            sock = self.connect(submit("a"))
+            client, = self.door.clients
+            self.door.stop()
+            sock.sendall(submit("b"))
+            passes(lambda: client.cut)
+            for _ in range(9):
+                gevent.sleep(0)
+        self.assertIn(client, self.door.clients)
+        self.assertEqual(self.heard(sock), (OK, "end"))
+        client.leave.set()
+
     def test_what_crosses_the_end_is_not_read_and_does_not_reset_the_answer_before_it(self) -> None:
         for crossing in (b"*", submit("b"), submit("b") * 2000):
             with self.subTest(size=len(crossing)):
