--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -608,7 +608,7 @@
         return room_at
 
     def _canary_room(self, now: int, envelope: Envelope, receiver: Receiver) -> int:
-        # An at-most-once canary could be lost without a second try. Danger: where all are such, none ever went.
+        # An at-most-once canary could be lost with no second try. Danger: where all are such, none would go.
         lost = envelope.band.at_most_once and not receiver.provable and now < envelope.outer_limit - LATE
         soonest = max(now, receiver.canary_at, receiver.pace.canary_at, receiver.pace.wait_until)
         return FAR if receiver.canary_out or lost else soonest
