Fifteen senders and fewer, told one end of a wait, no longer return in the same instant

Ruled out: the ramp (no completion yet), receivers still in service (one call of 12).

To blame: `_next_canary`, which took the end of the told wait itself where senders are not many. The return is now spread over the canary's gap with any number of senders of which one call each is over 2 more than what a cold destination bears within rules.fall-ms, by this sender's own returning rate.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -24,6 +24,7 @@
 HEADROOM = 1.2  # a sender starts at this multiple of its even part of a listed rate
 
 FEW = 8  # outcomes that judge a receiver
+CHANCE = 2  # calls more than a cold destination bears within `rules.fall-ms`
 MANY = 16  # where senders are more, each sees too few outcomes of a receiver to gather them
 STALE = 5 * SECOND  # completions older than this say little of a receiver's health
 TRUST_HALVES = 5 * SECOND  # distrust fades by half in this time
@@ -134,6 +135,7 @@
         self.most_open = int(number(settings, "policy-limits.max-open", 1 << 30))
         self.per_call = [int(part) for part in row(settings, "family-info.per-call")]
         self.ramp_time = max(SECOND, span(settings, "rules.ramp-time-ms", 10_000))
+        self.fall_time = span(settings, "rules.fall-ms")
         self.locality = int(number(settings, "locality"))
         self.far_fee = number(settings, "tariffs.cross-zone")
         self.apart = {n for n, part in enumerate(row(settings, "family-info.kind-apart")) if part == "true"}
@@ -229,7 +231,7 @@
             known = self.receivers[listing.receiver]
             back = listing.phase is Phase.READY and not known.ready and known.left_at
             known.ready = listing.phase is Phase.READY
-            if back and now - known.left_at > span(self.settings, "rules.fall-ms"):
+            if back and now - known.left_at > self.fall_time:
                 # Danger: a receiver that was taken out for a while has been restarted, and returns cold.
                 known.back_at, known.ramp = now, Bucket(0.0, now)
             if self.settings.get("weight-source", "off") != "off" and listing.rate > 0:
@@ -428,7 +430,7 @@
         receiver.mean += (took - receiver.mean) / (8 if receiver.mean else 1)
         if receiver.out_since:
             # Danger: a destination that returns cold falls over under its old traffic.
-            if receiver.failed or now - receiver.out_since > span(self.settings, "rules.fall-ms"):
+            if receiver.failed or now - receiver.out_since > self.fall_time:
                 # Where many look seldom, it has returned somewhere between the last two looks.
                 looked = min(receiver.gap, now - receiver.out_since) if self.many else 0
                 receiver.back_at = now - looked // 2
@@ -501,7 +503,8 @@
         gap = max(CANARY_SOONEST, round(SECOND / self._returning_rate(receiver, 0)))
         gap = min(gap, max(CANARY_LATEST * (1 + self.many), aged))
         receiver.pace.canary_at = max(receiver.pace.canary_at, now + gap * 3 // 4)
-        if self.many and receiver.pace.wait_until > now:
+        borne = self._returning_rate(receiver, 0) * self.senders * self.fall_time / SECOND
+        if (self.many or self.senders > borne + CHANCE) and receiver.pace.wait_until > now:
             # Danger: all were told the same end of the wait and would come back in the same instant.
             return receiver.pace.wait_until + self.chance.below(gap)
         return now + gap * 3 // 4 + self.chance.below(gap // 2)
