A ramp lasts its whole time from the notice, though it grows from a return taken for earlier

Seen in the model of tests/test_ramp_sum.py with no listed rate and no refusals (12 calls a second, two receivers): with 30 senders the destination fell 8.5 s and 9.8 s after its return on 2 of 40 days of errors, at 56 and 60 calls in 2 s. Of these 21 and 13 were calls of senders that had been told of the outage, to a receiver that they held for warm while its mate was still out, and 6 and 14 more with the mate in its ramp.

To blame: `_completed` sets the return to the middle between the last two looks, with gaps of up to 10 s, and `_room` ends the ramp by it, so half of the senders were free up to 5 s before all of the capacity was there. The share still grows from the middle; the end now waits for a whole ramp from the notice (`warm_at`).

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -433,7 +433,7 @@
             if receiver.failed or now - receiver.out_since > self.fall_time:
                 # Where many look seldom, it has returned somewhere between the last two looks.
                 looked = min(receiver.gap, now - receiver.out_since) if self.many else 0
-                receiver.back_at = now - looked // 2
+                receiver.back_at, receiver.warm_at = now - looked // 2, now + self.ramp_time
                 receiver.ramp = Bucket(0.0, now)
                 if pace.rate is not None:  # its refusals while it was shut say nothing of its limit
                     pace.rate = max(pace.rate, receiver.managed, pace.reference)
@@ -586,7 +586,8 @@
         if pace.rate is not None:
             room_at = now + pace.bucket.fill(now, pace.rate, max(1.0, pace.rate))
             pace.short |= room_at > now
-        if now - receiver.back_at >= self.ramp_time:
+        # Danger: half of many senders take the return for earlier than it was, and would let go early.
+        if now >= max(receiver.warm_at, receiver.back_at + self.ramp_time):
             receiver.back_at = 0
         if receiver.back_at:
             rate = self._returning_rate(receiver, now - receiver.back_at)
--- a/cedarwick/state.py
+++ b/cedarwick/state.py
@@ -200,6 +200,7 @@
     canary_at: int = 0
     canary_out: bool = False
     back_at: int = 0  # when it returned from an outage; 0: not within its ramp
+    warm_at: int = 0  # its ramp does not end before this
     ramp: Bucket = field(default_factory=Bucket)
     calls: dict[int, int] = field(default_factory=dict)  # send time: shots without an outcome
 
--- a/tests/test_ramp_sum.py
+++ b/tests/test_ramp_sum.py
@@ -258,6 +258,10 @@
                 self.assertEqual((day.fell_at, day.broken), (0, False), f"{day.fullest:.2f} of what it bears")
                 self.assertGreater(day.served, 0.5 * day.offered)
 
+    def test_a_return_that_is_taken_for_an_earlier_one_does_not_end_the_ramp_early(self) -> None:
+        """Nothing but the ramp holds senders back where no rate is listed and nothing is refused."""
+        self.stands(PLAIN, 30, "errors", 23, 33)
+
     def test_sixteen_senders_that_were_told_one_end_of_a_wait_do_not_come_in_the_same_instant(self) -> None:
         self.stands(KIOSK, 16, "told", 3, 5, 7)
         for senders in (15, 17):
