--- a/cedarwick/lab/register.py
+++ b/cedarwick/lab/register.py
@@ -195,10 +195,10 @@
                 if first and since == 0:
                     self._say(sock, self.known())
                     position = self.revision
-                elif position < self.revision:
+                elif first or position < self.revision:  # what it has, at once: the changes since then, or none
                     self._say(sock, self._news(self.register.changes[position : self.revision], False))
                     position = self.revision
-                elif not first:
+                else:
                     sock.sendall(b"1\r\n\n\r\n")
                 first = False
             with contextlib.suppress(gevent.Timeout):
