After SIGTERM the decisions go on for 2.2 s, not 1.2 s: less lies idle until the next process

To blame: STAY in cedarwick/program.py. At 2.2 s a second is left to what is out, several times a usual answer. The test takes a wait of 1.7 s across SIGTERM.

--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -34,7 +34,7 @@
     from cedarwick.fleet.node import Node
 
 OPERATOR = "CEDARWICK_OPERATOR"  # names the operator file; without it nothing of that is loaded
-STAY = 1.2  # seconds from SIGTERM in which clients may still come, and the decisions go on with what is kept
+STAY = 2.2  # seconds from SIGTERM in which the decisions go on with what is kept; a second is left to what is out
 DRAIN = 3.2  # seconds from SIGTERM to the end; SIGKILL may come half a second later
 LAST = 0.15  # seconds after that for the answers to requests that were read
 # At a replacement: seconds for requests that were read to be answered, then for shots that are out to end,
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -368,7 +368,12 @@
         self.assertEqual(len(once), len(set(once)))
 
     def test_sigterm_does_not_leave_lying_what_can_still_go(self) -> None:
-        program = self.begin(lambda call: reply(200) if call > 1 else reply(429, "X-Backoff-Ms: 300"))
+        for wait_ms in (300, 1700):
+            with self.subTest(wait_ms=wait_ms):
+                self.goes_on_after_a_wait(wait_ms)
+
+    def goes_on_after_a_wait(self, wait_ms: int) -> None:
+        program = self.begin(lambda call: reply(200) if call > 1 else reply(429, f"X-Backoff-Ms: {wait_ms}"))
         self.hand_in(program, submit("a"))
         until(lambda: program.receivers[0].calls)
         status, log = program.terminate()
