--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -25,6 +25,7 @@
 HEADROOM = 1.2  # a sender starts at this multiple of its even part of a listed rate
 
 FEW = 8  # outcomes that judge a receiver
+CHANCE = 2  # calls more than a cold destination bears within `rules.fall-ms`
 MANY = 16  # where senders are more, each sees too few outcomes of a receiver to gather them
 STALE = 5 * SECOND  # completions older than this say little of a receiver's health
 TRUST_HALVES = 5 * SECOND  # distrust fades by half in this time
@@ -41,6 +42,7 @@
 FORGET = 20 * SECOND  # after a receiver has left the list; its outage is told to a replacement until then
 LONGEST_WAIT = 3600 * SECOND  # a longer told wait is looked into after this; no outer limit comes near it
 RESTED = 300_000  # for so long a key rests that is owed elsewhere, unless it is told again
+LATE = 3 * SECOND  # so long before its outer limit an envelope is urgent, and may be any canary
 LAST_CHANCE = SECOND  # of an envelope's time a rest for others leaves so much
 LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
@@ -144,6 +146,9 @@
         self.most_open = int(number(settings, "policy-limits.max-open", 1 << 30))
         self.per_call = [int(part) for part in row(settings, "family-info.per-call")]
         self.ramp_time = max(SECOND, span(settings, "rules.ramp-time-ms", 10_000))
+        self.fall_time = span(settings, "rules.fall-ms")
+        # Danger: a single call counts as one in this time; with each of many senders that is mostly chance.
+        self.seen_over = 2 * SPAN * (1 + self.many)
         self.locality = int(number(settings, "locality"))
         self.far_fee = number(settings, "tariffs.cross-zone")
         self.apart = {n for n, part in enumerate(row(settings, "family-info.kind-apart")) if part == "true"}
@@ -242,7 +247,7 @@
             known = self.receivers[listing.receiver]
             back = listing.phase is Phase.READY and not known.ready and known.left_at
             known.ready = listing.phase is Phase.READY
-            if back and now - known.left_at > span(self.settings, "rules.fall-ms"):
+            if back and now - known.left_at > self.fall_time:
                 # Danger: a receiver that was taken out for a while has been restarted, and returns cold.
                 known.back_at, known.ramp = now, Bucket(0.0, now)
             if self.settings.get("weight-source", "off") != "off" and listing.rate > 0:
@@ -327,15 +332,16 @@
             if turn_at > now:
                 return min(turn_at, last_start + 1)
         zone = envelope.ran_zone if envelope.ran_at and band.one_zone and not band.reissuable else None
-        asking = zone, band.at_most_once
+        late = envelope.outer_limit - LATE
+        asking = zone, band.at_most_once and now < late
         if asking not in place.room:  # Danger: each event would cost a full look for everything that is held
             members = [member for member in place.ready if zone is None or member.zone == zone]
             place.room[asking] = self._with_room(now, envelope, members)
-        envelope.look_at, envelope.asks = last_start + 1, asking
+        envelope.look_at, envelope.asks = min(last_start + 1, late if asking[1] else FAR), asking
         receiver = next((member for member, _ in place.room[asking][0] if self._joins(now, member)), None)
         receiver = receiver or place.turn(asking)
         if receiver is None:
-            return min(place.room[asking][1], last_start + 1)
+            return min(place.room[asking][1], envelope.look_at)
         joins = self._joins(now, receiver)
         if not joins and self.calls_out >= self.slots:
             self.starved.add(place.id)
@@ -443,19 +449,19 @@
         receiver.mean += (took - receiver.mean) / (8 if receiver.mean else 1)
         if receiver.out_since:
             # Danger: a destination that returns cold falls over under its old traffic.
-            if receiver.failed or now - receiver.out_since > span(self.settings, "rules.fall-ms"):
+            if receiver.failed or now - receiver.out_since > self.fall_time:
                 # Where many look seldom, it has returned somewhere between the last two looks.
                 looked = min(receiver.gap, now - receiver.out_since) if self.many else 0
-                receiver.back_at = now - looked // 2
+                receiver.back_at, receiver.warm_at = now - looked // 2, now + self.ramp_time
                 receiver.ramp = Bucket(0.0, now)
                 if pace.rate is not None:  # its refusals while it was shut say nothing of its limit
                     pace.rate = max(pace.rate, receiver.managed, pace.reference)
             receiver.out_since, receiver.failed = 0, False
             receiver.recent = deque([True], FEW)
         if receiver.completed_sent_at != envelope.sent_at:  # the shots of one call count once
-            note(receiver.completions, now, 2 * SPAN)
+            note(receiver.completions, now, self.seen_over)
         receiver.completed_sent_at = max(receiver.completed_sent_at, envelope.sent_at)
-        receiver.managed = max(receiver.managed * 0.98, len(receiver.completions) * SECOND / (2 * SPAN))
+        receiver.managed = max(receiver.managed * 0.98, len(receiver.completions) * SECOND / self.seen_over)
         steps = (now - max(pace.raised_at, pace.cut_at)) // STEP_EVERY
         if pace.rate is not None and steps:
             if pace.short or pace.rate < pace.reference:
@@ -516,7 +522,8 @@
         gap = max(CANARY_SOONEST, round(SECOND / self._returning_rate(receiver, 0)))
         gap = min(gap, max(CANARY_LATEST * (1 + self.many), aged))
         receiver.pace.canary_at = max(receiver.pace.canary_at, now + gap * 3 // 4)
-        if self.many and receiver.pace.wait_until > now:
+        borne = self._returning_rate(receiver, 0) * self.senders * self.fall_time / SECOND
+        if (self.many or self.senders > borne + CHANCE) and receiver.pace.wait_until > now:
             # Danger: all were told the same end of the wait and would come back in the same instant.
             return receiver.pace.wait_until + self.chance.below(gap)
         return now + gap * 3 // 4 + self.chance.below(gap // 2)
@@ -598,7 +605,8 @@
         if pace.rate is not None:
             room_at = now + pace.bucket.fill(now, pace.rate, max(1.0, pace.rate))
             pace.short |= room_at > now
-        if now - receiver.back_at >= self.ramp_time:
+        # Danger: half of many senders take the return for earlier than it was, and would let go early.
+        if now >= max(receiver.warm_at, receiver.back_at + self.ramp_time):
             receiver.back_at = 0
         if receiver.back_at:
             rate = self._returning_rate(receiver, now - receiver.back_at)
@@ -606,8 +614,8 @@
         return room_at
 
     def _canary_room(self, now: int, envelope: Envelope, receiver: Receiver) -> int:
-        # An at-most-once canary could be lost without a second try.
-        lost = envelope.band.at_most_once and not receiver.provable
+        # An at-most-once canary could be lost with no second try. Danger: where all are such, none would go.
+        lost = envelope.band.at_most_once and not receiver.provable and now < envelope.outer_limit - LATE
         soonest = max(now, receiver.canary_at, receiver.pace.canary_at, receiver.pace.wait_until)
         return FAR if receiver.canary_out or lost else soonest
 
@@ -645,7 +653,7 @@
             return envelope.rank
         band = envelope.band
         left, loses = band.worth(now - envelope.expected_by)
-        if envelope.outer_limit - now < 3 * SECOND:
+        if envelope.outer_limit - now < LATE:
             loses += (left if band.halves_in else band.importance * band.late_share) / 3
         if now < envelope.expected_by - SECOND:
             loses /= 2
@@ -653,7 +661,7 @@
             loses += band.importance  # its window of repeats is running out
         if envelope.over_share:
             loses *= number(self.settings, "over-share-worth", 1.0)
-        times = envelope.expected_by - SECOND, envelope.outer_limit - 3 * SECOND + 1  # else only a shot tells
+        times = envelope.expected_by - SECOND, envelope.outer_limit - LATE + 1  # else only a shot tells
         envelope.rank_until = min((time for time in times if time > now), default=FAR)
         if band.halves_in:
             envelope.rank_until = min(envelope.rank_until, now + band.halves_in // 4)
