--- a/tests/build.py
+++ b/tests/build.py
@@ -11,11 +11,19 @@
 import tempfile
 import threading
 import time
+import unittest
 from collections.abc import Callable
 from typing import Any
 
 from cedarwick.interface import ListChange, Listing, Outcome, Phase
+from cedarwick.net.assignment import Assignment, plain
+from cedarwick.net.clock import Clock
+from cedarwick.net.counters import Counters
+from cedarwick.net.desk import Desk
+from cedarwick.net.notices import Notices
+from cedarwick.net.sockets import Polled
 from cedarwick.policy import Handle, Sender
+from cedarwick.store.journal import Store
 
 MS = 1000
 SETTINGS = {
@@ -72,6 +80,22 @@
 }
 
 
+def desk_alone(case: unittest.TestCase, told: dict[str, Any]) -> tuple[Assignment, Store, Desk]:
+    """A desk over a folder of its own: nested settings, one receiver at destination 0, nobody around it."""
+    folder = tempfile.TemporaryDirectory()
+    case.addCleanup(folder.cleanup)
+    clock = Clock()
+    store = Store(folder.name, 120_000, now=clock.now)
+    store.load()
+    case.addCleanup(store.close)
+    made = Assignment("n", ("", 0), ("", 0), "", 1, 64, 100_000, {}, plain(told))
+    desk = Desk(made, clock, Counters(), store, Polled(clock))
+    desk.notices = Notices(("", 0), Counters(), lambda numbers: None)
+    desk.free_links = lambda receiver: None
+    desk._listed(ListChange.SAVED, [Listing(1, 0, 0, 0, Phase.READY, 0.0)])
+    return made, store, desk
+
+
 def free_port() -> int:
     with socket.create_server(("127.0.0.1", 0)) as probe:
         return int(probe.getsockname()[1])
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -1,23 +1,17 @@
 """Settings of another customer: other names, lists in another order and number; nothing is fitted to the first one."""
 
-import tempfile
 import unittest
 from types import SimpleNamespace
 from typing import Any
 
 from cedarwick.interface import ListChange, Listing, Outcome, Phase
-from cedarwick.net import assignment
 from cedarwick.net.assignment import Assignment
-from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
 from cedarwick.net.desk import Desk, Submission
 from cedarwick.net.directory import Directory
 from cedarwick.net.intake import BadSubmit, read_submission
-from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Shots
-from cedarwick.net.sockets import Polled
-from cedarwick.store.journal import Store
-from tests.build import NESTED
+from tests.build import NESTED, desk_alone
 
 OTHER: dict[str, Any] = {
     **NESTED, "zones": ["quay west", "ä,b", "yard"], "kinds": ["plain", "big, old"], "weight-source": "nominal",
@@ -30,17 +24,8 @@
 
 class Names(unittest.TestCase):
     def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.store = Store(folder.name, 120_000, now=Clock().now)
-        self.store.load()
-        self.addCleanup(self.store.close)
-        clock = Clock()
-        self.assignment = Assignment("n", ("", 0), ("", 0), "", 1, 64, 100_000, {}, assignment.plain(OTHER))
-        self.desk = Desk(self.assignment, clock, Counters(), self.store, Polled(clock))
+        self.assignment, self.store, self.desk = desk_alone(self, OTHER)
         self.desk.shots = SimpleNamespace(start=lambda call: None)  # type: ignore[assignment]
-        self.desk.notices = Notices(("", 0), Counters(), lambda numbers: None)
-        self.desk._listed(ListChange.SAVED, [Listing(1, 0, 0, 0, Phase.READY, 0.0)])
 
     def submit(self, band: bytes, tenant: bytes, name: bytes = b"a") -> Submission:
         pairs = b"c=" + band + b",d=8000,dest=0,t=" + tenant
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,16 +19,14 @@
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
-from cedarwick.net.desk import BOOK, NEAR, Answered, Desk, Submission
+from cedarwick.net.desk import BOOK, NEAR, Answered, Submission
 from cedarwick.net.directory import Directory
 from cedarwick.net.http import Answer, Unreadable
 from cedarwick.net.links import Descriptors, NoDescriptor
-from cedarwick.net.notices import Notices
 from cedarwick.net.shots import Call, Ending, Shots, wait_of
-from cedarwick.net.sockets import Polled, ended
-from cedarwick.store.journal import Store
+from cedarwick.net.sockets import ended
 from cedarwick.store.records import Kept
-from tests.build import NESTED, reply, words
+from tests.build import NESTED, desk_alone, reply, words
 
 
 def kept(number: int, body: bytes = b"body") -> Kept:
@@ -37,19 +35,9 @@
 
 class AtTheDesk(unittest.TestCase):
     def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.store = Store(folder.name, 120_000, now=Clock().now)
-        self.store.load()
-        self.addCleanup(self.store.close)
-        clock = Clock()
-        made = Assignment("n", ("", 0), ("", 0), "", 1, 64, 100_000, {}, assignment.plain(NESTED))
-        self.desk = Desk(made, clock, Counters(), self.store, Polled(clock))
+        _, self.store, self.desk = desk_alone(self, NESTED)
         self.calls: list[Call] = []
         self.desk.shots = SimpleNamespace(start=self.calls.append)  # type: ignore[assignment]
-        self.desk.notices = Notices(("", 0), Counters(), lambda numbers: None)
-        self.desk.free_links = lambda receiver: None
-        self.desk._listed(ListChange.SAVED, [Listing(1, 0, 0, 0, Phase.READY, 0.0)])
 
     def taken(self, band: str = "free", size: int = 1, name: str = "a", destination: int = 0,
               life: int = 8_000_000, key: int = 0) -> Submission:
