The canary of at-most-once envelopes near their limit is taken out: it broke the return rule

So is to blame: envelopes that never were canaries are now, of all senders together, and the gaps between canaries did not reckon with them.

--- a/cedarwick/policy.py
+++ b/cedarwick/policy.py
@@ -42,7 +42,6 @@
 FORGET = 20 * SECOND  # after a receiver has left the list; its outage is told to a replacement until then
 LONGEST_WAIT = 3600 * SECOND  # a longer told wait is looked into after this; no outer limit comes near it
 RESTED = 300_000  # for so long a key rests that is owed elsewhere, unless it is told again
-LATE = 3 * SECOND  # so long before its outer limit an envelope is urgent, and may be any canary
 LAST_CHANCE = SECOND  # of an envelope's time a rest for others leaves so much
 LONE = 0.5  # calls a second: an even part below this makes a lone envelope wait longer than it lives
 TRICKLE = 1.0  # calls a second of all senders together: no pace and no ramp is slower
@@ -332,16 +331,15 @@
             if turn_at > now:
                 return min(turn_at, last_start + 1)
         zone = envelope.ran_zone if envelope.ran_at and band.one_zone and not band.reissuable else None
-        late = envelope.outer_limit - LATE
-        asking = zone, band.at_most_once and now < late
+        asking = zone, band.at_most_once
         if asking not in place.room:  # Danger: each event would cost a full look for everything that is held
             members = [member for member in place.ready if zone is None or member.zone == zone]
             place.room[asking] = self._with_room(now, envelope, members)
-        envelope.look_at, envelope.asks = min(last_start + 1, late if asking[1] else FAR), asking
+        envelope.look_at, envelope.asks = last_start + 1, asking
         receiver = next((member for member, _ in place.room[asking][0] if self._joins(now, member)), None)
         receiver = receiver or place.turn(asking)
         if receiver is None:
-            return min(place.room[asking][1], envelope.look_at)
+            return min(place.room[asking][1], last_start + 1)
         joins = self._joins(now, receiver)
         if not joins and self.calls_out >= self.slots:
             self.starved.add(place.id)
@@ -614,8 +612,8 @@
         return room_at
 
     def _canary_room(self, now: int, envelope: Envelope, receiver: Receiver) -> int:
-        # An at-most-once canary could be lost with no second try. Danger: where all are such, none would go.
-        lost = envelope.band.at_most_once and not receiver.provable and now < envelope.outer_limit - LATE
+        # An at-most-once canary could be lost without a second try.
+        lost = envelope.band.at_most_once and not receiver.provable
         soonest = max(now, receiver.canary_at, receiver.pace.canary_at, receiver.pace.wait_until)
         return FAR if receiver.canary_out or lost else soonest
 
@@ -653,7 +651,7 @@
             return envelope.rank
         band = envelope.band
         left, loses = band.worth(now - envelope.expected_by)
-        if envelope.outer_limit - now < LATE:
+        if envelope.outer_limit - now < 3 * SECOND:
             loses += (left if band.halves_in else band.importance * band.late_share) / 3
         if now < envelope.expected_by - SECOND:
             loses /= 2
@@ -661,7 +659,7 @@
             loses += band.importance  # its window of repeats is running out
         if envelope.over_share:
             loses *= number(self.settings, "over-share-worth", 1.0)
-        times = envelope.expected_by - SECOND, envelope.outer_limit - LATE + 1  # else only a shot tells
+        times = envelope.expected_by - SECOND, envelope.outer_limit - 3 * SECOND + 1  # else only a shot tells
         envelope.rank_until = min((time for time in times if time > now), default=FAR)
         if band.halves_in:
             envelope.rank_until = min(envelope.rank_until, now + band.halves_in // 4)
