Trace of messages: a line for each attempt, end and notice; the audit tells the story

The finding 'delivered, and said to have failed' of test_moves named an id and nothing else: no log could say when an attempt's first byte went, what ended it, who decided the end under which term, and who posted the notice. `log.messages` in the operator file (off by default) writes one line for each; the laboratory turns it on for fleets, and the report of an audit joins the lines of all members with what was seen from outside, in the order of time (`cedarwick/lab/message_story.py`).

--- a/cedarwick/config/operator.py
+++ b/cedarwick/config/operator.py
@@ -40,6 +40,10 @@
             extra={"unit": "seconds"},
         ),
     ] = 10.0
+    messages: Annotated[
+        bool,
+        Meta(description="One line for each attempt, each decided end and each acknowledged notice of a message."),
+    ] = False
 
 
 class CounterSettings(Table, frozen=True, kw_only=True):
--- a/cedarwick/fleet/replicated_store.py
+++ b/cedarwick/fleet/replicated_store.py
@@ -103,6 +103,11 @@
             and holding.adoption.holder.is_valid(monotonic_time())
         )
 
+    def term_of(self, number: int) -> int:
+        """The newest term in which this sender has held, or asked for, the message's partition; 0: none."""
+        holding = self.holdings.get(number >> 32)
+        return holding.adoption.holder.term if holding is not None else 0
+
     def deciding(self) -> bool:
         """Whether the leases of all partitions that the dispatcher serves are valid now."""
         now = monotonic_time()
--- a/cedarwick/lab/fleet.py
+++ b/cedarwick/lab/fleet.py
@@ -20,11 +20,12 @@
 import msgspec
 
 from cedarwick.lab import audit, invariants
-from cedarwick.lab.audit_cases import Verdict
+from cedarwick.lab.audit_cases import Verdict, cases_of
 from cedarwick.lab.audit_subscribers import Watched
 from cedarwick.lab.clients import Clients, SenderPool
 from cedarwick.lab.fleet_processes import LOOK, Broken, FleetProcesses, Pair
 from cedarwick.lab.history import NEVER, Gone, Handed
+from cedarwick.lab.message_story import day_offset, story
 from cedarwick.lab.partner import Effect
 from cedarwick.lab.relay import Fault
 from cedarwick.lab.schedule import LINKS, DrawnFault, Plan
@@ -34,6 +35,8 @@
 
 SETTLING = 0.1  # seconds between two looks at the end of a day
 WATCH_ON = 1.0  # seconds that are watched after the last end
+MOST_FINDINGS = 20  # that a report lists
+MOST_STORIES = 3  # messages whose whole story a report tells
 
 
 class Fleet(FleetProcesses):
@@ -257,7 +260,19 @@
     def report(self, verdict: Verdict) -> str:
         """The verdict in a few lines that name the seed."""
         lines = [f"seed {self.seed}: {verdict.account}", *self.failed]
-        lines += [f"{finding.rule}: {' '.join(finding.ids)} {finding.text}" for finding in verdict.findings[:20]]
-        if len(verdict.findings) > 20:
-            lines.append(f"and {len(verdict.findings) - 20} more")
+        shown = verdict.findings[:MOST_FINDINGS]
+        lines += [f"{finding.rule}: {' '.join(finding.ids)} {finding.text}" for finding in shown]
+        if len(verdict.findings) > MOST_FINDINGS:
+            lines.append(f"and {len(verdict.findings) - MOST_FINDINGS} more")
+        lines += self.stories([id for finding in shown for id in finding.ids][:MOST_STORIES])
         return "\n".join([*lines, *([void] if (void := self.day.void()) else [])])
+
+    def stories(self, ids: Iterable[str]) -> list[str]:
+        """All that was seen of some messages, and what each sender has traced of them, in the order of time."""
+        cases, offset = cases_of(self.history), day_offset(self.day)
+        logs = [(f"n{member.number}", self.log(member.number)) for member in self.members]
+        lines = []
+        for id in ids:
+            lines.append(f"the story of {id}:")
+            lines += [str(line) for line in story(cases[id], id, logs, offset)] if id in cases else []
+        return lines
--- a/cedarwick/lab/fleet_processes.py
+++ b/cedarwick/lab/fleet_processes.py
@@ -182,7 +182,8 @@
         """The table [fleet] of one sender: its own address, and for each other one that of the relay to it."""
         if not self.group:
             return ""
-        lines = ["[fleet]", f'group = "{self.group}"', f'ack = "{self.ack}"', f"copies = {self.copies}"]
+        lines = ["[log]", "messages = true"]  # for the story of a message that the audit names
+        lines += ["[fleet]", f'group = "{self.group}"', f'ack = "{self.ack}"', f"copies = {self.copies}"]
         lines += [self.keys] if self.keys and not self.keys.startswith("[") else []
         for member in self.members:
             own = member.number == number
--- a/cedarwick/net/attempts.py
+++ b/cedarwick/net/attempts.py
@@ -16,6 +16,7 @@
 from cedarwick.net.connections import Connection, ConnectionPool, NoDescriptorError
 from cedarwick.net.counters import Counters
 from cedarwick.net.http import InvalidResponseError, ResponseParser
+from cedarwick.net.message_trace import AttemptTrace, LateAnswerTrace
 from cedarwick.net.sockets import PollClock, is_closed
 from cedarwick.store.records import StoredMessage
 
@@ -45,6 +46,8 @@
     recorded: bool = False  # the store has its record
     flushed: bool = False  # the record is on the disk, where the store is durable
     polled_at: int = 0  # when the sockets were polled on which its clearance rests
+    sent_at: int = 0  # its first byte was handed to the connection; 0: no byte was
+    status: int = 0  # of its answer, as far as the head was read
     retry_after_reported: bool = False  # its Retry-After wait has been passed on, ahead of the result
     reported: bool = False  # its result has been passed on
     new_connection: bool = False  # it may not reuse an idle connection
@@ -184,6 +187,7 @@
                 self.counters.add("attempts held back: no right to fire")
                 self._report_failure(call, Outcome.MOOT)
                 return True
+            call.sent_at = self.clock.now()
             link.sock.sendall(whole)
             self.counters.add("attempts sent")
             self.counters.figures.attempts_sent += 1
@@ -274,6 +278,11 @@
         """
         self.in_flight.pop(gevent.getcurrent(), None)
         self._read_more(link, answer, self.clock.now() + LATE_ANSWER_TIMEOUT_US)
+        if answer.headed and self.counters.trace.enabled:
+            stored = call.message
+            self.counters.trace.add(
+                LateAnswerTrace(stored.id, stored.number, call.attempt, answer.status, self.clock.now())
+            )
         if answer.headed and answer.status == 429 and not call.retry_after_reported:
             self.counters.add("waits heard after the call was given up")
             self._report_retry_after(call, answer)
@@ -298,15 +307,37 @@
                 self.counters.warning("a receiver answered with an unknown status", answer.status)
             ending = AttemptResult(Outcome.ERROR, took, 0, False, report)
         self.counters.add(f"answers {answer.status}")
-        call.reported = True
-        self.report_result(call, ending)
+        call.status = answer.status
+        self._report(call, ending)
 
     def _report_failure(self, call: AttemptCall, outcome: Outcome, not_sent: bool = False) -> None:
         self.counters.add(f"attempts without an answer: {outcome.value}")
-        call.reported = True
         took = self.clock.now() - call.ordered_at
-        self.report_result(
-            call, AttemptResult(outcome, took, reused_connection=call.reused_connection, not_sent=not_sent)
+        self._report(call, AttemptResult(outcome, took, reused_connection=call.reused_connection, not_sent=not_sent))
+
+    def _report(self, call: AttemptCall, ending: AttemptResult) -> None:
+        call.reported = True
+        self._trace_attempt(call, ending)
+        self.report_result(call, ending)
+
+    def _trace_attempt(self, call: AttemptCall, ending: AttemptResult) -> None:
+        if not self.counters.trace.enabled:
+            return
+        stored = call.message
+        self.counters.trace.add(
+            AttemptTrace(
+                stored.id,
+                stored.number,
+                call.attempt,
+                call.receiver,
+                call.ordered_at,
+                call.sent_at,
+                call.until,
+                self.clock.now(),
+                ending.outcome.value,
+                call.status,
+                ending.not_sent,
+            )
         )
 
     def _report_not_sent(self, call: AttemptCall) -> None:
--- a/cedarwick/net/counters.py
+++ b/cedarwick/net/counters.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from cedarwick.errors import describe
+from cedarwick.net.message_trace import MessageTrace
 from cedarwick.net.metrics import Metrics
 
 LOG_INTERVAL_S = 10.0  # between two log lines of one kind of warning, where the operator names no other
@@ -25,6 +26,7 @@
         self.quiet = LOG_INTERVAL_S
         self.every = 0.0  # seconds between two reports of all counters; 0: only when asked
         self.figures = Metrics()  # the operators' figures, by priority class
+        self.trace = MessageTrace()
 
     def add(self, name: str) -> None:
         """Count one event."""
--- a/cedarwick/net/dispatch_attempts.py
+++ b/cedarwick/net/dispatch_attempts.py
@@ -96,4 +96,6 @@
             if ending.outcome is Outcome.COMPLETED:
                 self.counters.figures.passed[call.message.priority_class] += 1
             del self.handles[number]
+            if ending.outcome is Outcome.COMPLETED:
+                self._trace_end(call.message, "delivered", "completed")
             self._over(call.message)
--- a/cedarwick/net/dispatch_final_answers.py
+++ b/cedarwick/net/dispatch_final_answers.py
@@ -24,6 +24,7 @@
         if stored is None:
             return
         self._recorded("the record of an end", self.store.ended, number, rejected, wait_ms)
+        self._trace_end(stored, "returned" if rejected else "failed", "no copy asked" if alone else "decided")
         self.counters.add("rejected" if rejected else "abandoned")
         (self.counters.figures.dropped if rejected else self.counters.figures.bad_gateway)[stored.priority_class] += 1
         self.uncopied_ends.discard(number)
@@ -73,6 +74,7 @@
     def _acknowledged(self, numbers: list[int]) -> None:
         for number in numbers:
             if number in self.store.messages:
+                self._trace_notice(self.store.messages[number])
                 self._over(self.store.messages[number])
 
     def _end_near(self) -> None:
--- a/cedarwick/net/dispatch_sessions.py
+++ b/cedarwick/net/dispatch_sessions.py
@@ -124,6 +124,7 @@
                 submission.answered(AdmissionResult.BUSY)
             handle = self.handles.pop(number, None)
             if handle is not None:
+                self._trace_parked(number, handle.in_flight)
                 handle.withdrawn(now)
                 if handle.in_flight:
                     self.parked[number] = handle
--- a/cedarwick/net/dispatch_state.py
+++ b/cedarwick/net/dispatch_state.py
@@ -19,6 +19,7 @@
 from cedarwick.net.attempts import AttemptCall, AttemptRunner
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
+from cedarwick.net.message_trace import EndTrace, NoticeTrace, ParkedTrace
 from cedarwick.net.notifications import Notifier
 from cedarwick.net.sockets import PollClock
 from cedarwick.net.submission import Submission
@@ -98,6 +99,22 @@
             return False
         return True
 
+    def _trace_end(self, stored: StoredMessage, state: str, reason: str) -> None:
+        if self.counters.trace.enabled:
+            term = self.store.term_of(stored.number)
+            self.counters.trace.add(EndTrace(stored.id, stored.number, state, reason, term, self.clock.now()))
+
+    def _trace_notice(self, stored: StoredMessage) -> None:
+        if self.counters.trace.enabled and stored.end is not None:
+            state = "returned" if stored.end[0] else "failed"
+            self.counters.trace.add(NoticeTrace(stored.id, stored.number, state, self.clock.now()))
+
+    def _trace_parked(self, number: int, in_flight: bool) -> None:
+        stored = self.store.messages.get(number)
+        if self.counters.trace.enabled and stored is not None:
+            term = self.store.term_of(number)
+            self.counters.trace.add(ParkedTrace(stored.id, number, in_flight, term, self.clock.now()))
+
     def _over(self, stored: StoredMessage) -> None:
         """Delete a message for which nothing more is to be done."""
         self.numbers.pop(stored.id, None)
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -107,6 +107,7 @@
     if operator is not None:
         log_to_stderr(operator.log.level, operator.log.format == "json")
         counters.quiet, counters.every = operator.log.quiet_s, operator.counters.every_s
+        counters.trace.enabled = operator.log.messages
 
 
 def serve(assignment: Assignment, operator: "Operator | None", replaced: gevent.event.Event) -> int:
--- a/cedarwick/store/journal.py
+++ b/cedarwick/store/journal.py
@@ -281,6 +281,10 @@
         """Whether an attempt of this message may start now; always true without a fleet."""
         return True
 
+    def term_of(self, number: int) -> int:
+        """The term of the lease under which this sender has a message; always 0 without a fleet."""
+        return 0
+
     def body(self, number: int) -> bytes:
         """The body of a message, from memory or from the folder; raises `BodyLostError` if it cannot be read."""
         stored = self.messages[number]
--- /dev/null
+++ b/tests/net/test_message_trace.py
@@ -0,0 +1,71 @@
+"""Trace lines of messages: off by default, one for each attempt, end and notice when on."""
+
+import json
+from typing import Any
+
+import gevent
+
+from cedarwick.decisions.interface import Outcome
+from cedarwick.net.attempts import AttemptResult
+from cedarwick.net.message_trace import TRACE_PREFIX, EndTrace, MessageTrace
+from tests.build import MS, reply, until
+from tests.net.test_net import DispatcherCase
+from tests.net.test_retry_after import PartnerTestCase
+
+
+class MessageTraceTest(DispatcherCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.lines: list[str] = []
+        self.dispatcher.counters.trace = MessageTrace(self.lines.append)
+
+    def traced(self) -> list[dict[str, Any]]:
+        return [json.loads(line.removeprefix(TRACE_PREFIX)) for line in self.lines]
+
+    def give_up(self) -> None:
+        self.taken("once", name="m1")
+        self.dispatcher._attempt_ended(self.calls[-1], AttemptResult(Outcome.TIME_OUT))
+        self.dispatcher._decide()
+        self.dispatcher._acknowledged([1])
+
+    def test_nothing_is_written_by_default(self) -> None:
+        self.give_up()
+        self.assertEqual(self.lines, [])
+
+    def test_the_end_that_is_decided_and_its_notice(self) -> None:
+        self.dispatcher.counters.trace.enabled = True
+        self.give_up()
+        self.assertEqual(
+            [(each["event"], each["id"], each["state"]) for each in self.traced()],
+            [("end", "m1", "failed"), ("notice", "m1", "failed")],
+        )
+
+    def test_work_that_is_stopped_without_an_end(self) -> None:
+        self.dispatcher.counters.trace.enabled = True
+        self.taken("free", name="m1")
+        self.dispatcher._park([1])
+        (parked,) = self.traced()
+        self.assertEqual((parked["event"], parked["id"], parked["in_flight"]), ("parked", "m1", True))
+
+    def test_a_line_is_one_json_object_behind_its_prefix(self) -> None:
+        trace = self.dispatcher.counters.trace
+        trace.enabled = True
+        trace.add(EndTrace("m1", 1, "failed", "decided", 3, 5))
+        expected = {"event": "end", "id": "m1", "number": 1, "state": "failed", "reason": "decided", "term": 3, "at": 5}
+        self.assertEqual(self.traced(), [expected])
+
+
+class AttemptTraceTest(PartnerTestCase):
+    def test_an_attempt_says_when_its_first_byte_went_and_what_ended_it(self) -> None:
+        lines: list[str] = []
+        self.start(lambda partner, sock, number: sock.sendall(reply(200)))
+        self.counters.trace = MessageTrace(lines.append)
+        self.counters.trace.enabled = True
+        self.submit("first")
+        until(lambda: gevent.sleep(0.005) or len(lines) == 2, 2.0)
+        attempt, end = (json.loads(line.removeprefix(TRACE_PREFIX)) for line in lines)
+        self.assertEqual((attempt["event"], attempt["outcome"], attempt["status"]), ("attempt", "completed", 200))
+        self.assertLessEqual(attempt["ordered_at"], attempt["sent_at"])
+        self.assertLess(attempt["sent_at"], attempt["ended_at"])
+        self.assertLess(attempt["ended_at"] - attempt["sent_at"], 1000 * MS)
+        self.assertEqual((end["event"], end["state"], end["reason"]), ("end", "delivered", "completed"))
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -35,7 +35,9 @@
     return StoredMessage(number, f"id-{number}", "k", 7, "band", "tenant", 3, 1_000_000, body)
 
 
-class DispatcherTest(unittest.TestCase):
+class DispatcherCase(unittest.TestCase):
+    """A dispatcher whose attempts are only noted."""
+
     def setUp(self) -> None:
         _, self.store, self.dispatcher = dispatcher_alone(self, NESTED)
         self.calls: list[AttemptCall] = []
@@ -58,6 +60,8 @@
         self.dispatcher._decide()
         return submission
 
+
+class DispatcherTest(DispatcherCase):
     def test_without_the_right_nothing_is_taken_and_what_ends_is_told_without_a_copy(self) -> None:
         self.store.by_copy = True  # of several senders as one fleet
         self.taken()
--- a/tests/net/test_retry_after.py
+++ b/tests/net/test_retry_after.py
@@ -76,7 +76,7 @@
     return play
 
 
-class AgainstAPartnerTest(unittest.TestCase):
+class PartnerTestCase(unittest.TestCase):
     """The dispatcher, its attempts and its links against one scripted partner."""
 
     def start(self, play: Play, once: bool = False) -> None:
@@ -128,6 +128,10 @@
             count += 1
             gevent.sleep(every)
 
+
+class AgainstAPartnerTest(PartnerTestCase):
+    """Refusals in pieces, late, and beside other events."""
+
     def kept_to_the_wait(self) -> None:
         self.assertTrue(self.partner.told)
         self.assertEqual(self.partner.too_soon(), [])
