Tests, failing: a good answer right after the time-out is thrown away

Failing here: the three cases in which the answer delivers the message; and an answer that is written to a caller that has left, which the emulator does not mark and the audit does not know (tests/lab).

--- a/tests/lab/test_invariants.py
+++ b/tests/lab/test_invariants.py
@@ -96,6 +96,18 @@
     ),
     ("the same end twice", [], COPY, [handed(), returned(6 * SECOND), returned(6 * SECOND, 0)]),
     ("delivered and said to have failed", [11], COPY, [handed(), called(), returned(2 * SECOND, 1, "failed")]),
+    (
+        "delivered to a caller that had left, said to have failed",
+        [],
+        COPY,
+        [handed(), called(left=True), returned(2 * SECOND, 1, "failed")],
+    ),
+    (
+        "delivered to a caller that had left, and to one that had not, said to have failed",
+        [11],
+        COPY,
+        [handed(), called(left=True), called(at=SECOND), returned(2 * SECOND, 1, "failed")],
+    ),
     (
         "delivered by one that died of it, said to have failed",
         [],
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -254,6 +254,22 @@
         call = self.day.history.called[-1]
         self.assertEqual((call.status, 0 < call.ended - call.whole < 200_000), (0, True))
 
+    def test_an_answer_to_a_caller_that_has_left_is_marked(self) -> None:
+        """The time of the work and the caller's end come in one round of the loop, in both orders."""
+        for leaves in (False, True):
+            with (
+                self.subTest(leaves=leaves),
+                gevent.socket.create_connection(self.address) as sock,
+                mock.patch.object(self.server, "_still_there", return_value=True),
+            ):
+                sock.sendall(b"POST /receive HTTP/1.1\r\nX-Txn: a\r\nContent-Length: 1\r\n\r\nx")
+                if leaves:
+                    sock.shutdown(gevent.socket.SHUT_WR)
+                sock.settimeout(1.0)
+                self.assertTrue(sock.recv(100).startswith(b"HTTP/1.1 200"))
+                call = self.day.history.called[-1]
+                self.assertEqual((call.status, call.left), (200, leaves))
+
     def test_a_port_that_stays_taken_is_an_error_that_names_it(self) -> None:
         from cedarwick.lab import listeners
 
--- a/tests/net/test_retry_after.py
+++ b/tests/net/test_retry_after.py
@@ -110,6 +110,7 @@
             self.dispatcher.clear,
             self.dispatcher.attempt_ended,
             self.dispatcher.apply_retry_after,
+            report_late_success=self.dispatcher.completed_late,
         )
         self.dispatcher._listed(EndpointUpdate.CACHED, [ListedEndpoint(1, 0, 0, 0, EndpointState.READY, 0.0)])
         running = gevent.spawn(self.dispatcher.run)
