--- a/cedarwick/lab/endpoint_server.py
+++ b/cedarwick/lab/endpoint_server.py
@@ -15,6 +15,7 @@
 from cedarwick.lab.history import Away, Called
 from cedarwick.lab.listeners import BACKLOG, accepted, listen_at_all, reset
 from cedarwick.lab.partner import Effect, Endpoint, Reply, Work
+from cedarwick.net.sockets import peek_byte
 
 AT_ONCE = 300  # microseconds: what ends sooner needs no timer
 SPOILT_STAYS = 3.0  # seconds in which a connection with a spoilt answer may still be open
@@ -252,6 +253,7 @@
             return False
         record.ended, record.status, record.wait = self.day.now(), reply.status, reply.wait
         record.ran, record.repeat, record.spoilt = reply.ran, reply.repeat, reply.spoilt
+        record.left = peek_byte(sock) == b""  # sets the timeout to 0
         if reply.spoilt == "noise":
             record.status = 0
         del self.held[sock]
--- a/cedarwick/lab/history.py
+++ b/cedarwick/lab/history.py
@@ -56,6 +56,7 @@
     repeat: bool = False  # its mark was known
     spoilt: str = ""
     body_ok: bool = True
+    left: bool = False  # its caller had closed its sending side before the answer was written
 
 
 class Noticed(Record, tag="noticed"):
--- a/cedarwick/net/attempts.py
+++ b/cedarwick/net/attempts.py
@@ -70,8 +70,9 @@
 class AttemptRunner:
     """Runs ordered attempts; each reports exactly one `AttemptResult` through `report_result`.
 
-    `clear` asks the dispatcher whether an attempt may go, `may_fire` asks again right before the first byte, and
-    `report_retry_after` passes on Retry-After waits as (receiver, until in microseconds).
+    `clear` asks the dispatcher whether an attempt may go, `may_fire` asks again right before the first byte,
+    `report_retry_after` passes on Retry-After waits as (receiver, until in microseconds), and `report_late_success` an
+    attempt whose good answer was read after its time-out had been reported.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         report_result: Callable[[AttemptCall, AttemptResult], None],
         report_retry_after: Callable[[list[tuple[int, int]]], None],
         may_fire: Callable[[int], bool] = lambda _: True,
+        report_late_success: Callable[[AttemptCall], None] = lambda _: None,
     ) -> None:
         self.clock = clock
         self.counters = counters
@@ -95,6 +97,7 @@
         self.report_result = report_result
         self.report_retry_after = report_retry_after
         self.may_fire = may_fire
+        self.report_late_success = report_late_success
         self.in_flight: dict[gevent.Greenlet, AttemptCall] = {}
 
     def start(self, call: AttemptCall) -> None:
@@ -275,6 +278,7 @@
         """Read on for a moment on the connection of a call that timed out and whose result was reported.
 
         A refusal that arrives just after the time-out still sets a Retry-After wait, which later attempts must respect.
+        A success delivers the message, unless its end has been decided meanwhile.
         """
         self.in_flight.pop(gevent.getcurrent(), None)
         self._read_more(link, answer, self.clock.now() + LATE_ANSWER_TIMEOUT_US)
@@ -283,6 +287,8 @@
             self.counters.trace.add(
                 LateAnswerTrace(stored.id, stored.number, call.attempt, answer.status, self.clock.now())
             )
+        if answer.headed and answer.status == 200:
+            self.report_late_success(call)
         if answer.headed and answer.status == 429 and not call.retry_after_reported:
             self.counters.add("waits heard after the call was given up")
             self._report_retry_after(call, answer)
--- a/cedarwick/net/dispatch_attempts.py
+++ b/cedarwick/net/dispatch_attempts.py
@@ -71,6 +71,23 @@
             ending.reused_connection,
         )
 
+    def _completed_late(self, call: AttemptCall) -> None:
+        """Deliver a message whose good answer came after the time-out of its attempt, unless it has its end by now.
+
+        Without a handle its end is decided, or another sender may have it; then nothing is changed here.
+        """
+        number = call.message.number
+        handle = self.handles.get(number)
+        if handle is None or handle.ended or number not in self.store.messages:
+            return
+        self.counters.add("messages delivered by a late answer")
+        self.counters.figures.passed[call.message.priority_class] += 1
+        handle.withdrawn(self.clock.now())
+        if not handle.in_flight:
+            del self.handles[number]
+        self._trace_end(call.message, "delivered", "late answer")
+        self._over(call.message)
+
     def _attempt_ended(self, call: AttemptCall, ending: AttemptResult) -> None:
         number = call.message.number
         if call.recorded:
--- a/cedarwick/net/dispatcher.py
+++ b/cedarwick/net/dispatcher.py
@@ -72,6 +72,10 @@
         """An attempt that `_decide` started has its result."""
         self.queue.put((self._attempt_ended, (call, ending)))
 
+    def completed_late(self, call: AttemptCall) -> None:
+        """The good answer of an attempt was read after its time-out had been reported."""
+        self.queue.put((self._completed_late, (call,)))
+
     def listed(self, change: EndpointUpdate, listings: Sequence[ListedEndpoint]) -> None:
         """Pass on a full endpoint list, or changes of it."""
         self.queue.put((self._listed, (change, listings)))
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -262,6 +262,7 @@
             dispatcher.attempt_ended,
             dispatcher.apply_retry_after,
             dispatcher.may_fire,
+            dispatcher.completed_late,
         )
         dispatcher.free_links, dispatcher.ask_for_list = self.connections.free, self.endpoint_list.ask
 
