Soak: restarts of real senders and drawn lease histories by seed, make soak SEEDS=1-50

The lease part is that of tests/fleet/lease_soak.py.

The laboratory's own fault on the way: with a later process running, `Instance.terminate` killed that one after 3.7 s, and an end that was reaped after the next start counted as a crash. Both hold on to the process that they mean now.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run; .ci/run calls lint and test.
 PYTHON = .venv/bin/python
 
-.PHONY: build tools lint test processes run lab
+.PHONY: build tools lint test processes soak run lab
 
 # The sender, the command line and the laboratory; `.venv/bin/cedarwick` is there afterwards.
 build: .venv/bin/cedarwick
@@ -28,6 +28,10 @@
 processes: tools
 	CEDARWICK_SEEDS="$(SEEDS)" $(PYTHON) -m unittest discover -v -s tests/processes -t .
 
+# Restarts of real senders and drawn lease histories; SEEDS="1 2 3" or SEEDS=1-50.
+soak: tools
+	$(PYTHON) -m tests.soak $(SEEDS)
+
 # Needs RELAY_CONFIG and RELAY_STATE; see README.md.
 run: build
 	exec $(PYTHON) -m cedarwick
--- a/cedarwick/lab/senders.py
+++ b/cedarwick/lab/senders.py
@@ -61,7 +61,7 @@
         self.reserved = ReservedPort(host_of(number))
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
-        self.expected_to_end = False
+        self.expected_to_end: set[int] = set()  # processes, by id
         self.held_down = 0  # faults that keep it from running
         self.disk_mb = scenario.limits.disk_mb
         self.ready_at = -1
@@ -80,7 +80,6 @@
         """A new process on the same folder; `SenderNotReadyError` where it does not answer PING in time."""
         self.starts += 1
         self.configure()
-        self.expected_to_end = False
         environment = {
             **os.environ,
             "RELAY_CONFIG": self.config,
@@ -107,13 +106,14 @@
     def take_down(self, gently: bool) -> None:
         """Begin a fault that ends the process, if one runs, and keeps it down until its `bring_up`."""
         self.held_down += 1
-        if not self.running():
+        process = self.process
+        if process is None or process.poll() is not None:
             return
         if gently:
             self.terminate()
         else:
             self.kill()
-        while self.running():
+        while process.poll() is None:
             gevent.sleep(0.01)
 
     def bring_up(self) -> None:
@@ -135,17 +135,19 @@
 
     def kill(self) -> None:
         """SIGKILL."""
-        self.expected_to_end = True
+        self._expect_end()
         self._life("killed")
-        self._send(signal.SIGKILL)
+        self.send_signal(signal.SIGKILL)
 
     def terminate(self) -> None:
         """SIGTERM, and SIGKILL to what has not ended in its time. Returns when it has ended."""
-        self.expected_to_end = True
+        process = self.process
+        self._expect_end()
         self._life("termed")
-        self._send(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
         end_at = self.day.now() + round(TERM_LASTS * 1_000_000)
-        while self.running():
+        # Danger: meanwhile another fault may have ended it, and a later process may run by now.
+        while process is not None and process.poll() is None:
             if self.day.now() > end_at:
                 self.kill()
             gevent.sleep(0.02)
@@ -153,16 +155,16 @@
     def stop(self) -> None:
         """SIGSTOP: the process is paused, its connections stay open."""
         self._life("stopped")
-        self._send(signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
 
     def go_on(self) -> None:
         """SIGCONT."""
-        self._send(signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
         self._life("continued")
 
     def reload(self) -> None:
         """SIGHUP."""
-        self._send(signal.SIGHUP)
+        self.send_signal(signal.SIGHUP)
 
     def running(self) -> bool:
         return self.process is not None and self.process.poll() is None
@@ -172,7 +174,7 @@
         self.reserved.release()
         if self.running():
             assert self.process is not None
-            self.expected_to_end = True
+            self._expect_end()
             self.process.kill()
             self.process.wait()
 
@@ -229,11 +231,16 @@
     def _reap(self, process: subprocess.Popen[bytes]) -> None:
         while process.poll() is None:
             gevent.sleep(REAP)
-        if self.expected_to_end:
+        if process.pid in self.expected_to_end:
             self._life("ended", 0)
         else:
             self._life("crashed", process.returncode)
 
+    def _expect_end(self) -> None:
+        """Note that the present process ends because the laboratory ends it."""
+        if self.process is not None:
+            self.expected_to_end.add(self.process.pid)
+
     def _life(self, event: str, status: int = 0) -> None:
         self.day.history.add(Life(self.number, event, self.day.now(), status))
 
@@ -243,7 +250,8 @@
             last = (log.read().splitlines() or ["empty"])[-1]
         return SenderNotReadyError(f"sender n{self.number} {what}; its log is {self.log}, last line: {last}")
 
-    def _send(self, number: int) -> None:
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process, if one runs."""
         if self.running():
             assert self.process is not None
             self.process.send_signal(number)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,73 @@
+"""The soak, short and seeded; `make soak SEEDS=1-50` plays more."""
+
+import contextlib
+import io
+import unittest
+
+from cedarwick.lab.audit_cases import SECOND
+from cedarwick.lab.history import Called, History, Life
+from cedarwick.lab.restart_soak import DayResult, draw_plan, restarts, served_after_the_end
+from tests.fleet.lease_soak import Played
+from tests.soak import SoakResult, main, seeds_of
+
+SEEDS = ("1-6",)
+
+
+def history(*records: Called | Life) -> History:
+    made = History()
+    for each in records:
+        made.add(each)
+    return made
+
+
+class ShortSoakTest(unittest.TestCase):
+    def test_a_short_soak_has_no_finding(self) -> None:
+        printed = io.StringIO()
+        with contextlib.redirect_stdout(printed):
+            status = main(SEEDS)
+        self.assertEqual(status, 0, printed.getvalue())
+        self.assertRegex(printed.getvalue().splitlines()[-1], r"^soak: seeds 1 to 6 \(6\): 6 days .* 0 findings$")
+
+
+class SoakJudgeTest(unittest.TestCase):
+    """The soak's own rules find what breaks them."""
+
+    def test_a_call_long_after_sigterm_is_found_and_one_of_the_next_process_is_not(self) -> None:
+        lives = [Life(0, "termed", SECOND), Life(0, "ended", 6 * SECOND), Life(0, "started", 7 * SECOND)]
+        for at, found in ((4 * SECOND, 0), (5 * SECOND, 1), (8 * SECOND, 0)):
+            with self.subTest(at):
+                call = Called("a", "", "s", 0, 0, at, at)
+                self.assertEqual(len(served_after_the_end(history(*lives, call))), found)
+
+    def test_slow_starts_are_counted_and_those_that_were_ended_again_are_not(self) -> None:
+        first = [Life(0, "started", 0), Life(0, "ready", SECOND)]
+        second = [Life(0, "started", 2 * SECOND), Life(0, "killed", 3 * SECOND)]
+        third = [Life(0, "started", 4 * SECOND), Life(0, "ready", 15 * SECOND)]
+        self.assertEqual(restarts(history(*first, *second, *third), 1), (2, 1))
+
+    def test_a_seed_draws_the_same_plan_again(self) -> None:
+        self.assertEqual(draw_plan(3), draw_plan(3))
+        self.assertNotEqual(draw_plan(3), draw_plan(4))
+
+    def test_findings_say_what_repeats_them_and_void_days_have_none(self) -> None:
+        days = [DayResult(5, ["1: lost"]), DayResult(6, ["1: lost"], void="n0 waited 900 ms for a processor")]
+        result = SoakResult(days, [Played(123, True, "nobody holds it", -1), Played(7, False, "", 1)])
+        self.assertEqual(
+            result.findings(),
+            [
+                "seed 5: 1: lost; again: make soak SEEDS=5",
+                "history 123 with lost folders: nobody holds it; again: make soak SEEDS=6",
+            ],
+        )
+        self.assertTrue(
+            result.summary([5, 6]).endswith("2 days (1 void), 0 messages, 0 restarts; 2 lease histories; 2 findings")
+        )
+
+    def test_seeds_are_numbers_and_ranges(self) -> None:
+        self.assertEqual(seeds_of(["1", "4-6"]), [1, 4, 5, 6])
+        with self.assertRaises(ValueError):
+            seeds_of(["x"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_source_layout.py
+++ b/tests/test_source_layout.py
@@ -12,10 +12,12 @@
     "__init__",
     "build",
     "known_red",
+    "soak",
     "test_known_red",
     "test_errors",
     "test_program",
     "test_restart_races",
+    "test_soak",
     "test_source_layout",
 }
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
