--- a/cedarwick/lab/audit_account.py
+++ b/cedarwick/lab/audit_account.py
@@ -2,9 +2,10 @@
 
 from collections import defaultdict
 
-from cedarwick.lab.audit_cases import MS, Account, Case, Finding
+from cedarwick.lab.audit_cases import Account, Case, Finding
 from cedarwick.lab.history import NEVER
 from cedarwick.lab.scenario import Scenario
+from cedarwick.lab.units import MS
 
 
 def account(scenario: Scenario, cases: dict[str, Case], findings: list[Finding]) -> Account:
--- a/cedarwick/lab/clients.py
+++ b/cedarwick/lab/clients.py
@@ -14,10 +14,10 @@
 from cedarwick.lab.history import Handed, Rude
 from cedarwick.lab.scenario import PriorityClass, Scenario
 from cedarwick.lab.senders import Instance
+from cedarwick.lab.units import MS
 from cedarwick.lab.workload import Arrival
 from cedarwick.net.sockets import open_connection
 
-MS = 1000
 LEAST_LEFT = 300 * MS  # with less time than this nothing is submitted again
 CONNECT = 0.4
 
--- a/cedarwick/lab/figures.py
+++ b/cedarwick/lab/figures.py
@@ -9,8 +9,8 @@
 from cedarwick.lab.audit_cases import Account
 from cedarwick.lab.history import NEVER, History
 from cedarwick.lab.scenario import Scenario
+from cedarwick.lab.units import SECOND
 
-SECOND = 1_000_000
 STEP = SECOND // 2  # figures over time come in steps of this
 QUANTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
 LONGEST = 120 * SECOND
--- a/cedarwick/lab/partner.py
+++ b/cedarwick/lab/partner.py
@@ -14,7 +14,8 @@
 from dataclasses import dataclass, field
 
 from cedarwick.lab.scenario import Partner, Rules
-from cedarwick.lab.workload import SECOND, ServiceTimes, capacity, source
+from cedarwick.lab.units import SECOND
+from cedarwick.lab.workload import ServiceTimes, capacity, source
 
 LOOK = 20_000  # while a hang lasts, so long until the next look
 TEARS = ("pieces", "stops", "last")  # how a refusal may be written: its head, and its body later or never; or as the
--- a/cedarwick/lab/report.py
+++ b/cedarwick/lab/report.py
@@ -16,8 +16,8 @@
 from cedarwick.lab.figures import deliveries, outcome_of, things_of  # noqa: E402
 from cedarwick.lab.history import NEVER, History, read  # noqa: E402
 from cedarwick.lab.run import Run, read_head  # noqa: E402
+from cedarwick.lab.units import SECOND
 
-SECOND = 1_000_000
 MOST_LINES = 6  # destinations in one plot: those with the most calls
 OUTCOMES = {
     "completed": "#4c9f70",
--- a/cedarwick/lab/restart_soak.py
+++ b/cedarwick/lab/restart_soak.py
@@ -17,12 +17,13 @@
 import gevent.socket
 import msgspec
 
-from cedarwick.lab.audit_cases import MS, SECOND, seconds
+from cedarwick.lab.audit_cases import seconds
 from cedarwick.lab.fleet import Fleet
 from cedarwick.lab.history import History
 from cedarwick.lab.partner import Effect
 from cedarwick.lab.scenario import Clients, Limits, Load, Partner, PriorityClass, Scenario, Service
 from cedarwick.lab.senders import Instance, SenderNotReadyError
+from cedarwick.lab.units import MS, SECOND
 
 SENDERS = ("hall", "hall")
 LOAD_S = 9.0  # seconds in which messages arrive
--- a/cedarwick/lab/schedule.py
+++ b/cedarwick/lab/schedule.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from cedarwick.lab.relay import Fault, Kind
+from cedarwick.lab.units import SECOND
 
-SECOND = 1_000_000
 DOWN = ("kill", "term", "stop", "folder-lost", "folder-spoilt")  # the sender itself is out
 LOSING = ("folder-lost", "folder-spoilt")
 SPLITS = ("split",)  # some are cut off from all others
--- a/cedarwick/lab/virtual.py
+++ b/cedarwick/lab/virtual.py
@@ -47,9 +47,9 @@
 from cedarwick.fleet.peer_client import MAX_CALLS, MAX_CALLS_IN_FLIGHT, check_answer
 from cedarwick.fleet.peer_verifier import PeerVerifier
 from cedarwick.fleet.transport import PeerUnreachableError
+from cedarwick.lab.units import SECOND
 from cedarwick.net import dispatch_state, dispatcher, notifications, submission
 
-SECOND = 1_000_000
 WALL = 1_790_000_000 * SECOND  # wall time at the kernel's begin
 BOOTED = 1000 * SECOND  # the boot clock then
 IN_THREAD = 0.001  # seconds that a call in a thread takes
--- a/cedarwick/lab/virtual_clients.py
+++ b/cedarwick/lab/virtual_clients.py
@@ -6,7 +6,8 @@
 from cedarwick.fleet.messages import digest_of
 from cedarwick.lab.history import Handed
 from cedarwick.lab.scenario import PriorityClass
-from cedarwick.lab.virtual import SECOND, WALL, AsyncResult
+from cedarwick.lab.units import SECOND
+from cedarwick.lab.virtual import WALL, AsyncResult
 from cedarwick.lab.virtual_senders import Sender
 from cedarwick.lab.virtual_state import SCENARIO, DayState
 from cedarwick.store.records import StoredMessage
--- a/cedarwick/lab/virtual_day.py
+++ b/cedarwick/lab/virtual_day.py
@@ -21,7 +21,8 @@
 from cedarwick.lab import invariants
 from cedarwick.lab.audit_cases import Finding, Verdict
 from cedarwick.lab.schedule import KINDS, DrawnFault, draw
-from cedarwick.lab.virtual import SECOND, Kernel, Task, standing_in
+from cedarwick.lab.units import SECOND
+from cedarwick.lab.virtual import Kernel, Task, standing_in
 from cedarwick.lab.virtual_clients import DrawnClients, DrawnOperator
 from cedarwick.lab.virtual_faults import FaultRunner
 from cedarwick.lab.virtual_network import Network
--- a/cedarwick/lab/virtual_partners.py
+++ b/cedarwick/lab/virtual_partners.py
@@ -6,7 +6,8 @@
 
 from cedarwick.decisions.interface import Outcome
 from cedarwick.lab.history import NEVER, Called, Noticed
-from cedarwick.lab.virtual import SECOND, WALL, Owner
+from cedarwick.lab.units import SECOND
+from cedarwick.lab.virtual import WALL, Owner
 from cedarwick.lab.virtual_state import LONGEST, RECEIVERS, SCENARIO, DayState
 from cedarwick.net.attempts import AttemptCall, AttemptResult, AttemptRunner
 from cedarwick.net.counters import Counters
--- a/cedarwick/lab/virtual_senders.py
+++ b/cedarwick/lab/virtual_senders.py
@@ -14,7 +14,8 @@
 from cedarwick.fleet.replicated_store import ReplicatedStore
 from cedarwick.lab.history import Life
 from cedarwick.lab.scenario import sender_settings
-from cedarwick.lab.virtual import SECOND, WALL, AsyncResult, Kernel, Owner
+from cedarwick.lab.units import SECOND
+from cedarwick.lab.virtual import WALL, AsyncResult, Kernel, Owner
 from cedarwick.lab.virtual_partners import DrawnAttempts, DrawnNotices, DrawnPartners
 from cedarwick.lab.virtual_state import LOOK, RECEIVERS, SCENARIO, DayState, usual_disk
 from cedarwick.net.assignment import Assignment, plain
--- a/cedarwick/lab/virtual_state.py
+++ b/cedarwick/lab/virtual_state.py
@@ -7,7 +7,8 @@
 from cedarwick.lab.audit_subscribers import Watched
 from cedarwick.lab.history import History
 from cedarwick.lab.scenario import Limits, Load, Partner, PriorityClass, Scenario, Service
-from cedarwick.lab.virtual import SECOND, Kernel
+from cedarwick.lab.units import SECOND
+from cedarwick.lab.virtual import Kernel
 
 Level = Literal["calm", "usual", "hard", "worst"]
 Pair = tuple[int, int]  # who asks, who answers
--- a/cedarwick/lab/workload.py
+++ b/cedarwick/lab/workload.py
@@ -14,8 +14,8 @@
     Scenario,
     Service,
 )
+from cedarwick.lab.units import SECOND
 
-SECOND = 1_000_000
 DRAWN_SIZES: dict[str, list[float]] = {
     "slow": [2, 4],
     "limit-cut": [0.4, 0.7],
--- a/tests/lab/test_partner.py
+++ b/tests/lab/test_partner.py
@@ -9,7 +9,7 @@
 
 from cedarwick.lab.partner import Destination, Effect, Endpoint, Reply, Work
 from cedarwick.lab.scenario import Limit, Partner, Rules, Service, WarmUp
-from cedarwick.lab.workload import SECOND
+from cedarwick.lab.units import SECOND
 
 MS = 1000
 WINDOW = 4 * SECOND
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,9 +4,9 @@
 import io
 import unittest
 
-from cedarwick.lab.audit_cases import SECOND
 from cedarwick.lab.history import Called, History, Life
 from cedarwick.lab.restart_soak import DayResult, draw_plan, restarts, served_after_the_end
+from cedarwick.lab.units import SECOND
 from tests.fleet.lease_soak import Played
 from tests.soak import SoakResult, main, seeds_of
 
