Tests hold the ports that they choose and close their links; slots of members below the fleet

`free_port` chose a port, closed it and left it to whoever came first; it holds a reservation now, for the 64 newest, and a Program holds its own to its end. The tests against a scripted partner closed none of their idle connections: the warnings landed in whatever captured stderr next (config.test_config after net.test_retry_after failed so). `slot_of` moves to cedarwick/config, so config imports nothing of the fleet.

--- a/cedarwick/config/operator.py
+++ b/cedarwick/config/operator.py
@@ -196,7 +196,7 @@
 def check(fleet: Fleet, path: str) -> None:
     """What no type says of a fleet; `ConfigFileError` names the first key that does not fit."""
     # Only a file with a fleet pays for the hash and the rest.
-    from cedarwick.fleet.messages import slot_of
+    from cedarwick.config.member_slots import slot_of
     from cedarwick.net.assignment import address
 
     names: dict[str, int] = {}
--- a/cedarwick/events/sources.py
+++ b/cedarwick/events/sources.py
@@ -3,8 +3,8 @@
 Used by `exchange.py` and `subscription_server.py`.
 """
 
+from cedarwick.config.member_slots import slot_of
 from cedarwick.events.registry import NAME
-from cedarwick.fleet.messages import slot_of
 from cedarwick.fleet.peer_verifier import PeerVerifier
 
 MAX_STEM_LENGTH = 47  # characters; source names must fit into the cursors of subscribers
--- a/cedarwick/fleet/messages/__init__.py
+++ b/cedarwick/fleet/messages/__init__.py
@@ -27,7 +27,6 @@
 from cedarwick.fleet.messages.fields import (
     MAX_MESSAGE_BYTES,
     MEMBERS,
-    SLOT_BITS,
     Bulk,
     Count,
     Id,
@@ -42,7 +41,6 @@
     Term,
     Text,
     Word,
-    slot_of,
 )
 from cedarwick.fleet.messages.gossip import (
     MOST_KEYS,
@@ -144,7 +142,6 @@
     "RequestRefused",
     "RetryAfterEntry",
     "RetryAfterHint",
-    "SLOT_BITS",
     "SessionClaim",
     "SessionInheritance",
     "SessionLocation",
@@ -165,6 +162,5 @@
     "digest_of",
     "encode",
     "head_of",
-    "slot_of",
     "whole",
 ]
--- a/cedarwick/fleet/messages/fields.py
+++ b/cedarwick/fleet/messages/fields.py
@@ -6,11 +6,9 @@
 from typing import Annotated
 
 import msgspec
-import xxhash
 from msgspec import Meta
 
 MAX_MESSAGE_BYTES = 1 << 20  # bytes of an encoded peer message
-SLOT_BITS = 18  # of a member's slot, see `slot_of`
 MEMBERS = 64  # members of a group, at most
 
 Name = Annotated[str, Meta(max_length=64)]  # of a member, a group, a subscription; empty: nobody
@@ -35,8 +33,3 @@
 
 class PeerBodyPart(msgspec.Struct, frozen=True, array_like=True):
     """A row within a body, an array on the wire without a tag."""
-
-
-def slot_of(name: str) -> int:
-    """A member's slot: 18 bits of the xxh3 of its name."""
-    return xxhash.xxh3_64_intdigest(name.encode()) & ((1 << SLOT_BITS) - 1)
--- a/cedarwick/fleet/node.py
+++ b/cedarwick/fleet/node.py
@@ -12,12 +12,12 @@
 import gevent
 from loguru import logger
 
+from cedarwick.config.member_slots import slot_of
 from cedarwick.config.operator import Fleet
 from cedarwick.fleet.late_answers import LateAnswers
 from cedarwick.fleet.limits import CALL_TIMEOUT_S, CHECK_INTERVAL_S, DEADLINE_CHECK_S, NO_MAJORITY_US
 from cedarwick.fleet.membership import MemberStatus
 from cedarwick.fleet.membership_reload import MembershipReload
-from cedarwick.fleet.messages import slot_of
 from cedarwick.fleet.peer_server import PeerServer
 from cedarwick.fleet.ports import PartitionDispatcher
 from cedarwick.fleet.replicated_store import ReplicatedStore, monotonic_time
--- a/cedarwick/fleet/partition_takeover.py
+++ b/cedarwick/fleet/partition_takeover.py
@@ -7,6 +7,7 @@
 import gevent
 from loguru import logger
 
+from cedarwick.config.member_slots import slot_of
 from cedarwick.fleet.lease_holder import LeaseState
 from cedarwick.fleet.leased_partition import LeasedPartition
 from cedarwick.fleet.leases import EPOCH_BITS, LEASE_SPAN_US, lease_of
@@ -18,7 +19,7 @@
     OFFER_TIMEOUT_S,
     UNWANTED_REPLICA_US,
 )
-from cedarwick.fleet.messages import LeaseRequest, slot_of
+from cedarwick.fleet.messages import LeaseRequest
 from cedarwick.fleet.pending_order_keys import PendingOrderKeyExchange
 from cedarwick.fleet.replica import Replica
 from cedarwick.fleet.replication_pumps import ReplicationPumps
--- a/cedarwick/fleet/session_inheritance.py
+++ b/cedarwick/fleet/session_inheritance.py
@@ -5,13 +5,11 @@
 
 from loguru import logger
 
+from cedarwick.config.member_slots import slot_of
 from cedarwick.fleet.leased_partition import LeasedPartition
 from cedarwick.fleet.leases import EPOCH_BITS, lease_of
 from cedarwick.fleet.limits import ANSWER_AHEAD_US, US_PER_S
-from cedarwick.fleet.messages import (
-    SessionInheritance,
-    slot_of,
-)
+from cedarwick.fleet.messages import SessionInheritance
 from cedarwick.fleet.recent_ids import RecentIds
 from cedarwick.fleet.replica import ReplicaEntry as Step
 from cedarwick.fleet.replicated_store import monotonic_time
--- a/tests/build.py
+++ b/tests/build.py
@@ -5,7 +5,6 @@
 import json
 import os
 import queue
-import random
 import socket
 import subprocess
 import sys
@@ -13,12 +12,14 @@
 import threading
 import time
 import unittest
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from cedarwick.decisions.interface import EndpointState, EndpointUpdate, ListedEndpoint, Outcome
 from cedarwick.decisions.message_handle import Handle
 from cedarwick.decisions.policy import Sender
+from cedarwick.lab.listeners import ReservedPort
 from cedarwick.net.assignment import Assignment, plain
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
@@ -120,18 +121,16 @@
     return made, store, dispatcher
 
 
-LISTEN_PORTS = 20_000, 32_000  # below the usual range of ephemeral ports, 32768 to 60999
+MOST_RESERVED = 64  # ports that are held at once; the program listens on its own long before so many more are asked for
+RESERVED: deque[ReservedPort] = deque()
 
 
 def free_port() -> int:
-    """A free port below the range from which the system gives ports to outgoing connections.
-
-    A port of that range could be given to a connection of another test before the program listens on it.
-    """
-    while True:
-        port = random.randrange(*LISTEN_PORTS)
-        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            return port
+    """A free port of 127.0.0.1, held so that no other socket gets it before the program listens on it."""
+    RESERVED.append(ReservedPort("127.0.0.1"))
+    if len(RESERVED) > MOST_RESERVED:
+        RESERVED.popleft().release()
+    return RESERVED[-1].number
 
 
 def until(true: Callable[[], Any], seconds: float = 8.0) -> Any:
@@ -259,7 +258,8 @@
         self.receivers = receivers
         self.platform = Platform([self.target(index) for index in range(len(receivers))])
         self.folder = tempfile.TemporaryDirectory()
-        self.port = free_port()
+        self.reserved = ReservedPort("127.0.0.1")
+        self.port = self.reserved.number
         self.process: subprocess.Popen[str] | None = None
         self.command = ("-m", "cedarwick")  # what the interpreter is started with
         platform = f"127.0.0.1:{self.platform.server_address[1]}"
@@ -355,6 +355,7 @@
         self.platform.server_close()
         for receiver in self.receivers:
             receiver.close()
+        self.reserved.release()
         self.folder.cleanup()
 
 
--- a/tests/fleet/test_node.py
+++ b/tests/fleet/test_node.py
@@ -12,6 +12,7 @@
 import msgspec
 from loguru import logger
 
+from cedarwick.config.member_slots import slot_of
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.decisions.interface import Outcome
 from cedarwick.fleet import limits
@@ -40,7 +41,6 @@
     ReplicatePiece,
     TakeoverOffer,
     digest_of,
-    slot_of,
 )
 from cedarwick.fleet.messages import HeldLease as Right
 from cedarwick.fleet.node import FleetNode
--- a/tests/fleet/test_session_routing.py
+++ b/tests/fleet/test_session_routing.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent.event import AsyncResult
 
+from cedarwick.config.member_slots import slot_of
 from cedarwick.config.operator import Fleet, Member
 from cedarwick.decisions.interface import Outcome
 from cedarwick.fleet import migration_source
@@ -19,7 +20,7 @@
 from cedarwick.fleet.leased_partition import LeasedPartition
 from cedarwick.fleet.leases import lease_of
 from cedarwick.fleet.membership import MemberStatus
-from cedarwick.fleet.messages import Body, ForwardReply, Grant, RecallForward, StageReply, StageSession, slot_of
+from cedarwick.fleet.messages import Body, ForwardReply, Grant, RecallForward, StageReply, StageSession
 from cedarwick.fleet.node import FleetNode
 from cedarwick.fleet.recent_ids import RecentIds
 from cedarwick.fleet.replica import ReplicaEntry as Step
--- a/tests/net/test_retry_after.py
+++ b/tests/net/test_retry_after.py
@@ -114,6 +114,8 @@
         )
         self.dispatcher._listed(EndpointUpdate.CACHED, [ListedEndpoint(1, 0, 0, 0, EndpointState.READY, 0.0)])
         running = gevent.spawn(self.dispatcher.run)
+        self.addCleanup(self.links.free, 1)
+        self.addCleanup(lambda: gevent.killall(list(self.dispatcher.attempts.in_flight)))
         self.addCleanup(running.kill)
 
     def submit(self, name: str, priority_class: str = "free", life: int = 8_000_000) -> None:
