Sessions: time on the way does not lengthen the deadline of a forwarded message

Change: ForwardedSubmit names the deadline besides, and the holder takes the earlier one, cutting off 1.2 s at most, since clocks may differ. An older member's message is read as before.

--- a/cedarwick/fleet/messages/sessions.py
+++ b/cedarwick/fleet/messages/sessions.py
@@ -161,6 +161,7 @@
     body: Request
     moved: bool = False  # forwarded by the previous holder, whose client connection stayed open
     entry: SessionLocation | None = None  # the lost holder, for the member that holds its partition now
+    deadline: Count = 0  # wall microseconds of the member that forwards it; 0: an older member does not say
 
 
 class ForwardReply(PeerBody, frozen=True, tag="Passed"):
--- a/cedarwick/fleet/session_submissions.py
+++ b/cedarwick/fleet/session_submissions.py
@@ -39,6 +39,7 @@
 FORWARD_TIMEOUT_S = 0.15  # seconds until a submission that was passed on without an answer is passed on again
 RETRY_PAUSE_S = 0.005  # before a submission without an answer is forwarded again
 MIN_TIME_LEFT_US = 15_000  # microseconds without which nothing more is tried for a client
+LONGEST_TRANSIT_US = 1_200_000  # that a forwarded submission may be on its way: after a lease its sender gives it up
 CLIENT_REQUEST_TTL_US = 1_000_000  # microseconds for which a client that came to another sender counts as being there
 UNSURE: SubmitResult = (AdmissionResult.UNSURE, 0, None)
 BUSY: SubmitResult = (AdmissionResult.BUSY, 0, None)
@@ -221,6 +222,7 @@
             stored.body or b"",
             moved,
             location_of(dead_holder),
+            max(0, stored.deadline),
         )
 
     def _recall_on_disconnect(self, stored: StoredMessage, to: str) -> Callable[[], None]:
@@ -246,6 +248,10 @@
 
     def _forwarded_message(self, body: ForwardedSubmit) -> StoredMessage:
         deadline = self.clock.now() + body.left
+        if body.deadline:
+            # `left` counts from the sending: what the message spends on the way, or in the socket of a stopped process,
+            # would lengthen its deadline. The two clocks may differ; so much can't come of the way alone.
+            deadline = max(min(deadline, body.deadline), deadline - LONGEST_TRANSIT_US)
         return StoredMessage(
             0,
             body.id,
--- a/tests/fleet/test_session_routing.py
+++ b/tests/fleet/test_session_routing.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import gevent
+import msgspec
 from gevent.event import AsyncResult
 
 from cedarwick.config.member_slots import slot_of
@@ -31,6 +32,7 @@
 from cedarwick.fleet.session_inheritance import INHERITANCE_LEVEL
 from cedarwick.fleet.session_routing import SessionRouter
 from cedarwick.fleet.session_state import InheritableSessions
+from cedarwick.fleet.session_submissions import LONGEST_TRANSIT_US
 from cedarwick.fleet.sessions import ID_RETENTION_US
 from cedarwick.fleet.transport import PeerUnreachableError
 from cedarwick.net.attempts import AttemptResult
@@ -318,10 +320,38 @@
                 body=b"",
                 moved=False,
                 entry=None,
+                deadline=0,
             ),
         )
         self.assertEqual(passed, ForwardReply("", 0, True, None))
 
+    def test_time_on_the_way_does_not_lengthen_a_deadline(self) -> None:
+        """Virtual days 1010 and 1017 (`--ack own --level worst --sessions --subscribers 2`): ends 47 and 105 ms late.
+
+        A client's message was passed on over a slow link. `left` is the time that it had when it was sent, so the
+        holder took its 311 ms on the way for time that it still had, and answered beyond the deadline's grace.
+        """
+        a, c = self.session_router["a"], self.session_router["c"]
+        for late, clock_ahead, lengthened in (
+            (0, 0, 0),
+            (311_000, 0, 0),
+            (311_000, -50_000, 50_000),  # by the difference of the clocks
+            (100_000, 9_000_000, 100_000 - LONGEST_TRANSIT_US),  # a clock that is far off counts as the longest way
+        ):
+            with self.subTest(late=late, clock_ahead=clock_ahead):
+                stored = message("1")
+                sent_at = a.clock.now()
+                body = a._forwarded_submit(stored, 300_000, False, None)
+                with mock.patch.object(c.clock, "now", return_value=sent_at + late + clock_ahead):
+                    taken = c._forwarded_message(body)
+                ends_at = taken.deadline - clock_ahead  # by the clock of the member that the client asked
+                self.assertAlmostEqual(ends_at - stored.deadline, lengthened, delta=2_000)
+
+    def test_an_older_member_says_only_how_much_time_was_left(self) -> None:
+        a, c = self.session_router["a"], self.session_router["c"]
+        body = msgspec.structs.replace(a._forwarded_submit(message("1"), 300_000, False, None), deadline=0)
+        self.assertAlmostEqual(c._forwarded_message(body).deadline, c.clock.now() + body.left, delta=2_000)
+
     def adopted(self, level: int = INHERITANCE_LEVEL) -> tuple[SessionRouter, SessionRouter, SessionRouter, int]:
         """The partition of a, which has taken "1" and does not answer, is held by c, whose copy was old and whole."""
         a, b, c = (self.session_router[name] for name in NAMES)
