--- a/tests/fleet/test_session_routing.py
+++ b/tests/fleet/test_session_routing.py
@@ -62,6 +62,7 @@
         self.numbers: dict[str, int] = {}
         self.adopted: list[int] = []
         self.submitted = 0
+        self.uncopied_ends: set[int] = set()
         self.thaw = self.cut = self.answer_late = self.withdraw = lambda *_: None
         self.rest_of = lambda key: 0
 
@@ -325,6 +326,26 @@
         )
         self.assertEqual(passed, ForwardReply("", 0, True, None))
 
+    def test_after_a_move_that_is_called_off_ends_that_were_decided_before_are_posted(self) -> None:
+        """Virtual day 2020 (`--ack copy --level worst --sessions --subscribers 2`): a message without any end.
+
+        n1 marks a session's messages for a move, its links are cut, and it dies. n2 adopts the partition without the
+        marks and returns a message at its deadline. 8 ms later n1 is back and offers what it knows: the marks come with
+        it, the message is parked, its unposted notice goes, and as a marked one it is not taken up again. The move is
+        called off 18 ms after that, but only messages without an end were taken up: nobody posted the notice.
+        """
+        a = self.session_router["a"]
+        for id in ("1", "2", "3"):
+            a.hand_in(message(id))
+        ended, owed, uncopied = sorted(a.store.messages)
+        for number in (ended, owed, uncopied):
+            a.store.mark(number, 1, "<5/a/b")
+        a.store.ended(ended, True, 0)
+        a.store.ended(uncopied, True, 0)
+        a.dispatcher.uncopied_ends = {uncopied}  # the dispatcher posts it by itself, once a copy has it
+        self.assertTrue(a.migrations._clear_marks("5/a/b", KEY, False, monotonic_time()))
+        self.assertEqual(a.dispatcher.adopted, [ended, owed])  # type: ignore[attr-defined]
+
     def test_time_on_the_way_does_not_lengthen_a_deadline(self) -> None:
         """Virtual days 1010 and 1017 (`--ack own --level worst --sessions --subscribers 2`): ends 47 and 105 ms late.
 
