Moves: when one is called off, ends that were decided before its marks came are posted

Change: _clear_marks takes up messages whose end was decided, too, unless the dispatcher waits for a copy of it.

--- a/cedarwick/fleet/migration_source.py
+++ b/cedarwick/fleet/migration_source.py
@@ -140,6 +140,9 @@
         """Clear the marks of a move that was called off, and go on with the session's messages."""
         numbers = self._marked(name, SOURCE_MARK)
         sequence = self._sequence(name, numbers) + 1
+        # A holder that adopted them without the marks may have decided their ends, and lost the notices as the marks
+        # came. Those that wait for a copy are posted by the dispatcher.
+        ended = {number for number in numbers if self.store.messages[number].end} - self.dispatcher.uncopied_ends
         self._save_without(numbers)
         for number in numbers:
             self.store.mark(number, sequence, "")
@@ -153,7 +156,8 @@
         pending = [
             stored.number
             for stored in self.store.messages.values()
-            if stored.turn == key and stored.end is None and self.store.may_fire(stored.number)
+            if (stored.turn == key and stored.end is None or stored.number in ended)
+            and self.store.may_fire(stored.number)
         ]
         self.dispatcher.adopt(pending, quietly=True)
         return True
