--- a/tests/fleet/test_order_key_hints.py
+++ b/tests/fleet/test_order_key_hints.py
@@ -80,11 +80,11 @@
 
     def test_few_are_overtaken_as_clients_of_a_killed_sender_go_elsewhere_and_come_back(self) -> None:
         told: dict[str, Any] = {"ack": "copy", "kinds": ("kill",)}
-        pairs, overtaken = self.overtaken(5, 7, 10, **told)
+        pairs, overtaken = self.overtaken(5, 10, 11, **told)
         self.assertGreater(pairs, 20)
         self.assertLess(overtaken, 0.05 * pairs)  # in the second until the silence is noticed, or after `MOST`
         with mock.patch.object(OrderKeyHints, "rests", return_value=NONE):
-            pairs, overtaken = self.overtaken(5, 7, 10, **told)
+            pairs, overtaken = self.overtaken(5, 10, 11, **told)
         self.assertGreater(overtaken, 0.1 * pairs)
 
 
