Dispatcher: one way to end a message without an answer; one test of a completed attempt

A late success and a withdrawal ended a message by the same lines; both call _end_unanswered now. The trace of a delivery stands in the branch that counts it. Behaviour is as it was.

--- a/cedarwick/lab/message_story.py
+++ b/cedarwick/lab/message_story.py
@@ -11,6 +11,7 @@
 
 from cedarwick.lab.audit_cases import Case
 from cedarwick.lab.day import Day
+from cedarwick.lab.units import SECOND
 from cedarwick.net.message_trace import TRACE_PREFIX
 
 TIMES = ("at", "ended_at", "ordered_at", "sent_at", "until")  # keys that hold wall-clock microseconds
@@ -25,7 +26,7 @@
     text: str
 
     def __str__(self) -> str:
-        return f"{self.at / 1_000_000:9.4f} s  {self.source or 'seen':5} {self.text}"
+        return f"{self.at / SECOND:9.4f} s  {self.source or 'seen':5} {self.text}"
 
 
 def day_offset(day: Day) -> int:
--- a/cedarwick/net/dispatch_admission.py
+++ b/cedarwick/net/dispatch_admission.py
@@ -66,12 +66,7 @@
         self.leaving.discard(stored.number)
         if stored.number in self.store.inert:
             return  # it is on its way to another sender, who knows nothing of this
-        handle = self.handles.get(stored.number)
-        if handle is not None:
-            handle.withdrawn(self.clock.now())
-            if not handle.in_flight:
-                del self.handles[stored.number]
-        self._over(stored)
+        self._end_unanswered(stored)
 
     def _store_new(self) -> None:
         """At a hand-over: store and answer new messages; the next process decides on them."""
--- a/cedarwick/net/dispatch_attempts.py
+++ b/cedarwick/net/dispatch_attempts.py
@@ -82,11 +82,8 @@
             return
         self.counters.add("messages delivered by a late answer")
         self.counters.figures.passed[call.message.priority_class] += 1
-        handle.withdrawn(self.clock.now())
-        if not handle.in_flight:
-            del self.handles[number]
         self._trace_end(call.message, "delivered", "late answer")
-        self._over(call.message)
+        self._end_unanswered(call.message)
 
     def _attempt_ended(self, call: AttemptCall, ending: AttemptResult) -> None:
         number = call.message.number
@@ -112,7 +109,6 @@
             self.counters.add(f"messages over: {ending.outcome.value}")
             if ending.outcome is Outcome.COMPLETED:
                 self.counters.figures.passed[call.message.priority_class] += 1
-            del self.handles[number]
-            if ending.outcome is Outcome.COMPLETED:
                 self._trace_end(call.message, "delivered", "completed")
+            del self.handles[number]
             self._over(call.message)
--- a/cedarwick/net/dispatch_state.py
+++ b/cedarwick/net/dispatch_state.py
@@ -115,6 +115,15 @@
             term = self.store.term_of(number)
             self.counters.trace.add(ParkedTrace(stored.id, number, in_flight, term, self.clock.now()))
 
+    def _end_unanswered(self, stored: StoredMessage) -> None:
+        """End a message that needs no final answer: no attempt begins any more, and one that is out changes nothing."""
+        handle = self.handles.get(stored.number)
+        if handle is not None:
+            handle.withdrawn(self.clock.now())
+            if not handle.in_flight:
+                del self.handles[stored.number]
+        self._over(stored)
+
     def _over(self, stored: StoredMessage) -> None:
         """Delete a message for which nothing more is to be done."""
         self.numbers.pop(stored.id, None)
