Laboratory: the four mixed priority classes stand once; calls after the end counted by the next start

They stood in virtual_state, restart_soak and tests/processes/rig.py. served_after_the_end looked for the last event of a life where no start followed; no bound is needed there, which is as strict or stricter.

--- a/cedarwick/lab/restart_soak.py
+++ b/cedarwick/lab/restart_soak.py
@@ -17,11 +17,12 @@
 import gevent.socket
 import msgspec
 
-from cedarwick.lab.audit_cases import seconds
+from cedarwick.lab.audit_cases import FOREVER, seconds
 from cedarwick.lab.fleet import Fleet
 from cedarwick.lab.history import History
+from cedarwick.lab.mixed_classes import MIXED_CLASSES
 from cedarwick.lab.partner import Effect
-from cedarwick.lab.scenario import Clients, Limits, Load, Partner, PriorityClass, Scenario, Service
+from cedarwick.lab.scenario import Clients, Limits, Load, Partner, Scenario, Service
 from cedarwick.lab.senders import Instance, SenderNotReadyError
 from cedarwick.lab.units import MS, SECOND
 
@@ -55,12 +56,7 @@
     load=Load(rate=60),
     clients=Clients(tries=3, notice_s=0.3),
     limits=Limits(sockets=160, disk_mb=16, most_open=600),
-    priority_classes=[
-        PriorityClass(name="free", outer_ms=6000, expected_ms=1500),
-        PriorityClass(name="marked", repeat="numbered", outer_ms=6000, expected_ms=1500, window_ms=4000),
-        PriorityClass(name="once", repeat="at-most-once", outer_ms=6000, expected_ms=1500),
-        PriorityClass(name="line", repeat="numbered", in_turn=True, keys=6, outer_ms=6000, expected_ms=1500),
-    ],
+    priority_classes=MIXED_CLASSES,
     partner=[Partner(name="hotel", destinations=4, workers=8, service=Service(mean_ms=25))],
 )
 
@@ -215,13 +211,12 @@
     """Calls that began later than `LAST_ATTEMPT` after their sender's process was told to end."""
     found: list[str] = []
     for termed in (life for life in history.life if life.event == "termed"):
-        later = [life.at for life in history.life if life.sender == termed.sender and life.at > termed.at]
         started = [
             life.at
             for life in history.life
             if life.sender == termed.sender and life.event == "started" and life.at > termed.at
         ]
-        until = min(started, default=max(later, default=termed.at))
+        until = min(started, default=FOREVER)
         found += [
             f"n{termed.sender}, told to end at {seconds(termed.at)}, called at {seconds(call.first)}: {call.id}"
             for call in history.called
--- a/cedarwick/lab/virtual_state.py
+++ b/cedarwick/lab/virtual_state.py
@@ -6,7 +6,8 @@
 from cedarwick.config.operator import Fleet
 from cedarwick.lab.audit_subscribers import Watched
 from cedarwick.lab.history import History
-from cedarwick.lab.scenario import Limits, Load, Partner, PriorityClass, Scenario, Service
+from cedarwick.lab.mixed_classes import MIXED_CLASSES
+from cedarwick.lab.scenario import Limits, Load, Partner, Scenario, Service
 from cedarwick.lab.units import SECOND
 from cedarwick.lab.virtual import Kernel
 
@@ -17,12 +18,7 @@
     name="virtual",
     load=Load(rate=60),
     limits=Limits(disk_mb=16, most_open=2000),
-    priority_classes=[
-        PriorityClass(name="free", outer_ms=6000, expected_ms=1500),
-        PriorityClass(name="marked", repeat="numbered", outer_ms=6000, expected_ms=1500, window_ms=4000),
-        PriorityClass(name="once", repeat="at-most-once", outer_ms=6000, expected_ms=1500),
-        PriorityClass(name="line", repeat="numbered", in_turn=True, keys=6, outer_ms=6000, expected_ms=1500),
-    ],
+    priority_classes=MIXED_CLASSES,
     partner=[Partner(name="hotel", destinations=3, workers=8, service=Service(mean_ms=20))],
 )
 RECEIVERS = 2  # of each destination
--- a/tests/processes/rig.py
+++ b/tests/processes/rig.py
@@ -6,12 +6,8 @@
 from functools import partial
 
 from cedarwick.lab.fleet import Fleet
-from cedarwick.lab.scenario import Clients, Limits, Load, Partner, PriorityClass, Scenario, Service
-
-FREE = PriorityClass(name="free", outer_ms=6000, expected_ms=1500)
-MARKED = PriorityClass(name="marked", repeat="numbered", outer_ms=6000, expected_ms=1500, window_ms=4000)
-ONCE = PriorityClass(name="once", repeat="at-most-once", outer_ms=6000, expected_ms=1500)
-LINE = PriorityClass(name="line", repeat="numbered", in_turn=True, keys=6, outer_ms=6000, expected_ms=1500)
+from cedarwick.lab.mixed_classes import MIXED_CLASSES
+from cedarwick.lab.scenario import Clients, Limits, Load, Partner, Scenario, Service
 
 SCENARIO = Scenario(
     name="fleet",
@@ -19,7 +15,7 @@
     load=Load(rate=60),
     clients=Clients(tries=2, notice_s=0.5),
     limits=Limits(disk_mb=16, most_open=2000),
-    priority_classes=[FREE, MARKED, ONCE, LINE],
+    priority_classes=MIXED_CLASSES,
     partner=[Partner(name="hotel", destinations=3, workers=8, service=Service(mean_ms=20))],
 )
 
--- a/tests/processes/test_order.py
+++ b/tests/processes/test_order.py
@@ -9,13 +9,14 @@
 from cedarwick.lab.audit_cases import FOREVER
 from cedarwick.lab.fleet import Fleet
 from cedarwick.lab.history import Called, Handed
+from cedarwick.lab.mixed_classes import LINE
 from cedarwick.lab.partner import Effect
 from tests.processes import rig
 
 KEY = "00000000000000a5"
 SLOW, QUICK = 0, 1  # destinations
 SCENARIO = msgspec.structs.replace(
-    rig.SCENARIO, priority_classes=[msgspec.structs.replace(rig.LINE, repeat="reissuable", outer_ms=15_000)]
+    rig.SCENARIO, priority_classes=[msgspec.structs.replace(LINE, repeat="reissuable", outer_ms=15_000)]
 )
 SUCCESSOR = 2  # of n1: a member of another hall
 
