Logs: changes of a receiver's health; reasons for held messages, refusals and closes

Cause: the incident's logs don't say when a destination was taken for out or back, nor why; ejection and ramps left no line. Change: every change of a receiver's health is one typed record of the decisions, made in one place each (recovery.py), and one log line with its reason and message. The trace of messages has held messages, refused submissions and closed connections. No decision differs. Two tests call the changed signature, one expects the new trace line.

--- a/cedarwick/decisions/endpoint_updates.py
+++ b/cedarwick/decisions/endpoint_updates.py
@@ -7,17 +7,18 @@
 from collections.abc import Sequence
 
 from cedarwick.decisions.health import JUDGED_OUTCOMES
-from cedarwick.decisions.interface import EndpointState, EndpointUpdate, ListedEndpoint
+from cedarwick.decisions.interface import EndpointState, EndpointUpdate, HealthReason, HealthState, ListedEndpoint
 from cedarwick.decisions.rate_control import RateAdjustment
+from cedarwick.decisions.recovery import Recovery
 from cedarwick.decisions.sender_state import BACKOFF_BASE, LIST_WAIT, MAX_RETRY_AFTER
-from cedarwick.decisions.state import SECOND, Destination, RateControl, Receiver, TokenBucket
+from cedarwick.decisions.state import SECOND, Destination, RateControl, Receiver
 
 MAX_POLL_DOUBLINGS = 16  # of the window from which the next list call is drawn
 LIST_POLL_GAP = SECOND // 4  # the window from which the next list call is drawn has at least this much for each sender
 FORGET_AFTER = 20 * SECOND  # after a receiver has left the list; until then a replacement takes over its outage
 
 
-class EndpointUpdates(RateAdjustment):
+class EndpointUpdates(RateAdjustment, Recovery):
     """Keeps the records of the receivers in step with the list."""
 
     def listed(self, now: int, change: EndpointUpdate, listings: Sequence[ListedEndpoint]) -> None:
@@ -42,7 +43,7 @@
         known.ready = listing.phase is EndpointState.READY
         if back and now - known.left_at > self.fall_time:
             # A receiver that was away for this long has probably been restarted: ramp up instead of full traffic.
-            known.recovered_at, known.ramp = now, TokenBucket(0.0, now)
+            self._begin_ramp(now, known, now, HealthReason.RELISTED)
         if self.settings.get("weight-source", "off") != "off" and listing.rate > 0:
             self._list_rate(known.pace, listing.rate)
 
@@ -64,6 +65,7 @@
             # Otherwise all messages held through the outage would go to the replacement machine at once.
             new.ejected_since, new.failed, new.provable = out[0].ejected_since, True, out[0].provable
             new.canary_at = max(now, pace.canary_at)
+            self._report_health(new, HealthState.EJECTED, HealthReason.REPLACEMENT, new.ejected_since)
         place.members.append(listing.receiver)
 
     def _forget_departed(self, now: int) -> None:
--- a/cedarwick/decisions/health.py
+++ b/cedarwick/decisions/health.py
@@ -6,11 +6,11 @@
 from collections import deque
 from collections.abc import Sequence
 
-from cedarwick.decisions.interface import Outcome
+from cedarwick.decisions.interface import HealthReason, HealthState, Outcome
 from cedarwick.decisions.rate_control import LIMIT_HAS_ROOM, RateAdjustment
 from cedarwick.decisions.recovery import Recovery
 from cedarwick.decisions.sender_state import COMPLETIONS_STALE_AFTER, MAX_RETRY_AFTER, REFUSAL_WINDOW
-from cedarwick.decisions.state import SECOND, Message, Receiver, TokenBucket, record_recent
+from cedarwick.decisions.state import SECOND, Message, Receiver, record_recent
 
 CONNECT_FAILURE_SMOOTHING = 12  # newer completions change the share of those after a failed connection by 1/12
 LATENCY_SMOOTHING, DEVIATION_SMOOTHING = 8, 4  # moving means of the latency, as in TCP (RFC 6298)
@@ -60,7 +60,7 @@
         if outcome is Outcome.COMPLETED:
             self._completed(now, message, receiver, took)
         elif outcome is Outcome.FULL:
-            self._throttled(now, receiver, retry_after, reported.get("x0", 0.0))
+            self._throttled(now, message, receiver, retry_after, reported.get("x0", 0.0))
         else:
             self._failed(now, message, receiver, outcome)
 
@@ -98,10 +98,11 @@
             if receiver.failed or now - receiver.ejected_since > self.fall_time:
                 # Each of many senders sends canaries seldom: assume that it returned midway between the last two.
                 looked = min(receiver.gap, now - receiver.ejected_since) if self.many else 0
-                receiver.recovered_at, receiver.ramp_until = now - looked // 2, now + self.ramp_time
-                receiver.ramp = TokenBucket(0.0, now)
+                self._begin_ramp(now, receiver, now - looked // 2, HealthReason.COMPLETION, message.id)
                 if pace.rate is not None:  # throttles during the outage say nothing about its rate limit
                     pace.rate = max(pace.rate, receiver.observed_rate, pace.reference)
+            else:
+                self._report_health(receiver, HealthState.IN_SERVICE, HealthReason.COMPLETION, now, message.id)
             receiver.ejected_since, receiver.failed = 0, False
             receiver.recent_successes = deque([True], JUDGED_OUTCOMES)
         if receiver.completed_sent_at != message.sent_at:  # the attempts of one call count once
@@ -112,7 +113,7 @@
         )
         self._raise_rate(now, pace)
 
-    def _throttled(self, now: int, receiver: Receiver, retry_after: int, limit_left: float) -> None:
+    def _throttled(self, now: int, message: Message, receiver: Receiver, retry_after: int, limit_left: float) -> None:
         """The receiver throttled the attempt: keep its Retry-After wait, and cut the rate or eject it.
 
         `retry_after` is microseconds; `limit_left` is the reported share (0 to 1) of its rate limit that is left.
@@ -131,7 +132,7 @@
         shut |= sparse and limit_left > LIMIT_HAS_ROOM  # its rate limit has room, so its queue must be full: it hangs
         mates = self._mates(self.destinations[receiver.destination], pace) if retry_after > SHUT_AFTER else [receiver]
         for mate in mates if retry_after > SHUT_AFTER or receiver.ejected_since or shut else []:
-            self._eject(now, mate, provable=True)
+            self._eject(now, mate, provable=True, reason=HealthReason.THROTTLES, message=message.id)
         if not receiver.ejected_since:
             self._throttle(now, pace, receiver.consecutive_throttles > 1)
 
@@ -150,11 +151,13 @@
         )
         if receiver.recovered_at and sum(outcomes) * 3 <= len(outcomes) * 2:
             receiver.recovered_at = now  # some calls succeed in an outage; the ramp must not go on during it
+            self._report_health(receiver, HealthState.RAMPING, HealthReason.FAILURES_IN_RAMP, now, message.id)
         # At a few calls a minute there are never enough outcomes to judge by, and every message would spend all its
         # attempts on a dead receiver: with many senders one failure without recent completions is enough.
         failing = failing or self.many and self._stale(message.sent_at, receiver)
         if failing or receiver.ejected_since or (len(outcomes) >= 3 and sum(outcomes) * 5 <= len(outcomes) * 2):
-            self._eject(now, receiver, provable=outcome is Outcome.CONNECT_FAILED)
+            provable = outcome is Outcome.CONNECT_FAILED
+            self._eject(now, receiver, provable, HealthReason.FAILURES, message.id)
             self._eject_with(now, receiver)
 
     def _current_failure_score(self, now: int, receiver: Receiver) -> float:
--- a/cedarwick/decisions/interface.py
+++ b/cedarwick/decisions/interface.py
@@ -99,6 +99,39 @@
     attempts: Sequence[EarlierAttempt]
 
 
+class HealthState(Enum):
+    """Whether the decisions use a receiver."""
+
+    IN_SERVICE = "in service"
+    EJECTED = "ejected"  # only canaries go to it
+    RAMPING = "ramping"  # back from an outage: its rate rises from little
+
+
+class HealthReason(Enum):
+    """What changed the state of a receiver's health."""
+
+    FAILURES = "its calls failed"
+    THROTTLES = "it refused all calls, or asked for a long wait"
+    SILENCE = "its calls stayed unanswered for longer than usual"
+    OTHERS_EJECTED = "the other receivers of its destination are ejected"
+    REPLACEMENT = "it replaces receivers that are all ejected"
+    COMPLETION = "it completed a call"
+    RELISTED = "it was listed as ready again after an absence"
+    FAILURES_IN_RAMP = "a third of its calls failed during the ramp"
+    RAMP_OVER = "its ramp is over"
+
+
+class HealthChange(NamedTuple):
+    """A change of a receiver's health; `since` is when the outage or the ramp is taken to have begun (microseconds)."""
+
+    receiver: int
+    destination: int
+    state: HealthState
+    reason: HealthReason
+    since: int
+    message: int = 0  # whose attempt showed it; 0: none did
+
+
 @dataclass
 class Decisions:
     """What one round decided; times are microseconds.
@@ -111,6 +144,7 @@
     attempts: list[tuple[int, int, int]] = field(default_factory=list)  # message, receiver, time-out
     released_connections: list[int] = field(default_factory=list)  # receivers whose idle connections are to be closed
     log_lines: list[str] = field(default_factory=list)
+    health_changes: list[HealthChange] = field(default_factory=list)  # in their order
     subscribe: bool = False
     wake_at: int | None = None  # the next time at which `decide` should be called without an event
 
--- a/cedarwick/decisions/recovery.py
+++ b/cedarwick/decisions/recovery.py
@@ -3,9 +3,9 @@
 Times are microseconds, rates calls a second. `health` and `selection` call it.
 """
 
-from cedarwick.decisions.interface import float_setting
+from cedarwick.decisions.interface import HealthChange, HealthReason, HealthState, float_setting
 from cedarwick.decisions.sender_state import CERTAIN_SHARE, SenderState
-from cedarwick.decisions.state import SECOND, Receiver
+from cedarwick.decisions.state import SECOND, Receiver, TokenBucket
 
 WARM_UP_CALL_ALLOWANCE = 2  # calls above what a restarted destination withstands within `rules.fall-ms`
 MIN_CANARY_GAP = 800_000  # between two canaries of this sender to one destination, where it is large
@@ -17,14 +17,43 @@
 class Recovery(SenderState):
     """Ejects receivers, and computes when they are probed and how fast they ramp up."""
 
-    def _eject(self, now: int, receiver: Receiver, provable: bool) -> None:
-        """Eject a receiver; `provable` says that its last failure proved that nothing ran."""
+    def _eject(self, now: int, receiver: Receiver, provable: bool, reason: HealthReason, message: int = 0) -> None:
+        """Eject a receiver, or note a further failure of one that is ejected.
+
+        `provable`: its last failure proved that nothing ran; `message`: whose attempt failed, 0 where none did.
+        """
+        ejected_before = receiver.ejected_since > 0
         receiver.ejected_since = receiver.ejected_since or now
         receiver.failed, receiver.provable, receiver.recovered_at = True, provable, 0
         receiver.canary_at = self._next_canary(now, receiver)
+        if not ejected_before:
+            self._report_health(receiver, HealthState.EJECTED, reason, receiver.ejected_since, message)
         # An attempt on an idle connection to a dead machine is lost unseen; a new connection fails at once.
         self.verdicts.released_connections.append(receiver.id)
 
+    def _eject_silent(self, now: int, receiver: Receiver) -> None:
+        """Eject a receiver whose calls stay unanswered; none of them has failed yet."""
+        receiver.ejected_since, receiver.provable = now, False
+        receiver.canary_at = self._next_canary(now, receiver)
+        self._report_health(receiver, HealthState.EJECTED, HealthReason.SILENCE, now)
+
+    def _begin_ramp(self, now: int, receiver: Receiver, since: int, reason: HealthReason, message: int = 0) -> None:
+        """Let a receiver ramp up as one that has been back since `since`, until a whole ramp from now at least."""
+        receiver.recovered_at, receiver.ramp_until = since, now + self.ramp_time
+        receiver.ramp = TokenBucket(0.0, now)
+        self._report_health(receiver, HealthState.RAMPING, reason, since, message)
+
+    def _end_ramp(self, now: int, receiver: Receiver) -> None:
+        """The receiver is warm."""
+        receiver.recovered_at = 0
+        self._report_health(receiver, HealthState.IN_SERVICE, HealthReason.RAMP_OVER, now)
+
+    def _report_health(
+        self, receiver: Receiver, state: HealthState, reason: HealthReason, since: int, message: int = 0
+    ) -> None:
+        change = HealthChange(receiver.id, receiver.destination, state, reason, since, message)
+        self.verdicts.health_changes.append(change)
+
     def _eject_with(self, now: int, receiver: Receiver) -> None:
         """Eject the other receivers of a destination as well, once a second one of them is out.
 
@@ -35,7 +64,7 @@
         if self.many and sum(mate.ejected_since > 0 for mate in mates) > 1:
             for mate in mates:
                 if not mate.ejected_since and self._stale(now, mate):
-                    self._eject(now, mate, receiver.provable)
+                    self._eject(now, mate, receiver.provable, HealthReason.OTHERS_EJECTED)
 
     def _next_canary(self, now: int, receiver: Receiver) -> int:
         """When the next canary may go (microseconds).
--- a/cedarwick/decisions/selection.py
+++ b/cedarwick/decisions/selection.py
@@ -30,8 +30,7 @@
         for member in members:
             if not member.ejected_since and self._silent(now, member):
                 # Eject a hanging receiver, before its unanswered calls take all slots.
-                member.ejected_since, member.provable = now, False
-                member.canary_at = self._next_canary(now, member)
+                self._eject_silent(now, member)
             if member.ejected_since:
                 room_at = self._canary_room(now, message, member)
                 if room_at <= now:
@@ -74,8 +73,8 @@
             room_at = now + pace.bucket.fill(now, pace.rate, max(1.0, pace.rate))
             pace.tokens_ran_out |= room_at > now
         # Many senders only estimate the recovery, half of them too early: the ramp lasts until `ramp_until` at least.
-        if now >= max(receiver.ramp_until, receiver.recovered_at + self.ramp_time):
-            receiver.recovered_at = 0
+        if receiver.recovered_at and now >= max(receiver.ramp_until, receiver.recovered_at + self.ramp_time):
+            self._end_ramp(now, receiver)
         if receiver.recovered_at:
             rate = self._returning_rate(receiver, now - receiver.recovered_at)
             room_at = max(room_at, now + receiver.ramp.fill(now, rate, 1.0))
--- a/cedarwick/net/client_connections.py
+++ b/cedarwick/net/client_connections.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         "sock",
+        "peer",
         "buffer",
         "waiting",
         "answering",
@@ -50,8 +51,9 @@
         "unusable",
     )
 
-    def __init__(self, sock: gevent.socket.socket, now: int) -> None:
+    def __init__(self, sock: gevent.socket.socket, now: int, peer: tuple[str, int] = ("", 0)) -> None:
         self.sock = sock
+        self.peer = f"{peer[0]}:{peer[1]}"
         self.buffer = Buffer()
         self.waiting = True  # between requests: nothing of a next one has been read
         self.answering = False  # a request was read, and its answer is not written
--- a/cedarwick/net/client_listener.py
+++ b/cedarwick/net/client_listener.py
@@ -22,6 +22,7 @@
 from cedarwick.net.connections import DescriptorBudget, NoDescriptorError
 from cedarwick.net.counters import Counters
 from cedarwick.net.dispatcher import Dispatcher
+from cedarwick.net.message_trace import CloseReason, CloseTrace, RefusalTrace
 from cedarwick.net.resp import InvalidSubmitError, MalformedRequestError, command, read_submission
 from cedarwick.net.sockets import peek_byte
 from cedarwick.net.submission import AdmissionResult, Submission
@@ -102,17 +103,17 @@
                 gevent.sleep(DESCRIPTOR_RETRY_DELAY_S)
                 continue
             try:
-                sock, _ = self.listener.accept()
+                sock, peer = self.listener.accept()
             except OSError as error:
                 self.descriptors.give_back()
                 self.counters.warning("accepting failed", error)
                 gevent.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
-            self._start_serving(sock)
+            self._start_serving(sock, peer)
 
-    def _start_serving(self, sock: gevent.socket.socket) -> None:
+    def _start_serving(self, sock: gevent.socket.socket, peer: tuple[str, int]) -> None:
         self.counters.add("clients accepted")
-        client = ClientConnection(sock, self.clock.now())
+        client = ClientConnection(sock, self.clock.now(), peer)
         self.clients.add(client)
         gevent.spawn(self._serve, client)
 
@@ -159,13 +160,14 @@
             while True:
                 self.descriptors.claim()
                 try:
-                    sock, _ = self.listener.accept()
+                    sock, peer = self.listener.accept()
                 except OSError:  # there is none, or the listener is another process's already
                     self.descriptors.give_back()
                     return
-                self._start_serving(sock)
+                self._start_serving(sock, peer)
 
     def _serve(self, client: ClientConnection) -> None:
+        reason = CloseReason.SERVED
         try:
             client.sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
             while (parts := self._next(client)) is not None:
@@ -194,18 +196,32 @@
                     gevent.sleep(0)  # hundreds of commands at once must not hold up all others
             self._await_close(client)
         except MalformedRequestError as error:
+            reason = CloseReason.MALFORMED_REQUEST
             self.counters.warning("a malformed request", error)
             self._refuse(client, f"-ERR {error}\r\n".encode())
         except ConnectionShedError as error:
+            reason = CloseReason.SHED
             self.counters.warning("no memory for a request", error)
             self._refuse(client, BUSY)
         except OSError as error:
+            reason = CloseReason.BROKEN
             self.counters.add(f"clients lost: {type(error).__name__}")
         finally:
             self.clients.discard(client)
+            self._trace_close(client, reason)
             client.sock.close()
             self.descriptors.give_back()
 
+    def _trace_close(self, client: ClientConnection, reason: CloseReason) -> None:
+        if self.counters.trace.enabled:
+            if client.descriptor_wanted.is_set():
+                reason = CloseReason.DESCRIPTOR_WANTED
+            self.counters.trace.add(CloseTrace(f"client {client.peer}", reason.value, self.clock.now()))
+
+    def _trace_refusal(self, stored: StoredMessage, reason: str, wait_ms: int = 0) -> None:
+        if self.counters.trace.enabled:
+            self.counters.trace.add(RefusalTrace(stored.id, reason, wait_ms, self.clock.now()))
+
     def _next(self, client: ClientConnection) -> list[bytes] | None:
         """The next request; None at the end of the connection, or where none came for long enough."""
         while (parts := command(client.buffer)) is None:
@@ -266,9 +282,12 @@
         self.counters.add("handed in again" if again else "handed in")
         if self.closing and not self.still_accepting or not self.ready():
             self.counters.add("turned away at a start or an end")
+            self._trace_refusal(stored, "starting or ending")
             client.unusable += not self.closing and client.unusable < MAX_DOUBTFUL_REQUESTS
             return BUSY
         answered, wait_ms, withdraw = self.hand_in(stored)
+        if answered is not AdmissionResult.ACCEPTED:
+            self._trace_refusal(stored, answered.value, wait_ms)
         if answered in (AdmissionResult.ACCEPTED, AdmissionResult.BUSY):
             client.served, client.unusable = True, 0
         elif (
@@ -279,6 +298,7 @@
         if withdraw is not None and peek_byte(client.sock) == b"":
             # A client that left before its answer submits to another sender; no attempt has gone out yet.
             self.counters.add("clients gone before their answer")
+            self._trace_refusal(stored, "its client left before the answer")
             withdraw()
             return BUSY
         if answered is AdmissionResult.BUSY and wait_ms:
--- a/cedarwick/net/connections.py
+++ b/cedarwick/net/connections.py
@@ -13,6 +13,7 @@
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
+from cedarwick.net.message_trace import CloseReason, CloseTrace
 from cedarwick.net.sockets import is_closed, open_connection
 
 RESERVED_DESCRIPTORS = 64  # for the interpreter, the loop, the store and the platform
@@ -127,13 +128,13 @@
             fresh = link.address == address and self.clock.now() - link.idle_since < self.life
             if fresh and not is_closed(link.sock):
                 return link
-            self._close(link)
+            self._close(link, CloseReason.NOT_REUSABLE)
         return None
 
     def give_back(self, link: Connection, usable: bool) -> None:
         """Return a connection to the pool; close it if it is not usable or has unread bytes."""
         if not usable or len(link.buffer):
-            self._close(link)
+            self._close(link, CloseReason.UNREAD_BYTES if usable else CloseReason.ANSWER_UNUSABLE)
             return
         link.idle_since = self.clock.now()
         self.idle.setdefault(link.receiver, deque()).append(link)
@@ -153,7 +154,7 @@
     def free(self, receiver: int) -> None:
         """Close the idle connections to a receiver."""
         for link in self.idle.pop(receiver, ()):
-            self._close(link)
+            self._close(link, CloseReason.RELEASED)
 
     def sweep(self) -> None:
         """Never returns: closes idle connections before their receiver would."""
@@ -164,23 +165,23 @@
                 for link in list(waiting):
                     if now - link.idle_since >= self.life or is_closed(link.sock):
                         waiting.remove(link)
-                        self._close(link)
+                        self._close(link, CloseReason.IDLE)
                 if not waiting:
                     self.idle.pop(receiver, None)
 
     def _give_way(self) -> bool:
         if self.ending:
-            self._close(next(iter(self.ending)))
+            self._close(next(iter(self.ending)), CloseReason.DESCRIPTOR_WANTED)
             return True
         longest = min(
             (waiting[0] for waiting in self.idle.values() if waiting), key=lambda link: link.idle_since, default=None
         )
         if longest is not None:
             self.idle[longest.receiver].popleft()
-            self._close(longest)
+            self._close(longest, CloseReason.DESCRIPTOR_WANTED)
         return longest is not None
 
-    def _close(self, link: Connection) -> None:
+    def _close(self, link: Connection, reason: CloseReason) -> None:
         if link.closed:
             return
         link.closed = True
@@ -188,3 +189,5 @@
         link.sock.close()
         self.descriptors.give_back()
         self.counters.add("links closed")
+        if self.counters.trace.enabled:
+            self.counters.trace.add(CloseTrace(f"receiver {link.receiver}", reason.value, self.clock.now()))
--- a/cedarwick/net/dispatch_attempts.py
+++ b/cedarwick/net/dispatch_attempts.py
@@ -9,6 +9,7 @@
 from cedarwick.decisions.message_handle import Handle
 from cedarwick.net.attempts import AttemptCall, AttemptResult
 from cedarwick.net.dispatch_sessions import Sessions
+from cedarwick.net.message_trace import HeldTrace
 from cedarwick.store.bodies import BodyLostError
 from cedarwick.store.records import NOWHERE
 
@@ -112,3 +113,8 @@
                 self._trace_end(call.message, "delivered", "completed")
             del self.handles[number]
             self._over(call.message)
+        elif self.counters.trace.enabled:
+            held = HeldTrace(
+                call.message.id, number, handle.attempts, ending.outcome.value, handle.due, self.clock.now()
+            )
+            self.counters.trace.add(held)
--- a/cedarwick/net/dispatch_state.py
+++ b/cedarwick/net/dispatch_state.py
@@ -88,6 +88,7 @@
         self.attempts: AttemptRunner
         self.notices: Notifier
         self.free_links: Callable[[int], None]
+        self.uid_of: Callable[[int], str] = str  # the name of a receiver by its number
         self.ask_for_list: Callable[[], None]
 
     def _recorded(self, what: str, write: Callable[..., None], *arguments: Any) -> bool:
--- a/cedarwick/net/dispatcher.py
+++ b/cedarwick/net/dispatcher.py
@@ -15,6 +15,7 @@
 `dispatch_admission`, `dispatch_attempts`, `dispatch_sessions` and `dispatch_final_answers`.
 """
 
+import json
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -23,7 +24,7 @@
 import gevent.queue
 from loguru import logger
 
-from cedarwick.decisions.interface import EndpointUpdate, ListedEndpoint, Outcome
+from cedarwick.decisions.interface import EndpointUpdate, HealthChange, ListedEndpoint, Outcome
 from cedarwick.errors import CedarwickError
 from cedarwick.net.attempts import AttemptCall, AttemptResult
 from cedarwick.net.dispatch_admission import Admission
@@ -262,10 +263,28 @@
                 self.handles.pop(number, None)
         for line in verdicts.log_lines:
             logger.info("{}", line)
+        for change in verdicts.health_changes:
+            self._log_health(change, now)
         if verdicts.subscribe:
             self.ask_for_list()
         self.wake_at = verdicts.wake_at
 
+    def _log_health(self, change: HealthChange, now: int) -> None:
+        """One line for each change of a receiver's health: it explains canaries, ramps and held messages afterwards."""
+        stored = self.store.messages.get(change.message)
+        record = {
+            "receiver": self.uid_of(change.receiver),
+            "destination": change.destination,
+            "state": change.state.value,
+            "reason": change.reason.value,
+            "since": change.since,
+            "message": stored.id if stored is not None else "",
+            "number": change.message,
+            "at": now,
+        }
+        logger.info("receiver health {}", json.dumps(record))
+        self.counters.add(f"receivers {change.state.value}")
+
     def _turn_away(self) -> None:
         for submission in self.new_submissions.values():
             self.numbers.pop(submission.message.id, None)
--- a/cedarwick/net/endpoint_list.py
+++ b/cedarwick/net/endpoint_list.py
@@ -152,6 +152,10 @@
         suspended_now = uid in self.suspended and listing.phase is EndpointState.READY
         return listing._replace(phase=EndpointState.DRAINING) if suspended_now else listing
 
+    def uid_of(self, receiver: int) -> str:
+        """The uid of a receiver by number; empty where it is not known (any more)."""
+        return next((uid for uid, number in self.numbers.items() if number == receiver), "")
+
     def address_of(self, receiver: int) -> tuple[str, int]:
         """Host and port of a receiver by number; `KeyError` where it is not known (any more)."""
         return self.addresses[receiver]
--- a/cedarwick/net/message_trace.py
+++ b/cedarwick/net/message_trace.py
@@ -1,4 +1,6 @@
-"""The trace of messages: one log line for each attempt, each decided end and each acknowledged notice.
+"""The trace of messages: one log line for each attempt, held message, refusal, decided end and acknowledged notice.
+
+Connections that are closed have a line, too, with the reason.
 
 Off by default (`log.messages` in the operator file); the laboratory turns it on for fleets. A line is `message trace `
 and a JSON object with the event, the message's id and number, and the fields of the event's record below. Times are
@@ -8,6 +10,7 @@
 
 import json
 from collections.abc import Callable
+from enum import Enum
 from typing import NamedTuple
 
 from loguru import logger
@@ -31,6 +34,49 @@
     not_sent: bool
 
 
+class HeldTrace(NamedTuple):
+    """A message is held after an attempt that did not deliver it; the next decision retries or ends it."""
+
+    id: str
+    number: int
+    attempts: int  # that have gone so far
+    outcome: str  # of the last one
+    due_at: int  # a retry goes not before this
+    at: int
+
+
+class RefusalTrace(NamedTuple):
+    """A submission that was not taken on."""
+
+    id: str
+    reason: str
+    wait_ms: int  # the advised wait; 0: none
+    at: int
+
+
+class CloseReason(Enum):
+    """Why a connection was closed."""
+
+    NOT_REUSABLE = "it ended, was idle for too long, or leads to an old address"
+    ANSWER_UNUSABLE = "its last call left it unusable"
+    UNREAD_BYTES = "bytes came that no call asked for"
+    RELEASED = "the decisions released it"
+    IDLE = "it was idle for too long, or ended"
+    DESCRIPTOR_WANTED = "its descriptor was wanted"
+    SERVED = "the client closed it, or was let go after its answer or for its silence"
+    MALFORMED_REQUEST = "a request could not be read"
+    SHED = "no memory for a request"
+    BROKEN = "it broke"
+
+
+class CloseTrace(NamedTuple):
+    """A connection that was closed here."""
+
+    peer: str  # `receiver N`, or the client's address
+    reason: str
+    at: int
+
+
 class LateAnswerTrace(NamedTuple):
     """An answer whose head was read after its attempt had timed out."""
 
@@ -71,9 +117,14 @@
     at: int
 
 
-MessageEvent = AttemptTrace | LateAnswerTrace | EndTrace | NoticeTrace | ParkedTrace
+MessageEvent = (
+    AttemptTrace | HeldTrace | RefusalTrace | CloseTrace | LateAnswerTrace | EndTrace | NoticeTrace | ParkedTrace
+)
 EVENTS: dict[type[MessageEvent], str] = {
     AttemptTrace: "attempt",
+    HeldTrace: "held",
+    RefusalTrace: "refusal",
+    CloseTrace: "close",
     LateAnswerTrace: "late answer",
     EndTrace: "end",
     NoticeTrace: "notice",
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -265,6 +265,7 @@
             dispatcher.completed_late,
         )
         dispatcher.free_links, dispatcher.ask_for_list = self.connections.free, self.endpoint_list.ask
+        dispatcher.uid_of = self.endpoint_list.uid_of
 
     def _spawn_parts(self, watch_list: bool) -> None:
         """Start the parts that run until the process ends. The order of the spawns is fixed."""
--- a/tests/decisions/test_policy.py
+++ b/tests/decisions/test_policy.py
@@ -7,6 +7,7 @@
     EarlierAttempt,
     EndpointState,
     EndpointUpdate,
+    HealthReason,
     ListedEndpoint,
     Outcome,
     UnfinishedMessage,
@@ -283,7 +284,7 @@
             if completed:
                 made.receivers[3].completions.append(completed)
             for receiver in (1, 2):
-                made._eject(NOW, made.receivers[receiver], provable=True)
+                made._eject(NOW, made.receivers[receiver], True, HealthReason.FAILURES)
             made._eject_with(NOW, made.receivers[2])
             self.assertEqual(bool(made.receivers[3].ejected_since), lost, senders)
 
--- a/tests/lab/broken.py
+++ b/tests/lab/broken.py
@@ -67,7 +67,7 @@
 
 def floods_a_returning_destination() -> None:
     """No outage is noticed, so a destination that returns gets everything at once."""
-    policy.Sender._eject = lambda self, now, receiver, provable: None  # type: ignore[method-assign]
+    policy.Sender._eject = lambda *_, **__: None  # type: ignore[method-assign]
     policy.Sender._silent = lambda self, now, receiver: False  # type: ignore[method-assign]
 
 
--- a/tests/net/test_message_trace.py
+++ b/tests/net/test_message_trace.py
@@ -4,8 +4,9 @@
 from typing import Any
 
 import gevent
+from loguru import logger
 
-from cedarwick.decisions.interface import Outcome
+from cedarwick.decisions.interface import HealthReason, HealthState, Outcome
 from cedarwick.net.attempts import AttemptResult
 from cedarwick.net.message_trace import TRACE_PREFIX, EndTrace, MessageTrace
 from tests.build import MS, reply, until
@@ -36,8 +37,8 @@
         self.dispatcher.counters.trace.enabled = True
         self.give_up()
         self.assertEqual(
-            [(each["event"], each["id"], each["state"]) for each in self.traced()],
-            [("end", "m1", "failed"), ("notice", "m1", "failed")],
+            [(each["event"], each["id"], each.get("state")) for each in self.traced()],
+            [("held", "m1", None), ("end", "m1", "failed"), ("notice", "m1", "failed")],
         )
 
     def test_work_that_is_stopped_without_an_end(self) -> None:
@@ -55,6 +56,40 @@
         self.assertEqual(self.traced(), [expected])
 
 
+class ReasonTraceTest(DispatcherCase):
+    """What an incident could not be explained by: why a message was held, refused, and a receiver left alone."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.lines: list[str] = []
+        self.dispatcher.counters.trace = MessageTrace(self.lines.append)
+        self.dispatcher.counters.trace.enabled = True
+        self.logged: list[str] = []
+        sink = logger.add(self.logged.append, format="{message}", level="INFO")
+        self.addCleanup(logger.remove, sink)
+
+    def test_a_retry_says_which_outcome_it_follows_and_when_it_is_due(self) -> None:
+        self.taken("free", name="m1")
+        self.dispatcher._attempt_ended(self.calls[-1], AttemptResult(Outcome.ERROR))
+        (held,) = (json.loads(line.removeprefix(TRACE_PREFIX)) for line in self.lines)
+        self.assertEqual(
+            (held["event"], held["id"], held["attempts"], held["outcome"]), ("held", "m1", 1, Outcome.ERROR.value)
+        )
+        self.assertGreaterEqual(held["due_at"], held["at"])
+
+    def test_a_change_of_health_is_logged_with_its_reason_and_message(self) -> None:
+        for name in ("m1", "m2"):
+            self.taken("free", name=name)
+            self.dispatcher._attempt_ended(self.calls[-1], AttemptResult(Outcome.CONNECT_FAILED))
+        self.dispatcher._decide()
+        (line,) = (line for line in self.logged if line.startswith("receiver health "))
+        change = json.loads(line.removeprefix("receiver health "))
+        self.assertEqual(
+            (change["state"], change["reason"], change["message"]),
+            (HealthState.EJECTED.value, HealthReason.FAILURES.value, "m2"),
+        )
+
+
 class AttemptTraceTest(PartnerTestCase):
     def test_an_attempt_says_when_its_first_byte_went_and_what_ended_it(self) -> None:
         lines: list[str] = []
