Long outages: a destination keeps the outage of receivers that left the list

Symptom: a destination whose ejected receivers leave the list for over 20 s gets all that is held for it as soon as it is listed again, from senders that saw its outage. Cause: the outage went with the receiver's record (_forget_departed). Why it holds: whether a destination was out no longer depends on how long a record lives. The test fails without the mend.

--- a/tests/decisions/test_earlier_outages.py
+++ b/tests/decisions/test_earlier_outages.py
@@ -84,5 +84,33 @@
         self.assertEqual(alone.receivers[9].ejected_since, NOW - OUT.age)
 
 
+class LongOutageTest(unittest.TestCase):
+    """Seen by reading, after the incident of a forgotten outage: the record of an ejected receiver goes 20 s after it has
+    left the list. Listed again after that, it got all that was held at once, from senders that had seen its outage.
+    Cause: an outage lasted no longer than the receiver's record. Proof: the test below fails without the mend.
+    """
+
+    def test_an_outage_outlasts_the_records_of_its_receivers(self) -> None:
+        made = sender(receivers=1, balancers="42")
+        made._eject(NOW, made.receivers[1], False, HealthReason.FAILURES)
+        for passed in (5, 30, 60):  # it is removed, and forgotten at the second of these
+            listed(made, NOW + passed * SECOND)
+        self.assertEqual(made.receivers, {})
+        made.take_health_changes()
+        listed(made, NOW + 90 * SECOND, 2)
+        self.assertEqual(made.receivers[2].ejected_since, NOW)
+        (change,) = made.take_health_changes()
+        self.assertEqual((change.state, change.reason), (HealthState.EJECTED, HealthReason.REPLACEMENT))
+
+    def test_not_where_another_receiver_is_in_service(self) -> None:
+        made = sender(receivers=2, balancers="42")
+        made._eject(NOW, made.receivers[1], False, HealthReason.FAILURES)
+        for passed in (5, 30, 60):
+            listed(made, NOW + passed * SECOND, 2)
+        self.assertNotIn(1, made.receivers)
+        listed(made, NOW + 90 * SECOND, 2, 3)
+        self.assertFalse(made.receivers[3].ejected_since)
+
+
 if __name__ == "__main__":
     unittest.main()
