A destination where a call failed ramps up with the next completion

Cause: a failure within 5 s of a completion, or a silence that ended within rules.fall-ms, ejects nobody, and without an ejection there was no ramp: the first answer freed all that was held. Change: a failed call makes its receiver suspect until a completion at its destination; meanwhile the receivers there get what one that has just returned gets; if none came for rules.fall-ms they ramp up with it. Stored over restarts. Why it holds: the rule counts whoever saw a call fail; now each of these is bounded until the destination is warm.

--- a/cedarwick/decisions/earlier_outages.py
+++ b/cedarwick/decisions/earlier_outages.py
@@ -5,7 +5,7 @@
 
 from cedarwick.decisions.interface import EarlierHealth, HealthChange, HealthReason, HealthState
 from cedarwick.decisions.recovery import Recovery
-from cedarwick.decisions.state import DepartedOutage, Destination, Receiver, TokenBucket
+from cedarwick.decisions.state import SECOND, DepartedOutage, Destination, Receiver, TokenBucket
 
 
 class EarlierOutages(Recovery):
@@ -18,18 +18,25 @@
         # The last look of the earlier process is not known: the return is not taken for earlier than this start.
         known.used_at = known.used_at or now
         pace = known.pace
-        if earlier.cut_rate and earlier.recorded_age < self.ramp_time:
+        # In service, an old cut says nothing any more: the rate has risen since.
+        if earlier.cut_rate and (earlier.state is not HealthState.IN_SERVICE or earlier.recorded_age < self.ramp_time):
             pace.rate = earlier.cut_rate if pace.rate is None else min(pace.rate, earlier.cut_rate)
             pace.reference = pace.reference or max(earlier.observed_rate, earlier.cut_rate)
             pace.cut_at, pace.bucket = now, TokenBucket(0.0, now)
         if earlier.state is HealthState.EJECTED:
             self._eject_as(now, known, self._outage(now, earlier))
             self._report_health(known, HealthState.EJECTED, HealthReason.BEFORE_RESTART, known.ejected_since)
+        elif earlier.state is HealthState.SUSPECTED:
+            known.pace.failed_since = known.pace.failed_since or max(1, now - earlier.age)
+            known.suspected = True
+            self._spread_first_call(now, known)
+            self._report_health(known, HealthState.SUSPECTED, HealthReason.BEFORE_RESTART, known.pace.failed_since)
         elif not known.ready and earlier.state is HealthState.AWAY:
             known.left_at = now - self.fall_time - 1  # since when is not known: its return begins with a ramp
         elif earlier.state is not HealthState.IN_SERVICE and not known.ejected_since:
             # How far its ramp had come rests on a clock that may have been set: it begins anew.
             self._begin_ramp(now, known, now, HealthReason.BEFORE_RESTART)
+            self._spread_first_call(now, known)
 
     def restore_departed(self, now: int, earlier: EarlierHealth) -> None:
         """Apply what an earlier process knew of a receiver that the list does not name.
@@ -44,6 +51,11 @@
             if mate.ready and not mate.ejected_since and not mate.recovered_at:
                 mate.observed_rate = max(mate.observed_rate, earlier.observed_rate)
                 self._begin_ramp(now, mate, now, HealthReason.BEFORE_RESTART)
+                self._spread_first_call(now, mate)
+
+    def _spread_first_call(self, now: int, receiver: Receiver) -> None:
+        """Many senders may have started in the same moment: a random part of the first token spreads their calls."""
+        receiver.ramp = TokenBucket(self.chance.below(SECOND) / SECOND, now)
 
     @staticmethod
     def _outage(now: int, earlier: EarlierHealth) -> DepartedOutage:
--- a/cedarwick/decisions/health.py
+++ b/cedarwick/decisions/health.py
@@ -87,6 +87,7 @@
         pace = receiver.pace
         record_recent(pace.answers, now, REFUSAL_WINDOW)
         pace.proven = True
+        outage = self._suspicion_ends(now, receiver, message.sent_at, message.id)
         receiver.recent_successes.append(True)
         receiver.consecutive_throttles = receiver.throttled_since = 0
         deviation = abs(took - receiver.mean_latency) if receiver.mean_latency else took / 2
@@ -96,7 +97,7 @@
         receiver.mean_latency += (took - receiver.mean_latency) / (LATENCY_SMOOTHING if receiver.mean_latency else 1)
         if receiver.ejected_since:
             # A destination back from an outage would fail again under its full traffic, so it gets a ramp.
-            if receiver.failed or now - receiver.ejected_since > self.fall_time:
+            if receiver.failed or outage or now - receiver.ejected_since > self.fall_time:
                 # Each of many senders sends canaries seldom: assume that it returned midway between the last two.
                 looked = min(receiver.gap, now - receiver.ejected_since) if self.many else 0
                 self._begin_ramp(now, receiver, now - looked // 2, HealthReason.COMPLETION, message.id)
@@ -162,6 +163,8 @@
             provable = outcome is Outcome.CONNECT_FAILED
             self._eject(now, receiver, provable, HealthReason.FAILURES, message.id)
             self._eject_with(now, receiver)
+        elif receiver.pace.completed_sent_at < message.sent_at:
+            self._suspect(now, receiver, message.id)
 
     def _current_failure_score(self, now: int, receiver: Receiver) -> float:
         """The failure score at this time: recent failures, each halved every `FAILURE_SCORE_HALF_LIFE`."""
--- a/cedarwick/decisions/interface.py
+++ b/cedarwick/decisions/interface.py
@@ -106,6 +106,7 @@
     """Whether the decisions use a receiver."""
 
     IN_SERVICE = "in service"
+    SUSPECTED = "suspected"  # a call failed, and none has been completed at its destination since
     EJECTED = "ejected"  # only canaries go to it
     RAMPING = "ramping"  # back from an outage: its rate rises from little
     AWAY = "away"  # drained or not listed: it may have been restarted when it returns
@@ -141,7 +142,7 @@
     message: int = 0  # whose attempt showed it; 0: none did
     provable: bool = False  # the last failure proved that nothing ran
     observed_rate: float = 0.0  # calls a second that it was seen to complete for this sender
-    cut_rate: float = 0.0  # calls a second to which throttles have just cut its rate; 0: they have not
+    cut_rate: float = 0.0  # calls a second that its rate has come to since throttles cut it; 0: they have not
 
 
 class EarlierHealth(NamedTuple):
@@ -152,7 +153,7 @@
     provable: bool
     observed_rate: float  # calls a second
     age: int  # microseconds since the outage began
-    cut_rate: float = 0.0  # calls a second to which throttles had just cut its rate; 0: they had not
+    cut_rate: float = 0.0  # calls a second that its rate had come to since throttles cut it; 0: they had not
     recorded_age: int = 0  # microseconds since all this was recorded
 
 
--- a/cedarwick/decisions/recovery.py
+++ b/cedarwick/decisions/recovery.py
@@ -23,7 +23,7 @@
         `provable`: its last failure proved that nothing ran; `message`: whose attempt failed, 0 where none did.
         """
         ejected_before = receiver.ejected_since > 0
-        receiver.ejected_since = receiver.ejected_since or now
+        receiver.ejected_since, receiver.suspected = receiver.ejected_since or now, False
         receiver.failed, receiver.provable, receiver.recovered_at = True, provable, 0
         receiver.canary_at = self._next_canary(now, receiver)
         if not ejected_before:
@@ -37,6 +37,30 @@
         receiver.canary_at = self._next_canary(now, receiver)
         self._report_health(receiver, HealthState.EJECTED, HealthReason.SILENCE, now)
 
+    def _suspect(self, now: int, receiver: Receiver, message: int) -> None:
+        """A call failed, which may be the first that is seen of an outage; a call of later has not been completed."""
+        receiver.pace.failed_since = receiver.pace.failed_since or now
+        if not receiver.suspected and not receiver.recovered_at:
+            receiver.suspected = True
+            self._report_health(receiver, HealthState.SUSPECTED, HealthReason.FAILURES, now, message)
+
+    def _suspicion_ends(self, now: int, receiver: Receiver, sent_at: int, message: int) -> bool:
+        """A call was completed; whether an outage lay before it, after which the receivers in service ramp up.
+
+        Who has seen a call fail there must not send what it holds at once, even where that was no reason to eject.
+        """
+        pace = receiver.pace
+        outage = pace.failed_since > 0 and now - pace.completed_at > self.fall_time
+        pace.failed_since, pace.completed_at = 0, now
+        pace.completed_sent_at = max(pace.completed_sent_at, sent_at)
+        for mate in self._mates(self.destinations[receiver.destination], pace):
+            suspected, mate.suspected = mate.suspected, False
+            if outage and not mate.ejected_since and not mate.recovered_at:
+                self._begin_ramp(now, mate, now, HealthReason.COMPLETION, message)
+            elif suspected:
+                self._report_health(mate, HealthState.IN_SERVICE, HealthReason.COMPLETION, now, message)
+        return outage
+
     def _begin_ramp(self, now: int, receiver: Receiver, since: int, reason: HealthReason, message: int = 0) -> None:
         """Let a receiver ramp up as one that has been back since `since`, until a whole ramp from now at least."""
         receiver.recovered_at, receiver.ramp_until = since, now + self.ramp_time
@@ -61,7 +85,7 @@
                 message,
                 receiver.provable,
                 receiver.observed_rate,
-                receiver.pace.rate or 0.0 if reason is HealthReason.RATE_CUT else 0.0,
+                receiver.pace.rate if receiver.pace.rate and receiver.pace.cut_at else 0.0,
             )
         )
 
--- a/cedarwick/decisions/selection.py
+++ b/cedarwick/decisions/selection.py
@@ -75,8 +75,10 @@
         # Many senders only estimate the recovery, half of them too early: the ramp lasts until `ramp_until` at least.
         if receiver.recovered_at and now >= max(receiver.ramp_until, receiver.recovered_at + self.ramp_time):
             self._end_ramp(now, receiver)
-        if receiver.recovered_at:
-            rate = self._returning_rate(receiver, now - receiver.recovered_at)
+        # What failed may be out: until a call is completed it gets no more than a receiver that has just returned.
+        suspected = pace.failed_since and now - pace.completed_at > self.fall_time
+        if receiver.recovered_at or suspected:
+            rate = self._returning_rate(receiver, now - receiver.recovered_at if not suspected else 0)
             room_at = max(room_at, now + receiver.ramp.fill(now, rate, 1.0))
         return room_at
 
--- a/cedarwick/decisions/state.py
+++ b/cedarwick/decisions/state.py
@@ -179,6 +179,9 @@
     tokens_ran_out: bool = False  # tokens ran out since the last raise
     proven: bool = False  # a call has been completed here
     canary_at: int = 0
+    failed_since: int = 0  # the first failure at a receiver in service since the last completion; 0: none
+    completed_at: int = 0  # the last completion, and the send time of the newest call that was completed
+    completed_sent_at: int = -1
     calls_in_flight: int = 0
     sends: deque[int] = field(default_factory=deque)
     answers: deque[int] = field(default_factory=deque)
@@ -211,6 +214,7 @@
     used_at: int = 0  # the newest attempt, and how long after the one before it
     gap: int = 0
     ejected_since: int = 0  # 0: in service
+    suspected: bool = False  # it failed, and no call has been completed since by any receiver of this pace
     failed: bool = False  # the outage showed in an outcome, not in silence alone
     provable: bool = False  # its last failure proved that nothing ran
     canary_at: int = 0
--- a/tests/decisions/test_earlier_outages.py
+++ b/tests/decisions/test_earlier_outages.py
@@ -85,7 +85,7 @@
 
 
 class LongOutageTest(unittest.TestCase):
-    """Seen by reading, after the incident of a forgotten outage: the record of an ejected receiver goes 20 s after it has
+    """Seen by reading, after the incident of a forgotten outage: an ejected receiver's record goes 20 s after it has
     left the list. Listed again after that, it got all that was held at once, from senders that had seen its outage.
     Cause: an outage lasted no longer than the receiver's record. Proof: the test below fails without the mend.
     """
--- a/tests/decisions/test_recovery_ramps.py
+++ b/tests/decisions/test_recovery_ramps.py
@@ -34,6 +34,8 @@
 DOWN, FAILS, LASTS = 25 * SECOND, 10 * SECOND, 55 * SECOND  # when it fails, for how long, and the end of arrivals
 # How it fails: connections are refused or never come up; no answer; 503; 429 with the wait until its return; 500.
 KINDS = ("refused", "unlinked", "hangs", "shut", "told", "errors")
+ANSWERED_AT_RETURN = "frozen"  # no answer until it is back; then one to all calls that are still out
+ANSWER_SPREAD = 20 * MS  # within which these come
 
 
 @dataclass(frozen=True)
@@ -95,6 +97,7 @@
         seed: int,
         shift: bool = False,
         restart_at: int | None = None,
+        fails: int = FAILS,
     ) -> None:
         """`restart_at`: seven in ten senders are killed then, counted from the return (microseconds)."""
         self.site, self.kind, self.chance = site, kind, random.Random(seed)
@@ -103,7 +106,7 @@
         self.cold, self.multiple = float(site.cold), float(site.multiple)
         self.span, self.ramp = round(float(site.fall_ms) * MS), round(float(site.ramp_ms) * MS)
         self.capacity = site.rate * SPARE
-        self.back = BEGIN + DOWN + FAILS if kind else BEGIN
+        self.back = BEGIN + DOWN + fails if kind else BEGIN
         self.down = BEGIN + DOWN if kind else BEGIN
         self.due: list[tuple[int, int, Callable[[], None]]] = []
         self.count = 0
@@ -261,7 +264,9 @@
         end = partial(self.ended, sender, made, handle, receiver, sent_at)
         if not kind:
             return self.work(sender, end, until)
-        if kind == "hangs":
+        if kind == ANSWERED_AT_RETURN and until > self.back and not self.fell_at:
+            return self.at(self.back + self.chance.randrange(ANSWER_SPREAD), partial(end, Outcome.COMPLETED))
+        if kind in ("hangs", ANSWERED_AT_RETURN):
             return self.at(until, partial(end, Outcome.TIME_OUT))
         if kind == "unlinked":
             return self.at(min(until, self.now + CONNECT), partial(end, Outcome.CONNECT_FAILED))
@@ -361,6 +366,25 @@
         """Nothing but the ramp holds senders back where no rate is listed and nothing is refused."""
         self.stands(PLAIN, 30, "errors", 23, 33)
 
+    def test_calls_that_failed_or_hung_in_an_outage_that_ejected_nobody_or_only_some(self) -> None:
+        """Found by the incident's reproduction: a destination that came back got all that senders held which had seen
+        calls fail there, without any restart; 28 of 2,520 such plays broke the rule. Cause: a failure within 5 s of a
+        completion, or a silence that ended within `rules.fall-ms`, ejects nobody, so no ramp followed. Proof: some of
+        these seeds fell before the mend, and none of 2,520 plays after it.
+        """
+        steep = replace(KIOSK, rate=24, cold="0.15")
+        for site, senders, kind, fails, seeds in (
+            (steep, 8, ANSWERED_AT_RETURN, 4, range(6)),
+            (steep, 16, ANSWERED_AT_RETURN, 4, range(6)),
+            (replace(steep, rate=12), 42, "errors", 4, range(6)),
+            (PLAIN, 42, "hangs", 4, range(6)),
+            (PLAIN, 42, "unlinked", 4, range(6)),
+        ):
+            for seed in seeds:
+                with self.subTest(senders=senders, kind=kind, seed=seed):
+                    day = Day(site, senders, kind, seed, fails=fails * SECOND).play()
+                    self.assertEqual((day.fell_at, day.broken), (0, False), f"{day.fullest:.2f} of what it bears")
+
     def test_senders_that_are_killed_during_the_outage_or_the_ramp(self) -> None:
         """Without what is stored of receivers' health 18 such plays of 18 fell (refused connections; a kill 1 s before
         the return, 0.5 s and 2 s after it); none of those without a kill did.
--- /dev/null
+++ b/tests/decisions/test_suspicion.py
@@ -0,0 +1,84 @@
+"""A failed call makes a receiver suspect; what was suspected ramps up with the next completion."""
+
+import unittest
+
+from cedarwick.decisions.interface import EarlierHealth, HealthReason, HealthState, Outcome
+from cedarwick.decisions.policy import Sender
+from tests.build import MS, NOW, end, out, sender
+
+SECOND = 1000 * MS
+
+
+class SuspicionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.made = sender(receivers=2, balancers="42", rules__fall_ms="2000")
+        self.first, self.second = self.made.receivers[1], self.made.receivers[2]
+        for receiver in (self.first, self.second):
+            receiver.completions.append(NOW - SECOND)
+        self.first.pace.completed_at = self.first.pace.completed_sent_at = NOW - SECOND
+        self.made.take_health_changes()
+
+    def failed_call(self, made: Sender, at: int) -> None:
+        end(out(made, 1, now=at), Outcome.ERROR, at + 100 * MS)
+
+    def complete(self, made: Sender, at: int) -> None:
+        end(out(made, 2, now=at), Outcome.COMPLETED, at + 100 * MS)
+
+    def test_a_single_failure_ejects_nobody_but_the_next_completion_begins_a_ramp(self) -> None:
+        self.failed_call(self.made, NOW)
+        self.assertFalse(self.first.ejected_since or self.second.ejected_since)
+        self.assertTrue(self.first.pace.failed_since)
+        self.complete(self.made, NOW + 3 * SECOND)
+        for receiver in (self.first, self.second):
+            self.assertEqual(receiver.recovered_at, NOW + 3 * SECOND + 100 * MS)
+        self.assertFalse(self.first.pace.failed_since)
+
+    def test_a_failure_among_completions_begins_none(self) -> None:
+        """Nothing was out for `rules.fall-ms`: a ramp after each stray failure would cost more than it saves."""
+        self.failed_call(self.made, NOW)
+        self.complete(self.made, NOW + 300 * MS)
+        self.assertFalse(self.first.recovered_at or self.second.recovered_at)
+
+    def test_until_then_a_suspected_destination_gets_what_one_that_just_returned_gets(self) -> None:
+        self.failed_call(self.made, NOW)
+        later = NOW + 3 * SECOND
+        for receiver in (self.first, self.second):
+            self.assertEqual(self.made._room(later, receiver), later)
+            receiver.ramp.take()
+            gap = self.made._room(later, receiver) - later
+            self.assertAlmostEqual(gap, SECOND / self.made._returning_rate(receiver, 0), delta=10)
+
+    def test_a_call_that_was_sent_before_the_last_completed_one_is_no_evidence(self) -> None:
+        self.first.pace.completed_sent_at = NOW + SECOND
+        self.failed_call(self.made, NOW)
+        self.assertFalse(self.first.pace.failed_since)
+
+    def test_a_short_silence_after_a_failure_ends_with_a_ramp_too(self) -> None:
+        hanging = out(self.made, 3)
+        self.failed_call(self.made, NOW + MS)
+        self.made._eject_silent(NOW + 2 * SECOND, self.second)
+        end(hanging, Outcome.COMPLETED, NOW + 3 * SECOND, receiver=2)
+        self.assertTrue(self.second.recovered_at)
+
+    def test_a_restart_keeps_the_suspicion_and_spreads_the_first_calls(self) -> None:
+        gaps = []
+        for seed in range(50):
+            made = sender(receivers=1, balancers="42", rules__fall_ms="2000")
+            made.chance.state = seed << 40
+            made.restore_health(NOW, 1, EarlierHealth(7, HealthState.SUSPECTED, False, 0.5, 3 * SECOND))
+            gaps.append(made._room(NOW, made.receivers[1]) - NOW)
+        rate = made._returning_rate(made.receivers[1], 0)
+        self.assertTrue(all(0 < gap <= SECOND / rate + 1 for gap in gaps))
+        self.assertGreater(max(gaps) - min(gaps), SECOND / rate / 2)
+
+    def test_each_change_is_reported_with_its_message(self) -> None:
+        self.failed_call(self.made, NOW)
+        (change,) = self.made.take_health_changes()
+        self.assertEqual(
+            (change.receiver, change.state, change.reason), (1, HealthState.SUSPECTED, HealthReason.FAILURES)
+        )
+        self.assertTrue(change.message)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/processes/test_recovery.py
+++ b/tests/processes/test_recovery.py
@@ -14,12 +14,9 @@
 
 from cedarwick.lab.run import Result, play
 from cedarwick.lab.scenario import Scenario
-from tests.known_red import known_red
 from tests.processes.recovery_days import killed, recovery_day
 from tests.processes.rig import PLAYS, seeds
 
-OVERLOADED = r"(?s).*came back cold at .* calls within 2000 ms .*"
-
 
 def played(scenario: Scenario, seed: int) -> Result:
     """A day that says something of the senders: one whose emulator ran late is played again, and said so."""
@@ -48,12 +45,15 @@
     def test_senders_killed_in_the_ramp_after_refused_calls(self) -> None:
         self.keeps_the_rules(recovery_day("shut", killed(0.5)))
 
-    @known_red(OVERLOADED, sometimes=True)
     def test_senders_killed_while_their_calls_hang(self) -> None:
         self.keeps_the_rules(recovery_day("hang", killed(-2.5)))
 
-    @known_red(OVERLOADED, sometimes=True)
     def test_calls_that_hang_and_are_all_answered_at_the_return(self) -> None:
+        """Seen beside the incident, without any restart: 15 calls within 50 ms of the return of each endpoint. Their
+        senders had seen calls time out there, which had ejected nobody: the calls were sent within 5 s of a completion,
+        or the silence was shorter than `rules.fall-ms`. The first answer then freed all that they held. Proof: the log
+        of each change of health, and the same day since a completion after a failure begins a ramp.
+        """
         self.keeps_the_rules(recovery_day("hang"))
 
 
