--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,8 @@
-"""`make soak SEEDS="1 2 3"` or `SEEDS=1-50`: restart days of real senders, and drawn lease histories, by seed.
+"""`make soak SEEDS="1 2 3"` or `SEEDS=1-50`: restart days of real senders, drawn lease histories and outages, by seed.
 
-Each seed plays one day (`cedarwick/lab/restart_soak.py`) in a process of its own and `HISTORIES_PER_SEED` lease
-histories (`tests/fleet/lease_soak.py`), each with and without lost folders. A day on which the machine was too busy
+Each seed plays one day (`cedarwick/lab/restart_soak.py`) in a process of its own, `HISTORIES_PER_SEED` lease
+histories (`tests/fleet/lease_soak.py`), each with and without lost folders, and `OUTAGES_PER_SEED` drawn outages with
+and without a kill of the senders (`tests/decisions/recovery_soak.py`). A day on which the machine was too busy
 to serve its parties says nothing of the senders: one with a finding is played again, `PLAYS` times at most, and said
 so. The exit status is 0 only without a finding; the last line says seeds and findings, and each finding what repeats
 it.
@@ -17,12 +18,21 @@
 import msgspec
 
 from cedarwick.lab.restart_soak import DayResult
+from tests.decisions.recovery_soak import Play
 from tests.fleet.lease_soak import Played, play_all
 
 AT_ONCE = 3  # days, each with two senders and the emulator; and lease processes
 PLAYS = 3  # of a day that is void
 DAY_LASTS_S = 120  # at most
 HISTORIES_PER_SEED = 20
+OUTAGES_PER_SEED = 20
+
+
+class OutageResult(NamedTuple):
+    """What a drawn outage came to; `finding` is empty where no rule was broken."""
+
+    seed: int
+    finding: str
 
 
 class SoakResult(NamedTuple):
@@ -30,6 +40,7 @@
 
     days: list[DayResult]
     histories: list[Played]
+    outages: Sequence[OutageResult] = ()
 
     def findings(self) -> list[str]:
         """A line for each finding, with the command that repeats it."""
@@ -45,6 +56,11 @@
             for each in self.histories
             if each.finding
         ]
+        found += [
+            f"outage {each.seed}: {each.finding}; again: make soak SEEDS={each.seed // OUTAGES_PER_SEED}"
+            for each in self.outages
+            if each.finding
+        ]
         return found
 
     def summary(self, seeds: Sequence[int]) -> str:
@@ -55,6 +71,7 @@
         return (
             f"soak: seeds {seeds[0]} to {seeds[-1]} ({len(seeds)}): {len(self.days)} days ({void} void), "
             f"{messages} messages, {starts} restarts; {len(self.histories)} lease histories; "
+            f"{len(self.outages)} outages; "
             f"{len(self.findings())} findings"
         )
 
@@ -95,13 +112,20 @@
     return play_all(range(seed * HISTORIES_PER_SEED, (seed + 1) * HISTORIES_PER_SEED))
 
 
+def outages_of(seed: int) -> list[OutageResult]:
+    """The drawn outages of a seed."""
+    numbers = range(seed * OUTAGES_PER_SEED, (seed + 1) * OUTAGES_PER_SEED)
+    return [OutageResult(number, Play.drawn(number).finding(number)) for number in numbers]
+
+
 def soak(seeds: Sequence[int]) -> SoakResult:
     """Play all seeds, and print each day as it ends."""
     with ThreadPoolExecutor(AT_ONCE) as pool:
         days = list(_said(pool.map(play_day, seeds)))
     with ProcessPoolExecutor(AT_ONCE) as processes:
         histories = [each for played in processes.map(histories_of, seeds) for each in played]
-    return SoakResult(days, histories)
+        outages = [each for played in processes.map(outages_of, seeds) for each in played]
+    return SoakResult(days, histories, outages)
 
 
 def _said(days: Iterator[DayResult]) -> Iterator[DayResult]:
--- a/tests/store/test_health_file.py
+++ b/tests/store/test_health_file.py
@@ -141,6 +141,20 @@
         self.assertFalse(after.complete)
         self.assertIn("receivers' health cannot be read", self.warnings)
 
+    def test_a_durable_file_is_synced_once_for_all_that_was_written(self) -> None:
+        made = HealthFile(self.folder, lambda *_: None, durable=True, clock=self.clock)
+        self.addCleanup(made.close)
+        synced: list[object] = []
+        made.record("s-1", EJECTED)
+        made.record("s-2", EJECTED)
+        made.sync(lambda call, *arguments: synced.append((call, *arguments)))
+        made.sync(lambda call, *arguments: synced.append((call, *arguments)))
+        self.assertEqual(synced, [(self.folder.sync, made.file)])
+        with mock.patch.object(self.folder, "sync", side_effect=OSError(errno.EIO, "broken")):
+            made.record("s-3", EJECTED)
+            made.sync(lambda call, *arguments: call(*arguments))
+        self.assertTrue(made.unsaved)
+
     def test_the_file_stays_small_however_often_health_changes(self) -> None:
         made = self.opened()
         for _ in range(2_000):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from cedarwick.lab.restart_soak import DayResult, draw_plan, restarts, served_after_the_end
 from cedarwick.lab.units import SECOND
 from tests.fleet.lease_soak import Played
-from tests.soak import SoakResult, main, seeds_of
+from tests.soak import OutageResult, SoakResult, main, seeds_of
 
 SEEDS = ("1-6",)
 
@@ -51,16 +51,20 @@
 
     def test_findings_say_what_repeats_them_and_void_days_have_none(self) -> None:
         days = [DayResult(5, ["1: lost"]), DayResult(6, ["1: lost"], void="n0 waited 900 ms for a processor")]
-        result = SoakResult(days, [Played(123, True, "nobody holds it", -1), Played(7, False, "", 1)])
+        histories = [Played(123, True, "nobody holds it", -1), Played(7, False, "", 1)]
+        result = SoakResult(days, histories, [OutageResult(41, "fell"), OutageResult(42, "")])
         self.assertEqual(
             result.findings(),
             [
                 "seed 5: 1: lost; again: make soak SEEDS=5",
                 "history 123 with lost folders: nobody holds it; again: make soak SEEDS=6",
+                "outage 41: fell; again: make soak SEEDS=2",
             ],
         )
         self.assertTrue(
-            result.summary([5, 6]).endswith("2 days (1 void), 0 messages, 0 restarts; 2 lease histories; 2 findings")
+            result.summary([5, 6]).endswith(
+                "2 days (1 void), 0 messages, 0 restarts; 2 lease histories; 2 outages; 3 findings"
+            )
         )
 
     def test_seeds_are_numbers_and_ranges(self) -> None:
