A first failure makes the other receivers of its destination suspect

Cause: the failure ejected one receiver; the others, which had failed nobody yet, got what was held at full rate. Change: with the first ejection the receivers in service beside it are suspect until the next completion. Why it holds: the rule counts the destination, so what one receiver shows binds all that share its pace.

--- a/cedarwick/decisions/recovery.py
+++ b/cedarwick/decisions/recovery.py
@@ -28,6 +28,10 @@
         receiver.canary_at = self._next_canary(now, receiver)
         if not ejected_before:
             self._report_health(receiver, HealthState.EJECTED, reason, receiver.ejected_since, message)
+            # An outage mostly affects all receivers of a destination: those in service may be about to fail, too.
+            for mate in self._mates(self.destinations[receiver.destination], receiver.pace):
+                if not mate.ejected_since:
+                    self._suspect(now, mate, message)
         # An attempt on an idle connection to a dead machine is lost unseen; a new connection fails at once.
         self.verdicts.released_connections.append(receiver.id)
 
@@ -38,7 +42,7 @@
         self._report_health(receiver, HealthState.EJECTED, HealthReason.SILENCE, now)
 
     def _suspect(self, now: int, receiver: Receiver, message: int) -> None:
-        """A call failed, which may be the first that is seen of an outage; a call of later has not been completed."""
+        """A call there or at a mate failed, which may be the first that is seen of an outage."""
         receiver.pace.failed_since = receiver.pace.failed_since or now
         if not receiver.suspected and not receiver.recovered_at:
             receiver.suspected = True
--- a/cedarwick/decisions/state.py
+++ b/cedarwick/decisions/state.py
@@ -214,7 +214,7 @@
     used_at: int = 0  # the newest attempt, and how long after the one before it
     gap: int = 0
     ejected_since: int = 0  # 0: in service
-    suspected: bool = False  # it failed, and no call has been completed since by any receiver of this pace
+    suspected: bool = False  # it or a mate failed, and no receiver of its pace has completed a call since
     failed: bool = False  # the outage showed in an outcome, not in silence alone
     provable: bool = False  # its last failure proved that nothing ran
     canary_at: int = 0
--- a/tests/decisions/test_recovery_ramps.py
+++ b/tests/decisions/test_recovery_ramps.py
@@ -15,12 +15,14 @@
 from functools import partial
 
 from cedarwick.decisions.interface import (
+    EarlierAttempt,
     EarlierHealth,
     EndpointState,
     EndpointUpdate,
     HealthChange,
     ListedEndpoint,
     Outcome,
+    UnfinishedMessage,
 )
 from cedarwick.decisions.message_handle import Handle
 from cedarwick.decisions.policy import Sender
@@ -240,15 +242,23 @@
                     self.now - at,
                 )
                 self.senders[sender].restore_health(self.now, receiver, earlier)
-            self.handles[sender], made = {}, self.senders[sender]
-            for message, handle in old.items():
-                if not handle.ended and not handle.in_flight:
-                    self.handles[sender][message] = made.accept(
-                        self.now, message, 7, made.priority_classes.index(handle.priority_class), handle.deadline, 0, 0
-                    )
+            made = self.senders[sender]
+            unfinished = [self.unfinished(made, message, handle) for message, handle in old.items() if not handle.ended]
+            self.handles[sender] = {
+                each.message_id: handle
+                for each, handle in zip(unfinished, made.restore(self.now, unfinished), strict=True)
+            }
             self.wakes[sender] = 0
             self.round(sender)
 
+    @staticmethod
+    def unfinished(made: Sender, message: int, handle: Handle) -> UnfinishedMessage:
+        """What the journal has of a message; a call that was out as the process ended has no outcome."""
+        attempts = [EarlierAttempt(0, 0, Outcome.MOOT)] * (handle.attempts - handle.in_flight)
+        attempts += [EarlierAttempt(handle.sent_at, 0, None)] * handle.in_flight
+        priority_class = made.priority_classes.index(handle.priority_class)
+        return UnfinishedMessage(message, 7, priority_class, handle.deadline, 0, 0, attempts)
+
     # ---- the destination ----
 
     def share(self) -> float:
