Health: a later report hides no ejection, absence or suspicion that is stored

Symptom: after a restart a receiver that had been suspect, ejected for its silence or away could be met as one in service. Cause: of a receiver only the newest line of health.jsonl counts, and a rate cut, or the completion at a mate, wrote 'in service' over them. Change: a rate cut keeps the suspicion; a completion says nothing of mates that are ejected or away. Why it holds: what is written says all that counts of its receiver.

--- a/cedarwick/decisions/recovery.py
+++ b/cedarwick/decisions/recovery.py
@@ -38,7 +38,7 @@
 
     def _eject_silent(self, now: int, receiver: Receiver) -> None:
         """Eject a receiver whose calls stay unanswered; none of them has failed yet."""
-        receiver.ejected_since, receiver.provable = now, False
+        receiver.ejected_since, receiver.provable, receiver.suspected = now, False, False
         receiver.canary_at = self._next_canary(now, receiver)
         self._report_health(receiver, HealthState.EJECTED, HealthReason.SILENCE, now)
 
@@ -69,7 +69,9 @@
         pace.completed_sent_at = max(pace.completed_sent_at, sent_at)
         for mate in self._mates(self.destinations[receiver.destination], pace):
             suspected, mate.suspected = mate.suspected, False
-            if outage and (suspected or self.many) and not mate.ejected_since and not mate.recovered_at:
+            if mate.ejected_since or not mate.ready:
+                continue  # what is stored of it says more
+            if outage and (suspected or self.many) and not mate.recovered_at:
                 self._begin_ramp(now, mate, now, HealthReason.COMPLETION, message)
             elif suspected:
                 self._report_health(mate, HealthState.IN_SERVICE, HealthReason.COMPLETION, now, message)
@@ -108,7 +110,7 @@
         if receiver.recovered_at:
             since, state = receiver.recovered_at, HealthState.RAMPING
         else:
-            since, state = now, HealthState.IN_SERVICE
+            since, state = now, HealthState.SUSPECTED if receiver.suspected else HealthState.IN_SERVICE
         self._report_health(receiver, state, HealthReason.RATE_CUT, since, message)
 
     def _eject_with(self, now: int, receiver: Receiver) -> None:
--- a/tests/decisions/test_suspicion.py
+++ b/tests/decisions/test_suspicion.py
@@ -72,6 +72,19 @@
         self.assertTrue(all(0 < gap <= SECOND / rate + 1 for gap in gaps))
         self.assertGreater(max(gaps) - min(gaps), SECOND / rate / 2)
 
+    def test_nothing_that_is_reported_later_hides_an_ejection_an_absence_or_a_suspicion(self) -> None:
+        """Of a receiver only the newest report is stored: a restart would know no more than that says."""
+        self.failed_call(self.made, NOW)
+        self.made.take_health_changes()
+        self.made._report_rate_cut(NOW, self.first, 1)
+        (cut,) = self.made.take_health_changes()
+        self.assertEqual(cut.state, HealthState.SUSPECTED)
+        self.made._eject_silent(NOW + SECOND, self.first)
+        self.second.ready = False
+        self.made.take_health_changes()
+        self.made._suspicion_ends(NOW + 5 * SECOND, self.second, NOW, 2)
+        self.assertEqual(self.made.take_health_changes(), [])
+
     def test_each_change_is_reported_with_its_message(self) -> None:
         self.failed_call(self.made, NOW)
         (change,) = self.made.take_health_changes()
