Health: one predicate for in service and for a suspected outage; one map of uids

Cause: the change on outages wrote 'ready and not ejected' five times, the test for a suspected outage twice and the copy of an outage twice; the hand-over and the gossip built anew the map of uids that the endpoint list now has; each client's address was formatted though nothing is traced; one of two health steps of a round lay apart from its module. A stand-in of the endpoint list in one test has the map as well; no assertion differs.

--- a/cedarwick/decisions/earlier_outages.py
+++ b/cedarwick/decisions/earlier_outages.py
@@ -48,7 +48,7 @@
         place = self._destination(earlier.destination)
         self._keep_outage(place, self._outage(now, earlier))
         for mate in self._mates(place, place.pace):
-            if mate.ready and not mate.ejected_since and not mate.recovered_at:
+            if mate.in_service and not mate.recovered_at:
                 mate.observed_rate = max(mate.observed_rate, earlier.observed_rate)
                 self._begin_ramp(now, mate, now, HealthReason.BEFORE_RESTART)
                 self._spread_first_call(now, mate)
@@ -63,10 +63,10 @@
 
     def _outage_of(self, place: Destination, mates: list[Receiver]) -> DepartedOutage | None:
         """The outage that a receiver joins which the list names anew; None where some receiver is in service."""
-        if any(mate.ready and not mate.ejected_since for mate in mates):
+        if any(mate.in_service for mate in mates):
             return None
         out = next((mate for mate in mates if mate.ejected_since), None)
-        return DepartedOutage(out.ejected_since, out.provable, out.observed_rate) if out else place.departed
+        return out.outage() if out else place.departed
 
     def _eject_as(self, now: int, receiver: Receiver, outage: DepartedOutage) -> None:
         """Eject a receiver as one of an outage that began earlier; its canary comes at random within a gap."""
--- a/cedarwick/decisions/endpoint_updates.py
+++ b/cedarwick/decisions/endpoint_updates.py
@@ -11,7 +11,7 @@
 from cedarwick.decisions.interface import EndpointState, EndpointUpdate, HealthReason, HealthState, ListedEndpoint
 from cedarwick.decisions.rate_control import RateAdjustment
 from cedarwick.decisions.sender_state import BACKOFF_BASE, LIST_WAIT, MAX_RETRY_AFTER
-from cedarwick.decisions.state import SECOND, DepartedOutage, Destination, RateControl, Receiver
+from cedarwick.decisions.state import SECOND, Destination, RateControl, Receiver
 
 MAX_POLL_DOUBLINGS = 16  # of the window from which the next list call is drawn
 LIST_POLL_GAP = SECOND // 4  # the window from which the next list call is drawn has at least this much for each sender
@@ -89,10 +89,9 @@
         """Delete the record of a receiver that left long ago; an outage of its whole destination is remembered."""
         place = self.destinations[record.destination]
         mates = self._mates(place, record.pace)
-        in_service = any(mate.ready and not mate.ejected_since for mate in mates)
-        if record.ejected_since and record.pace is place.pace and not in_service:
+        if record.ejected_since and record.pace is place.pace and not any(mate.in_service for mate in mates):
             # The receiver, or its replacement, may come back much later, and as cold.
-            self._keep_outage(place, DepartedOutage(record.ejected_since, record.provable, record.observed_rate))
+            self._keep_outage(place, record.outage())
         self._report_health(record, HealthState.IN_SERVICE, HealthReason.FORGOTTEN, now)
         place.members.remove(record.id)
         del self.receivers[record.id]
--- a/cedarwick/decisions/recovery.py
+++ b/cedarwick/decisions/recovery.py
@@ -5,7 +5,7 @@
 
 from cedarwick.decisions.interface import HealthChange, HealthReason, HealthState, float_setting
 from cedarwick.decisions.sender_state import CERTAIN_SHARE, SenderState
-from cedarwick.decisions.state import SECOND, Receiver, TokenBucket
+from cedarwick.decisions.state import SECOND, RateControl, Receiver, TokenBucket
 
 WARM_UP_CALL_ALLOWANCE = 2  # calls above what a restarted destination withstands within `rules.fall-ms`
 MIN_CANARY_GAP = 800_000  # between two canaries of this sender to one destination, where it is large
@@ -54,18 +54,22 @@
             receiver.suspected = True
             self._report_health(receiver, HealthState.SUSPECTED, reason, now, message)
 
+    def _outage_suspected(self, now: int, pace: RateControl) -> bool:
+        """Whether a call has failed since the last completion, and that is longer ago than `rules.fall-ms`."""
+        return pace.failed_since > 0 and now - pace.completed_at > self.fall_time
+
     def _suspicion_ends(self, now: int, receiver: Receiver, sent_at: int, message: int) -> bool:
         """A call was completed; whether an outage lay before it, after which the receivers in service ramp up.
 
         Who has seen a call fail there must not send what it holds at once, even where that was no reason to eject.
         """
         pace = receiver.pace
-        outage = pace.failed_since > 0 and now - pace.completed_at > self.fall_time
+        outage = self._outage_suspected(now, pace)
         pace.failed_since, pace.throttled_since, pace.completed_at = 0, 0, now
         pace.completed_sent_at = max(pace.completed_sent_at, sent_at)
         for mate in self._mates(self.destinations[receiver.destination], pace):
             suspected, mate.suspected = mate.suspected, False
-            if mate.ejected_since or not mate.ready:
+            if not mate.in_service:
                 continue  # what is stored of it says more
             if outage and (suspected or not self.few) and not mate.recovered_at:
                 self._begin_ramp(now, mate, now, HealthReason.COMPLETION, message)
--- a/cedarwick/decisions/selection.py
+++ b/cedarwick/decisions/selection.py
@@ -76,12 +76,11 @@
         if receiver.recovered_at and now >= max(receiver.ramp_until, receiver.recovered_at + self.ramp_time):
             self._end_ramp(now, receiver)
         # What failed may be out: until a call is completed it gets no more than a receiver that has just returned.
-        suspected = pace.failed_since and now - pace.completed_at > self.fall_time
-        suspected = suspected and (receiver.suspected or not self.few)
+        suspected = self._outage_suspected(now, pace) and (receiver.suspected or not self.few)
         if receiver.recovered_at or suspected:
             since = 0 if suspected else now - receiver.recovered_at
             mates = self._mates(self.destinations[receiver.destination], pace)
-            sharing = sum(mate.ready and not mate.ejected_since for mate in mates)
+            sharing = sum(mate.in_service for mate in mates)
             rate = self._returning_rate(receiver, since, max(1, sharing))
             room_at = max(room_at, now + receiver.ramp.fill(now, rate, 1.0))
         return room_at
--- a/cedarwick/decisions/state.py
+++ b/cedarwick/decisions/state.py
@@ -225,6 +225,15 @@
     ramp: TokenBucket = field(default_factory=TokenBucket)
     calls: dict[int, int] = field(default_factory=dict)  # send time: attempts without an outcome
 
+    @property
+    def in_service(self) -> bool:
+        """Whether it is listed as ready and not ejected."""
+        return self.ready and not self.ejected_since
+
+    def outage(self) -> "DepartedOutage":
+        """Its outage, for a record that outlives this one."""
+        return DepartedOutage(self.ejected_since, self.provable, self.observed_rate)
+
     def attempt_sent(self, now: int, joins: bool) -> None:
         """Record an attempt that goes out now; one that joins a call takes no tokens."""
         self.calls[now] = self.calls.get(now, 0) + 1
--- a/cedarwick/fleet/gossip.py
+++ b/cedarwick/fleet/gossip.py
@@ -265,7 +265,7 @@
         waits, self.waits = self.waits, {}
         if not waits:
             return ()
-        uids = {number: uid for uid, number in self.endpoint_list.numbers.items() if number in waits}
+        uids = self.endpoint_list.uids
         found = [
             RetryAfterEntry(uids[receiver], until - now)
             for receiver, until in waits.items()
--- a/cedarwick/net/client_connections.py
+++ b/cedarwick/net/client_connections.py
@@ -53,7 +53,7 @@
 
     def __init__(self, sock: gevent.socket.socket, now: int, peer: tuple[str, int] = ("", 0)) -> None:
         self.sock = sock
-        self.peer = f"{peer[0]}:{peer[1]}"
+        self.peer = peer
         self.buffer = Buffer()
         self.waiting = True  # between requests: nothing of a next one has been read
         self.answering = False  # a request was read, and its answer is not written
--- a/cedarwick/net/client_listener.py
+++ b/cedarwick/net/client_listener.py
@@ -216,7 +216,8 @@
         if self.counters.trace.enabled:
             if client.descriptor_wanted.is_set():
                 reason = CloseReason.DESCRIPTOR_WANTED
-            self.counters.trace.add(CloseTrace(f"client {client.peer}", reason.value, self.clock.now()))
+            host, port = client.peer
+            self.counters.trace.add(CloseTrace(f"client {host}:{port}", reason.value, self.clock.now()))
 
     def _trace_refusal(self, stored: StoredMessage, reason: str, wait_ms: int = 0) -> None:
         if self.counters.trace.enabled:
--- a/cedarwick/net/dispatch_health.py
+++ b/cedarwick/net/dispatch_health.py
@@ -39,6 +39,12 @@
             for earlier in self.earlier_health.values():
                 self.sender.restore_departed(now, earlier)
 
+    def _store_health(self) -> None:
+        """Store what the events of this round have changed, and what could not be stored before."""
+        self._record_health(self.sender.take_health_changes())
+        if self.health_file is not None:
+            self.health_file.retry()
+
     def _record_health(self, changes: Sequence[HealthChange]) -> None:
         """Log and store changes; the record is written before a further attempt goes."""
         now = self.clock.now()
--- a/cedarwick/net/dispatch_state.py
+++ b/cedarwick/net/dispatch_state.py
@@ -92,9 +92,8 @@
         self.uid_of: Callable[[int], str] = str  # the name of a receiver by its number
         self.first_listing = True  # no update of the list has been handled yet
         self.health_file: HealthFile | None = None
-        self.earlier_health: dict[
-            HealthKey, EarlierHealth
-        ] = {}  # what an earlier process knew and nobody asked for yet
+        # What an earlier process knew of receivers that are not listed yet.
+        self.earlier_health: dict[HealthKey, EarlierHealth] = {}
         self.recorded_uids: dict[int, str] = {}  # by number: receivers that are not in service
         self.ask_for_list: Callable[[], None]
 
--- a/cedarwick/net/dispatcher.py
+++ b/cedarwick/net/dispatcher.py
@@ -271,11 +271,6 @@
             self.ask_for_list()
         self.wake_at = verdicts.wake_at
 
-    def _store_health(self) -> None:
-        self._record_health(self.sender.take_health_changes())
-        if self.health_file is not None:
-            self.health_file.retry()
-
     def _sync_health(self) -> None:
         if self.health_file is not None:
             self.health_file.sync(in_thread)
--- a/cedarwick/ops/process_handover.py
+++ b/cedarwick/ops/process_handover.py
@@ -25,7 +25,7 @@
 
     A failed write is logged only.
     """
-    uids = {number: uid for uid, number in endpoint_list.numbers.items()}
+    uids = endpoint_list.uids
     running = dispatcher.sender.retry_after_waits(dispatcher.clock.now())
     waits = {uids[receiver]: until for receiver, until in running if receiver in uids}
     try:
--- a/tests/fleet/test_suspensions.py
+++ b/tests/fleet/test_suspensions.py
@@ -135,6 +135,7 @@
         self.dispatcher: Any = Made(apply_retry_after=mock.Mock(), attempt_ended=mock.Mock(), attempts=Made())
         self.listed: Any = Made(
             numbers={f"u{i}": i for i in range(100)},
+            uids={i: f"u{i}" for i in range(100)},
             suspended=set(),
             knows=lambda uid: True,
             set_suspended=lambda uids: setattr(self.listed, "suspended", uids),
