--- a/cedarwick/lab/endpoint_server.py
+++ b/cedarwick/lab/endpoint_server.py
@@ -5,7 +5,9 @@
 """
 
 import contextlib
+from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import gevent
 import gevent.socket
@@ -26,34 +28,49 @@
 REASON_PHRASES = {200: b"OK", 429: b"Too Many Requests", 500: b"Internal Server Error", 503: b"Service Unavailable"}
 
 
-class Incoming:
-    """A request while it is parsed; httptools calls the `on_` methods."""
+@dataclass(slots=True)
+class Request:
+    """A request to an endpoint."""
 
-    __slots__ = ("id", "mark", "left", "parts", "complete")
+    id: str = ""
+    mark: str = ""
+    left: int = 0  # microseconds until the caller's time-out, from its X-Remaining-Ms header
+    body: bytes = b""
+
+
+class RequestParser:
+    """Parses the requests of one connection; httptools calls the `on_` methods.
+
+    A caller that takes other bytes for its answer sends its next request while one is being served: `complete` holds
+    all requests that are whole, the oldest first.
+    """
 
     def __init__(self) -> None:
-        self.reset()
+        self.complete: deque[Request] = deque()
+        self.parser = httptools.HttpRequestParser(self)
+        self.request = Request()
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes; raises `httptools.HttpParserError`."""
+        self.parser.feed_data(data)
 
-    def reset(self) -> None:
-        self.id = self.mark = ""
-        self.left = 0  # microseconds until the caller's time-out, from its X-Remaining-Ms header
-        self.parts: list[bytes] = []
-        self.complete = False
+    def on_message_begin(self) -> None:
+        self.request = Request()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         lower = name.lower()
         if lower == b"x-txn":
-            self.id = value.decode("latin-1")
+            self.request.id = value.decode("latin-1")
         elif lower == b"idempotency-key":
-            self.mark = value.decode("latin-1")
+            self.request.mark = value.decode("latin-1")
         elif lower == b"x-remaining-ms":
-            self.left = int(value) * 1000 if value.isdigit() else 0
+            self.request.left = int(value) * 1000 if value.isdigit() else 0
 
     def on_body(self, part: bytes) -> None:
-        self.parts.append(part)
+        self.request.body += part
 
     def on_message_complete(self) -> None:
-        self.complete = True
+        self.complete.append(self.request)
 
 
 class EndpointServer:
@@ -196,31 +213,31 @@
             sock.close()
 
     def _serve_calls(self, sock: gevent.socket.socket, sender: int) -> None:
-        incoming, first_call = Incoming(), True
-        parser = httptools.HttpRequestParser(incoming)
+        requests, first_call = RequestParser(), True
         while True:
-            sock.settimeout(self.endpoint.destination.partner.idle_s)
-            idle_since = self.day.now()
-            data = sock.recv(65536)
             first_byte_at = self.day.now()
-            if not data or self.cut:
-                return self._wait_while_cut(sock) if self.cut else None
-            drop = self.endpoint.strongest_effect("idle-drop")
-            if drop is not None and not first_call and first_byte_at - idle_since > drop.size * 1_000_000:
-                # A device on the way dropped the idle connection: the call counts as not arrived.
-                reset_connection(sock)
-                return
-            incoming.reset()
-            parser.feed_data(data)
+            if not requests.complete:
+                idle_since = first_byte_at
+                sock.settimeout(self.endpoint.destination.partner.idle_s)
+                data = sock.recv(65536)
+                first_byte_at = self.day.now()
+                if not data or self.cut:
+                    return self._wait_while_cut(sock) if self.cut else None
+                drop = self.endpoint.strongest_effect("idle-drop")
+                if drop is not None and not first_call and first_byte_at - idle_since > drop.size * 1_000_000:
+                    # A device on the way dropped the idle connection: the call counts as not arrived.
+                    reset_connection(sock)
+                    return
+                requests.feed(data)
             sock.settimeout(5.0)
-            while not incoming.complete:
+            while not requests.complete:
                 if not (data := sock.recv(65536)) or self.cut:
                     return self._wait_while_cut(sock) if self.cut else None
-                parser.feed_data(data)
+                requests.feed(data)
             if first_call:
                 setup = self.endpoint.strongest_effect("setup")
                 gevent.sleep((self.endpoint.destination.partner.setup_ms + (setup.size if setup else 0)) / 1000)
-            if not self._serve_call(sock, sender, incoming, first_byte_at, first_call):
+            if not self._serve_call(sock, sender, requests.complete.popleft(), first_byte_at, first_call):
                 return
             first_call = False
 
@@ -230,18 +247,19 @@
             gevent.sleep(0.05)
 
     def _serve_call(
-        self, sock: gevent.socket.socket, sender: int, incoming: Incoming, first_byte_at: int, first_call: bool
+        self, sock: gevent.socket.socket, sender: int, request: Request, first_byte_at: int, first_call: bool
     ) -> bool:
         """Handle a complete request and write its answer; whether the connection stays open."""
         now = self.day.now()
         self.calls += 1
-        body = b"".join(incoming.parts)
         record = Called(
-            incoming.id, incoming.mark, self.endpoint.uid, self.destination_number, sender, first_byte_at, now
+            request.id, request.mark, self.endpoint.uid, self.destination_number, sender, first_byte_at, now
         )
         if self.record_calls:
             record.body_ok = (
-                body == message_body(incoming.id, self.day.body_sizes.get(incoming.id, 0)) if incoming.id else False
+                request.body == message_body(request.id, self.day.body_sizes.get(request.id, 0))
+                if request.id
+                else False
             )
             self.day.history.called.append(record)
         self.open_calls[sock] = record
@@ -249,7 +267,7 @@
         if first_call and self.endpoint.connections_full():
             reply = Reply(503)
         else:
-            reply = self.endpoint.handle_call(now, incoming.id, incoming.mark)
+            reply = self.endpoint.handle_call(now, request.id, request.mark)
         if reply is None:
             self._go_down_overloaded()
             return False
@@ -261,7 +279,7 @@
                 finished = self.endpoint.finish_call(max(self.day.now(), finished), reply)
             reply = finished
         if reply.spoilt == "last" and not self._caller_waits_until(
-            sock, first_byte_at + min(incoming.left, MAX_LAST_DELAY_US)
+            sock, first_byte_at + min(request.left, MAX_LAST_DELAY_US)
         ):
             return False
         if self.cut:
@@ -281,11 +299,22 @@
             gevent.sleep(TORN_BODY_DELAY_S)
             answer = answer[-2:]
         sock.sendall(answer)
+        copy_delay = self.endpoint.draw_copy_delay() if not reply.spoilt else None
+        if copy_delay is not None:
+            gevent.spawn_later(copy_delay / 1_000_000, self._write_second_copy, sock, answer, record)
         if reply.spoilt in ("", "copy", "report", "interim", "pieces", "last"):
             return not (first_call and self.endpoint.connections_full())
         self._finish_spoilt_answer(sock, reply)
         return False
 
+    def _write_second_copy(self, sock: gevent.socket.socket, answer: bytes, record: Called) -> None:
+        """Write an answer a second time, as a faulty device on the way does, unless the connection has ended."""
+        if sock not in self.sockets or self.cut:
+            return
+        with contextlib.suppress(OSError):
+            sock.sendall(answer)
+            record.copied = self.day.now()
+
     def _caller_waits_until(self, sock: gevent.socket.socket, until: int) -> bool:
         """Wait until a time; whether the caller is still connected. Bytes that it sends meanwhile are not read."""
         while (left := until - self.day.now()) > MIN_TIMER_US:
--- a/cedarwick/lab/history.py
+++ b/cedarwick/lab/history.py
@@ -57,6 +57,7 @@
     spoilt: str = ""  # how the answer was malformed, cut short or delayed
     body_ok: bool = True
     left: bool = False  # whether the caller had closed its sending side before the answer was written
+    copied: int = NEVER  # when a second copy of its answer was written on the same connection
 
 
 class Noticed(Record, tag="noticed"):
--- a/cedarwick/lab/partner.py
+++ b/cedarwick/lab/partner.py
@@ -29,9 +29,11 @@
 class Effect:
     """The effect of a fault on an endpoint while the fault lasts."""
 
-    kind: str  # crash, hang, slow, errors, shut, limit-cut, cut, idle-drop, spoilt, torn, setup
+    kind: str  # crash, hang, slow, errors, shut, limit-cut, cut, idle-drop, spoilt, torn, second-copy, setup
     size: float = 0.0
-    wait: int = 0  # for shut: the Retry-After wait of refusals, microseconds
+    # Microseconds; for shut: the Retry-After wait of refusals; for second-copy: the longest time from an answer to its
+    # copy.
+    wait: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -264,6 +266,13 @@
             spoilt=spoilt_form,
         )
 
+    def draw_copy_delay(self) -> int | None:
+        """The microseconds after which an answer that is written now is written a second time; None: it is not."""
+        effect = self.strongest_effect("second-copy")
+        if effect is None or self.service_times.uniform() >= effect.size:
+            return None
+        return round(self.service_times.uniform() * effect.wait)
+
     def _draw_torn_form(self) -> str:
         torn = self.strongest_effect("torn")
         if torn is None or self.service_times.uniform() >= torn.size:
--- a/cedarwick/lab/scenario.py
+++ b/cedarwick/lab/scenario.py
@@ -34,6 +34,7 @@
     "idle-drop",
     "spoilt",
     "torn",
+    "second-copy",
     "setup",
 ]
 SenderFault = Literal["kill", "term", "stop", "full-folder", "reload"]
@@ -166,11 +167,18 @@
     size: Annotated[
         float | ValueRange,
         described(
-            "How strong: a factor for slow, limit-cut, burst; a share for errors, spoilt, torn; "
+            "How strong: a factor for slow, limit-cut, burst; a share for errors, spoilt, torn, second-copy; "
             "ms for setup; MB for full-folder; connections per second for bad-clients."
         ),
     ] = 0.5
-    wait_ms: Annotated[float, Meta(ge=0), described("For shut: the wait that refusals advise; 0: none.", "ms")] = 0.0
+    wait_ms: Annotated[
+        float,
+        Meta(ge=0),
+        described(
+            "For shut: the wait that refusals advise; 0: none. For second-copy: the longest delay of the copy.",
+            "ms",
+        ),
+    ] = 0.0
     warming_up: Annotated[bool, described("Whether the partner has to warm up afterwards.")] = msgspec.field(
         default=True, name="cold"
     )
--- a/cedarwick/lab/workload.py
+++ b/cedarwick/lab/workload.py
@@ -23,6 +23,7 @@
     "errors": [0.3, 0.8],
     "spoilt": [0.1, 0.3],
     "torn": [0.3, 0.8],
+    "second-copy": [0.05, 0.3],
     "setup": [50, 200],
     "full-folder": [0.2, 0.4],
     "bad-clients": [10, 40],
--- a/tests/processes/rig.py
+++ b/tests/processes/rig.py
@@ -7,6 +7,7 @@
 
 from cedarwick.lab.fleet import Fleet
 from cedarwick.lab.mixed_classes import MIXED_CLASSES
+from cedarwick.lab.run import Result, run_day
 from cedarwick.lab.scenario import Clients, Limits, Load, Partner, Scenario, Service
 
 SCENARIO = Scenario(
@@ -71,5 +72,15 @@
                 print(f"\nseed {fleet.seed}: played again, since {void}; the failure was: {repr(error)[-600:]}")
 
 
+def play_until_valid(scenario: Scenario, seed: int) -> Result:
+    """Run a scenario; a void run, such as one whose emulator ran late, is reported and repeated."""
+    for _ in range(MAX_RUNS):
+        result = run_day(scenario, seed)
+        if not result.void:
+            break
+        print(f"\nseed {seed}: repeated, since the run was void: {result.void}")
+    return result
+
+
 def discard_output(_: str) -> None:
     """Print nothing of what a fleet does."""
--- a/tests/processes/test_recovery.py
+++ b/tests/processes/test_recovery.py
@@ -12,20 +12,9 @@
 
 import unittest
 
-from cedarwick.lab.run import Result, run_day
 from cedarwick.lab.scenario import Scenario
 from tests.processes.recovery_days import kill_after_return, outage_day
-from tests.processes.rig import MAX_RUNS, seeds
-
-
-def play_until_valid(scenario: Scenario, seed: int) -> Result:
-    """Run a scenario; a void run, such as one whose emulator ran late, is reported and repeated."""
-    for _ in range(MAX_RUNS):
-        result = run_day(scenario, seed)
-        if not result.void:
-            break
-        print(f"\nseed {seed}: repeated, since the run was void: {result.void}")
-    return result
+from tests.processes.rig import play_until_valid, seeds
 
 
 class RecoveryTest(unittest.TestCase):
