--- a/cedarwick/net/attempts.py
+++ b/cedarwick/net/attempts.py
@@ -14,8 +14,9 @@
 from cedarwick.decisions.interface import Outcome
 from cedarwick.decisions.state import NEVER
 from cedarwick.net.clock import Clock
-from cedarwick.net.connections import Connection, ConnectionPool, NoDescriptorError
+from cedarwick.net.connections import Connection, ConnectionPool
 from cedarwick.net.counters import Counters
+from cedarwick.net.descriptors import NoDescriptorError
 from cedarwick.net.http import InvalidResponseError, ResponseParser
 from cedarwick.net.message_trace import AttemptTrace, LateAnswerTrace
 from cedarwick.net.sockets import PollClock, is_closed
--- a/cedarwick/net/client_connections.py
+++ b/cedarwick/net/client_connections.py
@@ -13,7 +13,7 @@
 
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
-from cedarwick.net.connections import DescriptorBudget, NoDescriptorError
+from cedarwick.net.descriptors import DescriptorBudget, NoDescriptorError
 from cedarwick.net.resp import MalformedRequestError, read_command
 from cedarwick.net.sockets import peek_byte
 
--- a/cedarwick/net/client_listener.py
+++ b/cedarwick/net/client_listener.py
@@ -20,8 +20,8 @@
     ClientConnections,
 )
 from cedarwick.net.clock import Clock
-from cedarwick.net.connections import DescriptorBudget, NoDescriptorError
 from cedarwick.net.counters import Counters
+from cedarwick.net.descriptors import DescriptorBudget, NoDescriptorError
 from cedarwick.net.dispatcher import Dispatcher
 from cedarwick.net.message_trace import CloseReason, CloseTrace, RefusalTrace
 from cedarwick.net.resp import InvalidSubmitError, MalformedRequestError, read_command, read_submission
--- a/cedarwick/net/connections.py
+++ b/cedarwick/net/connections.py
@@ -1,4 +1,4 @@
-"""The pool of connections to receivers, and the budget of file descriptors that it shares with client connections.
+"""The pool of connections to receivers.
 
 Times are microseconds, except in names that end in `_S` (seconds).
 """
@@ -9,57 +9,19 @@
 import gevent
 import gevent.socket
 
-from cedarwick.errors import CedarwickError
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
+from cedarwick.net.descriptors import DescriptorBudget, NoDescriptorError
 from cedarwick.net.message_trace import CloseReason, CloseTrace
 from cedarwick.net.sockets import is_closed, open_connection
 
-RESERVED_DESCRIPTORS = 64  # for the interpreter, the event loop, the store and calls to the platform
 IDLE_SWEEP_INTERVAL_S = 0.25  # between two checks of the idle connections
 # How long an attempt waits for a descriptor; a longer wait would look like a receiver that does not answer.
 DESCRIPTOR_TIMEOUT_US = 400_000
 DESCRIPTOR_POLL_INTERVAL_S = 0.02  # between two tries to claim one
 
 
-class NoDescriptorError(CedarwickError):
-    """All descriptors are in use, and no connection can be closed for a new one."""
-
-    code = "CW302"
-    remedy = "raise limits.sockets, or start another sender"
-
-
-class DescriptorBudget:
-    """Limits the descriptors of connections to clients and receivers.
-
-    At the limit, `close_one` closes an idle connection to make room for a new one.
-    """
-
-    def __init__(self, limit: int) -> None:
-        self.set_limit(limit)
-        self.used = 0
-        self.close_one: Callable[[], bool] = lambda: False
-
-    def set_limit(self, limit: int) -> None:
-        """Set the limit of the whole process; `RESERVED_DESCRIPTORS` of it are kept for other uses."""
-        self.limit = max(8, limit - RESERVED_DESCRIPTORS)
-
-    def claim(self) -> None:
-        """Claim one descriptor.
-
-        Raises:
-            NoDescriptorError: the limit is reached and no connection can be closed.
-        """
-        if self.used >= self.limit and not self.close_one():
-            raise NoDescriptorError(f"all {self.limit} descriptors are in use")
-        self.used += 1
-
-    def release(self) -> None:
-        """Release one descriptor."""
-        self.used -= 1
-
-
 class Connection:
     """One connection to a receiver."""
 
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -21,8 +21,9 @@
 from cedarwick.net.attempts import AttemptRunner
 from cedarwick.net.client_listener import ClientListener
 from cedarwick.net.clock import Clock
-from cedarwick.net.connections import ConnectionPool, DescriptorBudget
+from cedarwick.net.connections import ConnectionPool
 from cedarwick.net.counters import Counters
+from cedarwick.net.descriptors import DescriptorBudget
 from cedarwick.net.dispatcher import Dispatcher
 from cedarwick.net.endpoint_list import EndpointList
 from cedarwick.net.notifications import Notifier
--- a/tests/net/test_client_listener_races.py
+++ b/tests/net/test_client_listener_races.py
@@ -24,8 +24,9 @@
 from cedarwick.net.client_connections import ClientConnection
 from cedarwick.net.client_listener import ClientListener, SubmitResult
 from cedarwick.net.clock import Clock
-from cedarwick.net.connections import ConnectionPool, DescriptorBudget, NoDescriptorError
+from cedarwick.net.connections import ConnectionPool
 from cedarwick.net.counters import Counters
+from cedarwick.net.descriptors import DescriptorBudget, NoDescriptorError
 from cedarwick.net.dispatcher import Dispatcher
 from cedarwick.net.notifications import Notifier
 from cedarwick.net.sockets import PollClock, peek_byte
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -19,8 +19,8 @@
 from cedarwick.net.attempts import AttemptCall, AttemptResult, AttemptRunner, parse_retry_after
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
-from cedarwick.net.connections import DescriptorBudget, NoDescriptorError
 from cedarwick.net.counters import Counters
+from cedarwick.net.descriptors import DescriptorBudget, NoDescriptorError
 from cedarwick.net.dispatch_final_answers import DEADLINE_MARGIN_US
 from cedarwick.net.dispatch_sessions import PARTITION_SHIFT_BITS
 from cedarwick.net.endpoint_list import EndpointList
