--- a/cedarwick/lab/endpoint_server.py
+++ b/cedarwick/lab/endpoint_server.py
@@ -17,7 +17,7 @@
 from cedarwick.lab.history import Away, Called
 from cedarwick.lab.listeners import BACKLOG, accept_connections, listen_on_all, reset_connection
 from cedarwick.lab.partner import CallInProgress, Effect, Endpoint, Reply
-from cedarwick.net.sockets import peek_byte
+from cedarwick.net.sockets import peek_input
 
 MIN_TIMER_US = 300  # shorter waits are skipped
 SPOILT_TIMEOUT_S = 3.0  # a connection with a spoilt answer is closed when its caller sends nothing for so long
@@ -288,7 +288,7 @@
             return False
         record.ended, record.status, record.wait = self.day.now(), reply.status, reply.wait
         record.ran, record.repeat, record.spoilt = reply.ran, reply.repeat, reply.spoilt
-        record.left = peek_byte(sock) == b""  # sets the timeout to 0
+        record.left = peek_input(sock) == b""  # sets the timeout to 0
         if reply.spoilt == "noise":
             record.status = 0
         del self.open_calls[sock]
--- a/cedarwick/net/attempts.py
+++ b/cedarwick/net/attempts.py
@@ -14,12 +14,13 @@
 from cedarwick.decisions.interface import Outcome
 from cedarwick.decisions.state import NEVER
 from cedarwick.net.clock import Clock
-from cedarwick.net.connections import Connection, ConnectionPool
+from cedarwick.net.connections import ConnectionPool
 from cedarwick.net.counters import Counters
 from cedarwick.net.descriptors import NoDescriptorError
 from cedarwick.net.http import InvalidResponseError, ResponseParser
 from cedarwick.net.message_trace import AttemptTrace, LateAnswerTrace
-from cedarwick.net.sockets import PollClock, is_closed
+from cedarwick.net.receiver_connection import Connection
+from cedarwick.net.sockets import PollClock
 from cedarwick.store.records import StoredMessage
 
 REPORT_HEADER = "x-pressure"
@@ -54,6 +55,10 @@
     reported: bool = False  # its result was reported
     new_connection: bool = False  # it must not use an idle connection
     reused_connection: bool = False  # its connection was used before
+    # Of its connection, for the trace: its number, the calls before on it, and the microseconds since the last answer.
+    connection: int = 0
+    calls_before: int = 0
+    rested: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,8 +158,7 @@
 
         Returns whether the connection can be used again.
         """
-        if is_closed(connection.sock):
-            # Bytes that arrived before the request would be read as its answer.
+        if self.connections.close_if_readable(connection):
             if connection.idle_since:
                 self._report_not_sent(call)
             else:
@@ -195,7 +199,7 @@
                 self.counters.add("attempts held back: no right to fire")
                 self._report_failure(call, Outcome.MOOT)
                 return True
-            call.sent_at = self.clock.now()
+            self._record_first_byte(call, connection)
             connection.sock.sendall(request)
             self.counters.add("attempts sent")
             self.counters.metrics.attempts_sent += 1
@@ -203,6 +207,10 @@
         except OSError:
             # The last byte was not written, so the attempt never ran; an early answer may tell more.
             self._read_unread_bytes(call, connection, answer)
+        if answer.complete:
+            connection.call_answered(self.clock.now(), answer.status)
+        if answer.followed_by_input:
+            self.connections.report_unexpected_input(connection, b"")
         if answer.complete or answer.status == 200:
             usable = answer.complete and answer.keep_alive and failure is None
             if not call.reported:
@@ -218,6 +226,12 @@
             self._report_failure(call, failure or Outcome.RESET)
         return False
 
+    def _record_first_byte(self, call: AttemptCall, connection: Connection) -> None:
+        call.sent_at = self.clock.now()
+        call.connection, call.calls_before = connection.number, connection.calls
+        call.rested = call.sent_at - connection.answered_at if connection.answered_at else 0
+        connection.call_begins(call.message.id)
+
     def _read(self, call: AttemptCall, connection: Connection, answer: ResponseParser) -> Outcome | None:
         """Read the answer to its end; returns None, or the outcome if the answer stays incomplete."""
         until = call.until
@@ -348,6 +362,9 @@
                 result.outcome.value,
                 call.status,
                 result.not_sent,
+                call.connection,
+                call.calls_before,
+                call.rested,
             )
         )
 
--- a/cedarwick/net/client_connections.py
+++ b/cedarwick/net/client_connections.py
@@ -15,7 +15,7 @@
 from cedarwick.net.clock import Clock
 from cedarwick.net.descriptors import DescriptorBudget, NoDescriptorError
 from cedarwick.net.resp import MalformedRequestError, read_command
-from cedarwick.net.sockets import peek_byte
+from cedarwick.net.sockets import peek_input
 
 # A client must see an error or a close within 3 s of connecting; one without an open request may be closed after 2 s.
 FIRST_REQUEST_TIMEOUT_S = 2.2  # until the first byte of the first request
@@ -101,7 +101,7 @@
     def _nothing_unread(self, client: ClientConnection) -> bool:
         """Whether there is no unread input: a request that was sent before the connection closes must be answered."""
         timeout = client.sock.gettimeout()
-        unread = peek_byte(client.sock)
+        unread = peek_input(client.sock)
         client.sock.settimeout(timeout)
         return unread is None
 
@@ -183,7 +183,7 @@
     def _await_client_close(self, client: ClientConnection) -> None:
         """Return once the client has closed its connection, or has had time to abandon its request."""
         deadline = self.clock.now() + CLIENT_ANSWER_TIMEOUT_US
-        while self.clock.now() < deadline and peek_byte(client.sock) != b"":
+        while self.clock.now() < deadline and peek_input(client.sock) != b"":
             gevent.sleep(POLL_INTERVAL_S)
 
     def _close_gracefully(self, client: ClientConnection) -> None:
--- a/cedarwick/net/client_listener.py
+++ b/cedarwick/net/client_listener.py
@@ -25,7 +25,7 @@
 from cedarwick.net.dispatcher import Dispatcher
 from cedarwick.net.message_trace import CloseReason, CloseTrace, RefusalTrace
 from cedarwick.net.resp import InvalidSubmitError, MalformedRequestError, read_command, read_submission
-from cedarwick.net.sockets import peek_byte
+from cedarwick.net.sockets import peek_input
 from cedarwick.net.submission import AdmissionResult, Submission
 from cedarwick.store.records import StoredMessage
 
@@ -299,7 +299,7 @@
             or client.unusable < MAX_DOUBTFUL_REQUESTS
         ):
             client.unusable += 1
-        if withdraw is not None and peek_byte(client.sock) == b"":
+        if withdraw is not None and peek_input(client.sock) == b"":
             # A client that disconnects before its answer submits to another sender; no attempt was sent yet.
             self.counters.add("clients gone before their answer")
             self._trace_refusal(stored, "its client left before the answer")
--- a/cedarwick/net/http.py
+++ b/cedarwick/net/http.py
@@ -30,6 +30,7 @@
         self.headers_complete = False
         self.complete = False
         self.keep_alive = False
+        self.followed_by_input = False  # unsolicited bytes came right behind the answer
         self.parser = httptools.HttpResponseParser(self)
         self.body_callback = on_body
 
@@ -83,7 +84,7 @@
         except (InvalidResponseError, httptools.HttpParserError, httptools.HttpParserUpgrade, ValueError) as error:
             if not self.complete:
                 raise InvalidResponseError(str(error) or type(error).__name__) from None
-            self.keep_alive = False  # unsolicited bytes follow the complete answer
+            self.keep_alive, self.followed_by_input = False, True
 
     def _skip_interim_answers(self, buffer: Buffer) -> bool:
         """Skip interim (1xx) answers; returns whether the buffer now starts with the final answer.
--- a/cedarwick/net/message_trace.py
+++ b/cedarwick/net/message_trace.py
@@ -33,6 +33,9 @@
     outcome: str
     status: int  # of the answer, even if only its head was read; 0: no answer
     not_sent: bool
+    connection: int  # its number, counted from 1 in each process; 0: none was opened
+    calls_before: int  # on that connection
+    rested: int  # microseconds from the answer before on that connection to the first byte; 0: there was none
 
 
 class HeldTrace(NamedTuple):
@@ -58,11 +61,12 @@
 class CloseReason(Enum):
     """Why a connection was closed."""
 
-    NOT_REUSABLE = "it ended, was idle for too long, or leads to an old address"
+    NOT_REUSABLE = "it was idle for too long, or leads to an old address"
+    ENDED = "its receiver ended it"
     ANSWER_UNUSABLE = "its last call left it unusable"
     UNREAD_BYTES = "bytes came that no call asked for"
     RELEASED = "the decisions released it"
-    IDLE = "it was idle for too long, or ended"
+    IDLE = "it was idle for too long"
     DESCRIPTOR_WANTED = "its descriptor was wanted"
     SERVED = "the client closed it, or was let go after its answer or for its silence"
     MALFORMED_REQUEST = "a request could not be read"
@@ -76,6 +80,9 @@
     peer: str  # `receiver N`, or the client's address
     reason: str
     at: int
+    connection: int = 0  # for a receiver: its number, as in `AttemptTrace`
+    calls: int = 0  # made on it
+    last_message: str = ""  # the id of the message of the last of them
 
 
 class LateAnswerTrace(NamedTuple):
--- a/cedarwick/net/sockets.py
+++ b/cedarwick/net/sockets.py
@@ -43,14 +43,14 @@
     return sock
 
 
-def peek_byte(sock: gevent.socket.socket) -> bytes | None:
-    """Peek at the next byte: None if there is no input, `b""` if the connection is closed or broken.
+def peek_input(sock: gevent.socket.socket, size: int = 1) -> bytes | None:
+    """Peek at up to `size` bytes of input: None if there is none, `b""` if the connection is closed or broken.
 
     Leaves the socket in non-blocking mode.
     """
     sock.settimeout(0.0)
     try:
-        return bytes(sock.recv(1, gevent.socket.MSG_PEEK))
+        return bytes(sock.recv(size, gevent.socket.MSG_PEEK))
     except BlockingIOError:
         return None
     except OSError:
@@ -59,4 +59,4 @@
 
 def is_closed(sock: gevent.socket.socket) -> bool:
     """Whether an idle connection was closed by its peer or has received unexpected bytes."""
-    return peek_byte(sock) is not None
+    return peek_input(sock) is not None
--- a/tests/net/test_client_listener_races.py
+++ b/tests/net/test_client_listener_races.py
@@ -29,7 +29,7 @@
 from cedarwick.net.descriptors import DescriptorBudget, NoDescriptorError
 from cedarwick.net.dispatcher import Dispatcher
 from cedarwick.net.notifications import Notifier
-from cedarwick.net.sockets import PollClock, peek_byte
+from cedarwick.net.sockets import PollClock, peek_input
 from cedarwick.net.submission import AdmissionResult
 from cedarwick.store.journal import Store
 from cedarwick.store.records import StoredMessage
@@ -396,8 +396,8 @@
             return wrapper
 
         with (
-            mock.patch.object(client_listener, "peek_byte", hang_up_at_step("before the check", peek_byte)),
-            mock.patch.object(client_connections, "peek_byte", hang_up_at_step("before the check", peek_byte)),
+            mock.patch.object(client_listener, "peek_input", hang_up_at_step("before the check", peek_input)),
+            mock.patch.object(client_connections, "peek_input", hang_up_at_step("before the check", peek_input)),
             mock.patch.object(dispatcher, "_admit", hang_up_at_step("as it is admitted", dispatcher._admit)),
             mock.patch.object(
                 dispatcher, "_store_message", hang_up_at_step("as it is stored", dispatcher._store_message)
--- a/tests/net/test_message_trace.py
+++ b/tests/net/test_message_trace.py
@@ -107,3 +107,19 @@
         self.assertLess(attempt["sent_at"], attempt["ended_at"])
         self.assertLess(attempt["ended_at"] - attempt["sent_at"], 1000 * MS)
         self.assertEqual((end["event"], end["state"], end["reason"]), ("end", "delivered", "completed"))
+
+    def test_attempts_and_closes_name_their_connection_and_what_it_carried_before(self) -> None:
+        lines: list[str] = []
+        self.start(lambda partner, sock, number: sock.sendall(reply(200)))
+        self.counters.trace = MessageTrace(lines.append)
+        self.counters.trace.enabled = True
+        for name in ("first", "second"):
+            self.submit(name)
+            wait_for_condition(lambda name=name: gevent.sleep(0.3) or f'"{name}"' in "".join(lines), 2.0)  # type: ignore[misc]
+        self.connections.close_idle(1)
+        records = [json.loads(line.removeprefix(TRACE_PREFIX)) for line in lines]
+        attempts = [each for each in records if each["event"] == "attempt"]
+        self.assertEqual([(each["connection"], each["calls_before"]) for each in attempts], [(1, 0), (1, 1)])
+        self.assertEqual([each["rested"] > 0 for each in attempts], [False, True])
+        (close,) = (each for each in records if each["event"] == "close")
+        self.assertEqual((close["connection"], close["calls"], close["last_message"]), (1, 2, "second"))
--- a/tests/net/test_retry_after.py
+++ b/tests/net/test_retry_after.py
@@ -14,12 +14,13 @@
 from cedarwick.net.assignment import Assignment
 from cedarwick.net.attempts import AttemptCall, AttemptResult, AttemptRunner, parse_retry_after
 from cedarwick.net.clock import Clock
-from cedarwick.net.connections import Connection, ConnectionPool
+from cedarwick.net.connections import ConnectionPool
 from cedarwick.net.counters import Counters
 from cedarwick.net.descriptors import DescriptorBudget
 from cedarwick.net.dispatcher import Dispatcher
 from cedarwick.net.http import ResponseParser
 from cedarwick.net.notifications import Notifier
+from cedarwick.net.receiver_connection import Connection
 from cedarwick.net.sockets import PollClock
 from cedarwick.net.submission import Submission
 from cedarwick.store.journal import Store
