Peer link: an answer names its request, so a copy answers no other one

A lease would count as granted, or facts as stored, by a member that had not handled them.

Both ends of this link are ours: each request now carries its number on the connection (X-Request-Id), the answer returns it, and another number ends the connection and the call (CW712, may have been handled). Members of earlier versions answer without it and are read as before. Failed before: test_a_second_copy_of_an_answer_does_not_answer_the_next_request (the copy was taken).

--- a/cedarwick/fleet/peer_client.py
+++ b/cedarwick/fleet/peer_client.py
@@ -23,6 +23,7 @@
 from cedarwick.fleet.peer_verifier import PeerVerifier
 from cedarwick.fleet.transport import (
     PEER_MESSAGE_PATH,
+    REQUEST_ID_HEADER,
     Address,
     PeerMessageTooLargeError,
     PeerRefusedError,
@@ -49,11 +50,12 @@
 class PooledConnection:
     """A connection to a member; it carries one request at a time."""
 
-    __slots__ = ("sock", "buffer", "used_at")
+    __slots__ = ("sock", "buffer", "requests", "used_at")
 
     def __init__(self, sock: gevent.socket.socket) -> None:
         self.sock = sock
         self.buffer = Buffer()
+        self.requests = 0  # sent on it; the number of a request is its id
         self.used_at = time.monotonic()
 
 
@@ -200,10 +202,19 @@
     reusable = False
     try:
         connection.sock.settimeout(None)  # the caller limits the time of the whole call
+        connection.requests += 1
         connection.sock.sendall(
-            b"POST %s HTTP/1.1\r\nHost: %s:%d\r\nContent-Type: application/msgpack\r\n"
+            b"POST %s HTTP/1.1\r\nHost: %s:%d\r\nContent-Type: application/msgpack\r\n%s: %d\r\n"
             b"Content-Length: %d\r\n\r\n%s"
-            % (PEER_MESSAGE_PATH, peer.address[0].encode(), peer.address[1], len(peer_message), peer_message)
+            % (
+                PEER_MESSAGE_PATH,
+                peer.address[0].encode(),
+                peer.address[1],
+                REQUEST_ID_HEADER.encode(),
+                connection.requests,
+                len(peer_message),
+                peer_message,
+            )
         )
         data = bytearray()
         parser = http.ResponseParser(data.extend)
@@ -214,6 +225,9 @@
                 raise http.InvalidResponseError("connection closed before the answer was complete")
             if len(data) > MAX_MESSAGE_BYTES:
                 raise http.InvalidResponseError(f"answer exceeds the limit of {MAX_MESSAGE_BYTES} bytes")
+        request_id = parser.headers.get(REQUEST_ID_HEADER)
+        if request_id is not None and request_id != str(connection.requests):
+            raise http.InvalidResponseError(f"the answer to request {request_id[:20]}, not {connection.requests}")
         # False if more bytes follow the answer: they would be read as the answer to the next request.
         reusable = parser.keep_alive
     finally:
--- a/cedarwick/fleet/peer_request.py
+++ b/cedarwick/fleet/peer_request.py
@@ -1,11 +1,15 @@
 """Incremental parser of HTTP requests to the peer server."""
 
+import re
+
 import httptools
 
 from cedarwick.fleet.messages import PeerMessageHeader
+from cedarwick.fleet.transport import REQUEST_ID_HEADER
 from cedarwick.net import http
 
 MAX_HEAD_BYTES = 1 << 13  # of the request line and the header lines
+REQUEST_ID_PATTERN = re.compile(rb"[0-9]{1,20}")
 
 
 class HttpRequest:
@@ -17,6 +21,7 @@
         self.url = b""
         self.method = b""  # empty until the head is complete
         self.content_length = -1  # -1: no Content-Length header
+        self.request_id = b""  # to be returned with the answer; empty: the caller sent none
         self.body: bytearray | None = bytearray()  # received so far; None: the body is discarded
         self.complete = False
         self.keep_alive = False
@@ -31,9 +36,11 @@
         self.url += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record the Content-Length; raises `ValueError` if it is not a number."""
+        """Record Content-Length and request id; raises `ValueError` if the length is not a number."""
         if name.lower() == b"content-length":
             self.content_length = int(value)
+        elif name.lower() == REQUEST_ID_HEADER.encode() and REQUEST_ID_PATTERN.fullmatch(value):
+            self.request_id = value
 
     def on_headers_complete(self) -> None:
         self.method = self.parser.get_method()
--- a/cedarwick/fleet/peer_server.py
+++ b/cedarwick/fleet/peer_server.py
@@ -25,6 +25,7 @@
 from cedarwick.fleet.peer_verifier import PeerVerifier
 from cedarwick.fleet.transport import (
     PEER_MESSAGE_PATH,
+    REQUEST_ID_HEADER,
     Address,
     AnswerFailedError,
     NotAPeerMessageError,
@@ -96,9 +97,12 @@
                 status, data = self._respond(request, sock, caller)
                 keep_alive = request.complete and request.keep_alive
                 sock.settimeout(IDLE_TIMEOUT_S)
+                header_lines = b"" if keep_alive else b"Connection: close\r\n"
+                if request.request_id:
+                    header_lines += b"%s: %s\r\n" % (REQUEST_ID_HEADER.encode(), request.request_id)
                 sock.sendall(
                     b"HTTP/1.1 %s\r\nContent-Type: application/msgpack\r\nContent-Length: %d\r\n%s\r\n%s"
-                    % (status, len(data), b"" if keep_alive else b"Connection: close\r\n", data)
+                    % (status, len(data), header_lines, data)
                 )
                 if not keep_alive:
                     return  # close instead of reading the rest of a discarded body
--- a/cedarwick/fleet/transport.py
+++ b/cedarwick/fleet/transport.py
@@ -3,12 +3,16 @@
 A refusal is a peer message with a `RequestRefused` body. Its HTTP status is 4xx if the request is at fault, 503 if too
 many requests are in progress, and 500 if the handler failed. The transport never sends a message twice; callers retry
 with `backoff.Backoff`. The server is in `peer_server.py`, the client in `peer_client.py`.
+
+A request has a number in the header `X-Request-Id`, and its answer has the same: a second copy of an answer is not
+taken for the answer to the next request on the connection. Members of earlier versions answer without it.
 """
 
 from cedarwick.errors import CedarwickError
 from cedarwick.fleet.messages import RequestRefused
 
 PEER_MESSAGE_PATH = b"/fleet/1"
+REQUEST_ID_HEADER = "x-request-id"
 
 Address = tuple[str, int]  # host and port
 
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -413,6 +413,33 @@
                 (peers.call("b", Acknowledged(), 5), peers.peers["b"].connections), (Acknowledged(), set())
             )
 
+    # Guards against: a copy of an answer is taken for the answer to the next request on its connection, so that a lease
+    # counts as granted, or facts as stored, by a member that has not handled the request.
+    def test_a_second_copy_of_an_answer_does_not_answer_the_next_request(self) -> None:
+        body = encode(PeerMessage(1, 1, "g", "b", 5, "a", Acknowledged()))
+        first_answer = reply(200, "X-Request-Id: 1", body=body)
+        receiver = Receiver(first_answer)  # the second request gets the copy alone
+        self.addCleanup(receiver.close)
+        peers = self.create_peers(receiver.port)
+        self.assertEqual(peers.call("b", Acknowledged(), 5), Acknowledged())
+        self.assert_unreachable("the answer to request 1, not 2", peers)
+        self.assertEqual(peers.peers["b"].connections, set())
+
+    def test_an_answer_has_the_id_of_its_request(self) -> None:
+        request = self.post_request(
+            encode(PeerMessage(1, 1, "g", "a", 5, "b", Acknowledged())),
+            header_lines="Connection: close\r\nX-Request-Id: 17\r\n",
+        )
+        self.assertIn(b"\r\nx-request-id: 17\r\n", self.exchange_bytes(request))
+
+    def test_answers_of_earlier_versions_without_a_request_id_are_accepted(self) -> None:
+        receiver = Receiver(reply(200, body=encode(PeerMessage(1, 1, "g", "b", 5, "a", Acknowledged()))))
+        self.addCleanup(receiver.close)
+        peers = self.create_peers(receiver.port)
+        for _ in range(2):
+            self.assertEqual(peers.call("b", Acknowledged(), 5), Acknowledged())
+        self.assertEqual(receiver.connections, 1)
+
     def test_idle_connections_that_were_closed_are_replaced(self) -> None:
         self.peers.call("b", Acknowledged(), 5)
         dead = self.peers.peers["b"].idle[0]
