Post notices on connections of their own: a copied 204 lost the next notice

A second copy of the 204 to one post acknowledged the next one; if the platform had refused that, its message ended without a notice.

Each post now has a connection of its own, with Connection: close. Failed before: test_a_second_copy_of_a_204_acknowledges_no_other_notice (m2 was never taken).

--- a/cedarwick/net/notifications.py
+++ b/cedarwick/net/notifications.py
@@ -1,5 +1,7 @@
 """Notices of final answers, posted to the platform's `/status` until each is acknowledged with a 204.
 
+Each post has a connection of its own: on a shared one, a second copy of the 204 to one post would acknowledge the next.
+
 Names that end in `_S` are in seconds. The dispatcher calls `enqueue`; the process runs `run` in a greenlet.
 """
 
@@ -8,12 +10,11 @@
 
 import gevent
 import gevent.event
-import gevent.socket
 
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.counters import Counters
 from cedarwick.net.http import InvalidResponseError, ResponseParser
-from cedarwick.net.sockets import is_closed, open_connection
+from cedarwick.net.sockets import open_connection
 
 POST_TIMEOUT_S = 2.0  # for connecting, the post and its answer
 RETRY_DELAY_S = 0.25  # before a failed post is sent again
@@ -21,7 +22,7 @@
 
 
 class Notifier:
-    """Owns the notices that are not acknowledged yet, and the connection to the platform."""
+    """Owns the notices that are not acknowledged yet, and posts them."""
 
     def __init__(
         self, platform: tuple[str, int], counters: Counters, on_acknowledged: Callable[[list[int]], None]
@@ -31,8 +32,6 @@
         self.on_acknowledged = on_acknowledged  # called with the message numbers
         self.pending: dict[int, bytes] = {}  # by message number; bounded by the number of stored messages
         self.has_unposted = gevent.event.Event()
-        self.sock: gevent.socket.socket | None = None
-        self.sock_address = platform
         self.post_greenlet: gevent.Greenlet | None = None
 
     def change_address(self, platform: tuple[str, int]) -> None:
@@ -83,34 +82,21 @@
             with gevent.Timeout(POST_TIMEOUT_S, TimeoutError("the platform did not answer in time")):
                 return self._send(body)
         except (OSError, InvalidResponseError) as error:
-            self._close()
             self.counters.warning("a notice could not be posted", error)
             return 0
-        except gevent.GreenletExit:
-            self._close()
-            raise
 
     def _send(self, body: bytes) -> int:
-        if self.sock is not None and (self.sock_address != self.platform or is_closed(self.sock)):
-            self._close()
-        if self.sock is None:
-            self.sock, self.sock_address = open_connection(self.platform, POST_TIMEOUT_S), self.platform
-        self.sock.settimeout(None)
-        head = (
-            f"POST /status HTTP/1.1\r\nHost: {self.platform[0]}:{self.platform[1]}\r\n"
+        host, port = self.platform
+        request = (
+            f"POST /status HTTP/1.1\r\nHost: {host}:{port}\r\nConnection: close\r\n"
             f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
         )
-        self.sock.sendall(head.encode() + body)
         answer, buffer = ResponseParser(), Buffer()
-        while not answer.complete:
-            if not buffer.fill(self.sock):
-                raise InvalidResponseError("the connection was closed before the answer was complete")
-            answer.feed(buffer)
-        if not answer.keep_alive:
-            self._close()
+        with open_connection(self.platform, POST_TIMEOUT_S) as sock:
+            sock.settimeout(None)
+            sock.sendall(request.encode() + body)
+            while not answer.complete:
+                if not buffer.fill(sock):
+                    raise InvalidResponseError("the connection was closed before the answer was complete")
+                answer.feed(buffer)
         return answer.status
-
-    def _close(self) -> None:
-        if self.sock is not None:
-            self.sock.close()
-            self.sock = None
