An answer before the last byte of a request delivers nothing

Where the write of a large request failed, a 200 that lay in the socket delivered the message, though the receiver had not got the request; a 410 ended it and a 500 counted as one that may have run.

Such a call is a failed connection now. A whole 429 or 503 still counts: a receiver may refuse before it has read all, and the wait it asks for is heeded. The connection is closed before the result is reported. Failed before: test_a_200_before_the_last_byte_of_the_request_delivers_nothing (200, 410 and 500).

--- a/cedarwick/net/attempts.py
+++ b/cedarwick/net/attempts.py
@@ -31,6 +31,7 @@
 MAX_CLEARANCE_REQUESTS = 3  # by an attempt whose clearances expire; then it is not sent, and is decided on again
 # How long an answer is awaited after its call timed out. The receiver sees the sending side closed, and ends sooner.
 LATE_ANSWER_TIMEOUT_US = 1_000_000
+REFUSAL_STATUSES = (429, 503)
 MILLISECONDS_PATTERN = re.compile(r"([0-9]{1,300})(\.[0-9]{1,300})?")
 NUMBER_PATTERN = re.compile(r"-?[0-9]{1,9}(\.[0-9]{1,30})?(e-[0-9]{1,2})?")  # a value in a report
 
@@ -191,7 +192,6 @@
     def _exchange(self, call: AttemptCall, connection: Connection) -> bool:
         """Write the request and read the answer; returns whether the connection can be used again."""
         answer = ResponseParser()
-        failure: Outcome | None = Outcome.CONNECT_FAILED
         try:
             self._wait_until(connection, min(call.until, call.send_by))
             request = encode_request(call, self.clock.now())
@@ -206,8 +206,8 @@
             self.counters.metrics.attempts_sent += 1
             failure = self._read(call, connection, answer)
         except OSError:
-            # The last byte was not written, so the attempt never ran; an early answer may tell more.
-            self._read_unread_bytes(call, connection, answer)
+            self._end_incomplete_call(call, connection, answer)
+            return False
         if answer.complete:
             connection.call_answered(self.clock.now(), answer.status)
         if answer.followed_by_input:
@@ -227,6 +227,17 @@
             self._report_failure(call, failure or Outcome.RESET)
         return False
 
+    def _end_incomplete_call(self, call: AttemptCall, connection: Connection, answer: ResponseParser) -> None:
+        """End a call whose last byte was not written: it never ran, and no answer but a refusal can be its own."""
+        self._read_unread_bytes(call, connection, answer)
+        self.connections.release(connection, usable=False)
+        if answer.complete and answer.status in REFUSAL_STATUSES:
+            self._report_answer(call, answer)
+            return
+        if answer.status:
+            self.counters.add(f"answers {answer.status} before the end of the request")
+        self._report_failure(call, Outcome.CONNECT_FAILED)
+
     def _record_first_byte(self, call: AttemptCall, connection: Connection) -> None:
         call.sent_at = self.clock.now()
         call.connection, call.calls_before = connection.number, connection.calls
--- a/tests/net/test_connection_reuse.py
+++ b/tests/net/test_connection_reuse.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import threading
 import time
 import unittest
 from collections.abc import Callable
@@ -12,14 +13,19 @@
 from unittest import mock
 
 import gevent
+import gevent.socket
 from loguru import logger
 
 from cedarwick.decisions.connection_reuse import AT_MOST_ONCE_QUIET_PERIOD, MIN_QUIET_PERIOD, ConnectionReuse
+from cedarwick.net import connections
 from cedarwick.net.clock import Clock
 from cedarwick.net.connections import ConnectionPool
 from cedarwick.net.counters import Counters
 from cedarwick.net.descriptors import RESERVED_DESCRIPTORS, DescriptorBudget
 from cedarwick.net.receiver_connection import Connection
+from cedarwick.net.sockets import open_connection
+from cedarwick.net.submission import Submission
+from cedarwick.store.records import StoredMessage
 from tests.build import reply
 from tests.net.test_retry_after import Partner, PartnerTestCase
 
@@ -78,6 +84,63 @@
         self.assertEqual(self.delivered, ["first", "second"])
 
 
+class AnswerBeforeTheRequestTest(PartnerTestCase):
+    """An answer that comes before the request has been written whole, which is larger than the sockets' buffers."""
+
+    BODY = b"b" * 60_000
+    BUFFER_BYTES = 4096
+
+    def play_first_call(self, answer: bytes) -> None:
+        """Answer the first call after a part of it, and break it off; complete all others."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.BUFFER_BYTES)
+        self.addCleanup(listener.close)
+        self.calls_read_whole = 0
+
+        def serve() -> None:
+            first, _ = listener.accept()
+            with first:
+                first.recv(100)
+                first.sendall(answer)
+                time.sleep(0.05)
+            second, _ = listener.accept()
+            with second, second.makefile("rb") as stream:
+                while stream.readline() not in (b"\r\n", b""):
+                    pass
+                self.calls_read_whole += len(stream.read(len(self.BODY))) == len(self.BODY)
+                second.sendall(reply(200))
+
+        threading.Thread(target=serve, daemon=True).start()
+        self.start(lambda partner, sock, number: None)
+        self.connections.address_of = lambda _: listener.getsockname()
+
+    def open_with_small_buffer(self, address: tuple[str, int], timeout_s: float) -> gevent.socket.socket:
+        sock = open_connection(address, timeout_s)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.BUFFER_BYTES)
+        return sock
+
+    def submit_large(self) -> None:
+        deadline = self.clock.now() + 8_000_000
+        self.dispatcher.submit(Submission(StoredMessage(0, "large", "", 0, "once", "", 0, deadline, self.BODY)))
+
+    # Guards against: a 200 that came before the request delivers a message that the receiver has never got.
+    def test_a_200_before_the_last_byte_of_the_request_delivers_nothing(self) -> None:
+        for answer in (reply(200), reply(410), reply(500)):
+            with self.subTest(answer), mock.patch.object(connections, "open_connection", self.open_with_small_buffer):
+                self.play_first_call(answer)
+                self.submit_large()
+                run_until(lambda: self.counters.counts["messages over: completed"])
+                self.assertEqual(self.calls_read_whole, 1)
+                self.assertEqual(self.counters.counts["attempts without an answer: connect failed"], 1)
+
+    def test_a_refusal_before_the_last_byte_of_the_request_is_heeded(self) -> None:
+        with mock.patch.object(connections, "open_connection", self.open_with_small_buffer):
+            self.play_first_call(reply(429, "X-Backoff-Ms: 300"))
+            self.submit_large()
+            run_until(lambda: self.counters.counts["messages over: completed"])
+        self.assertEqual((self.calls_read_whole, self.counters.counts["answers 429"]), (1, 1))
+
+
 class ConnectionPoolTest(unittest.TestCase):
     """Which connection a call gets, and when, while connections are not quiet for long enough."""
 
