--- a/cedarwick/lab/relay.py
+++ b/cedarwick/lab/relay.py
@@ -19,12 +19,14 @@
     answer-lost  forwards a request and drops its answer; then the connection is reset, or stays silent
     twice        sends a request a second time on another connection, `ms` and up to `jitter_ms` later; the caller
                  never sees the second answer
+    answer-twice sends an answer a second time on the same connection, `ms` and up to `jitter_ms` later
 
-The last six affect a `share` of the messages, at most `times` (0: any number), and only those whose request contains
+The last seven affect a `share` of the messages, at most `times` (0: any number), and only those whose request contains
 `holding`. A connection that has lost bytes of its stream is reset when the fault ends, since nothing more could be
 parsed on it.
 """
 
+import contextlib
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -38,7 +40,7 @@
 
 from cedarwick.lab.listeners import accept_connections, listen, reset_connection
 
-Kind = Literal["cut", "silent", "delay", "trickle", "reset", "ask-lost", "answer-lost", "twice"]
+Kind = Literal["cut", "silent", "delay", "trickle", "reset", "ask-lost", "answer-lost", "twice", "answer-twice"]
 Direction = Literal["asks", "answers"]
 Tap = Callable[[Direction, bytes], None]
 
@@ -334,6 +336,8 @@
                     return self.end()
             elif raw and self._wait_and_check_delivery("answers", raw):
                 self._write("answers", self.caller, raw)
+                if (copied := self.relay.first_fault_hitting("answer-twice", "answers", self.request)) is not None:
+                    gevent.spawn_later(self.relay.draw_delay_ms(copied) / 1000, self._write_second_copy, raw)
             if not whole:
                 self._wait_open("answers")
                 return self.end(gently=True)
@@ -382,6 +386,13 @@
                 gevent.sleep(slow.ms / 1000)
         self.relay.counts[f"{way}: passed"] += 1
 
+    def _write_second_copy(self, raw: bytes) -> None:
+        if self.ended or self.relay.drops("answers"):
+            return
+        with contextlib.suppress(OSError):
+            self.caller.sendall(raw)
+            self.relay.counts["answers: second copies"] += 1
+
     def _callee_socket(self) -> gevent.socket.socket:
         """Return the connection to the callee, opened when first needed; OSError if connecting fails."""
         if self.callee is None:
--- a/cedarwick/lab/schedule.py
+++ b/cedarwick/lab/schedule.py
@@ -19,7 +19,8 @@
 PROCESS_KINDS = ("kill", "term", "stop", "folder-lost", "folder-spoilt")  # the sender itself is out
 FOLDER_KINDS = ("folder-lost", "folder-spoilt")
 SPLIT_KINDS = ("split",)  # some senders are cut off from all others
-LINK_KINDS: tuple[str, ...] = get_args(Kind)  # faults of the link of one pair; see `relay.py`
+# Faults of the link of one pair that are drawn; see `relay.py`. One that is added here changes the plans of all seeds.
+LINK_KINDS: tuple[str, ...] = tuple(kind for kind in get_args(Kind) if kind != "answer-twice")
 PARTITION_KINDS = ("cut", "silent")  # link faults after which the two may consider each other dead
 KINDS = (*PROCESS_KINDS, "disk-full", *SPLIT_KINDS, *LINK_KINDS)
 RECOVERY_US = 4 * SECOND  # a sender counts as out for this long after its fault, while it starts and catches up
--- a/tests/lab/test_relay.py
+++ b/tests/lab/test_relay.py
@@ -125,6 +125,15 @@
             gevent.sleep(0.02)
             self.assertEqual(len(self.relay.connections), 0)
 
+    def test_an_answer_is_written_twice_on_its_connection(self) -> None:
+        self.relay.begin(Fault(kind="answer-twice", way="answers", ms=20, times=1))
+        self.assertEqual(self.exchange(b"abc"), "cba")
+        self.connection.settimeout(0.5)
+        self.assertTrue(self.connection.recv(65536).endswith(b"\r\n\r\ncba"))
+        self.assertEqual(self.exchange(b"def"), "fed")
+        self.assert_arrived(b"abc", b"def")
+        self.assertEqual(self.relay.counts["answers: second copies"], 1)
+
     def test_a_delay_is_drawn_by_the_seed(self) -> None:
         fault = Fault(kind="delay", way="answers", ms=40, jitter_ms=40)
         self.relay.begin(fault)
--- a/tests/processes/test_fleet.py
+++ b/tests/processes/test_fleet.py
@@ -8,6 +8,7 @@
 from cedarwick.lab.fleet import Fleet
 from cedarwick.lab.invariants import Terms
 from cedarwick.lab.partner import Effect
+from cedarwick.lab.relay import Fault
 from cedarwick.lab.schedule import draw_plan
 from tests.processes import rig
 
@@ -134,6 +135,20 @@
 
         self.run_case(case)
 
+    # Guards against: a copy of an answer between members is taken for the answer to the next request (a lease that
+    # nobody granted, facts that nobody stored).
+    def test_answers_between_members_that_arrive_twice(self) -> None:
+        def case(fleet: Fleet) -> None:
+            fault = fleet.begin_fault(Fault(kind="answer-twice", way="answers", jitter_ms=20, share=0.3))
+            fleet.load(5)
+            gevent.sleep(2.0)
+            fleet.kill(0)
+            gevent.sleep(2.0)
+            fleet.start(0)
+            fleet.heal(fault)
+
+        self.run_case(case)
+
     def test_all_senders_are_restarted_in_turn_under_load(self) -> None:
         def case(fleet: Fleet) -> None:
             fleet.load(40)
