--- a/cedarwick/lab/restart_soak.py
+++ b/cedarwick/lab/restart_soak.py
@@ -3,8 +3,8 @@
 `python -m cedarwick.lab.restart_soak SEED` plays one day and prints one JSON line, a `DayResult`. `tests/soak.py` plays
 many days. The seed alone determines a day. Clients use their open connections after SIGTERM until the process has
 ended; SIGKILL follows at the earliest time that the specification allows (`TERM_TIMEOUT_S`). Some days have idle
-clients that use up the file descriptors, receivers that hang, break off or reset connections, and a platform that stops
-serving the endpoint list.
+clients that use up the file descriptors, receivers that hang, break off or reset connections, answers that are written
+twice, and a platform that stops serving the endpoint list.
 """
 
 import contextlib
@@ -49,6 +49,7 @@
     "term right behind a start": ("term", "start", "term"),
     "hup right behind a start": ("kill", "start", "hup"),
 }
+LATEST_COPY_MS = 90.0  # a copy that is not later can be told from the answer to the next call
 EFFECTS = ("hang", "crash", "cut", "errors", "idle-drop")
 
 SCENARIO = Scenario(
@@ -81,6 +82,13 @@
     length_s: float
 
 
+class PlannedCopies(NamedTuple):
+    """A share of all answers is written a second time, all day."""
+
+    share: float
+    longest_delay_ms: float
+
+
 class RestartPlan(NamedTuple):
     """The signals and faults of a day."""
 
@@ -88,6 +96,7 @@
     effects: tuple[PlannedEffect, ...]
     idle_clients: bool
     silent_list_s: tuple[float, float] | None  # the platform stops serving the endpoint list: begin, length
+    copies: PlannedCopies | None
 
 
 class DayResult(msgspec.Struct):
@@ -118,7 +127,8 @@
     )
     idle_clients = rng.random() < 0.3
     silent_list_s = (rng.uniform(0.0, 4.0), rng.uniform(1.0, 5.0)) if rng.random() < 0.3 else None
-    return RestartPlan(tuple(series), effects, idle_clients, silent_list_s)
+    copies = PlannedCopies(rng.uniform(0.05, 0.4), rng.uniform(0.0, LATEST_COPY_MS)) if rng.random() < 0.4 else None
+    return RestartPlan(tuple(series), effects, idle_clients, silent_list_s, copies)
 
 
 class RestartDay:
@@ -132,6 +142,10 @@
     def play(self) -> None:
         """Play the day until every message has its final answer."""
         self.fleet.load(LOAD_S)
+        if self.plan.copies is not None:
+            copies = Effect("second-copy", self.plan.copies.share, round(self.plan.copies.longest_delay_ms * MS))
+            for destination in range(SCENARIO.destinations()):
+                self.fleet.begin_effect(destination, copies)
         greenlets = [gevent.spawn(self._play_series, each) for each in self._series_by_sender()]
         greenlets += [gevent.spawn(self._play_effect, each) for each in self.plan.effects]
         if self.plan.silent_list_s is not None:
