An attempt aborted while it waits for a quiet connection gives the connection back

It is put back whatever ends the wait, and taken like any other. Failed before: test_an_aborted_wait_returns_the_connection.

--- a/cedarwick/net/connections.py
+++ b/cedarwick/net/connections.py
@@ -111,8 +111,7 @@
                 return None
             self.counters.add("calls that waited for a quiet link")
             self._open_spare(receiver, address)
-            if self._wait_until_quiet(connection, quiet_period):
-                return connection
+            self._wait_until_quiet(connection, quiet_period)
 
     def _take_quiet(self, receiver: int, address: tuple[str, int], quiet_period: int) -> Connection | None:
         """Take the last used idle connection that is quiet for long enough; close those that cannot be used again."""
@@ -142,21 +141,15 @@
         self.reserved[connection] = gevent.event.Event()
         return connection
 
-    def _wait_until_quiet(self, connection: Connection, quiet_period: int) -> bool:
-        """Wait for the end of a reserved connection's quiet period; whether it can be used.
-
-        False if it was closed, or if a spare connection came first; then it is idle again.
-        """
+    def _wait_until_quiet(self, connection: Connection, quiet_period: int) -> None:
+        """Wait for the end of a reserved connection's quiet period, for its end or for a spare one; then it is idle."""
         remaining_us = connection.quiet_at(quiet_period) - self.clock.now()
-        self.reserved[connection].wait(max(0, remaining_us) / 1_000_000)
-        del self.reserved[connection]
-        if connection.closed:
-            return False
-        if connection.quiet_at(quiet_period) > self.clock.now():
-            self.idle.setdefault(connection.receiver, deque()).appendleft(connection)
-            return False
-        connection.stop_watching()
-        return not self.close_if_readable(connection)
+        try:
+            self.reserved[connection].wait(max(0, remaining_us) / 1_000_000)
+        finally:  # the attempt may have been aborted
+            del self.reserved[connection]
+            if not connection.closed:
+                self.idle.setdefault(connection.receiver, deque()).appendleft(connection)
 
     def _open_spare(self, receiver: int, address: tuple[str, int]) -> None:
         """Open one more connection to a busy receiver in the background, if a descriptor is free."""
--- a/tests/net/test_connection_reuse.py
+++ b/tests/net/test_connection_reuse.py
@@ -195,6 +195,16 @@
         other = self.acquire(at_most_once=True)
         self.assertTrue(other is not connection or self.quiet_for(connection) >= AT_MOST_ONCE_QUIET_PERIOD)
 
+    # Guards against: an attempt that is aborted while it waits (its session moves) takes the connection with it.
+    def test_an_aborted_wait_returns_the_connection(self) -> None:
+        self.without_spares()
+        connection, _ = self.answered_connection()
+        waiting = gevent.spawn(self.acquire)
+        gevent.sleep(MIN_QUIET_S / 4)
+        self.assertEqual(list(self.pool.reserved), [connection])
+        waiting.kill()
+        self.assertEqual((self.pool.reserved, list(self.pool.idle[1])), ({}, [connection]))
+
     def test_a_spare_connection_that_is_up_first_ends_the_wait(self) -> None:
         connection, _ = self.answered_connection()
         spare = self.acquire()
