--- a/cedarwick/net/connections.py
+++ b/cedarwick/net/connections.py
@@ -197,6 +197,7 @@
             self.counters.add("bytes that no call asked for")
             return
         self.counters.add("answers that no call asked for")
+        self.counters.metrics.unexpected_answers += 1
         if connection.answered_at:
             self.reuse.answer_repeated(now, connection.receiver, now - connection.answered_at)
 
--- a/cedarwick/net/metrics.py
+++ b/cedarwick/net/metrics.py
@@ -6,7 +6,7 @@
 class Metrics:
     """Counters by name of the priority class; the gauges are passed to `text`."""
 
-    __slots__ = ("priority_classes", "passed", "dropped", "bad_gateway", "attempts_sent")
+    __slots__ = ("priority_classes", "passed", "dropped", "bad_gateway", "attempts_sent", "unexpected_answers")
 
     def __init__(self, priority_classes: list[str] | None = None) -> None:
         self.priority_classes = list(priority_classes or [])
@@ -14,6 +14,7 @@
         self.dropped: Counter[str] = Counter()  # messages rejected, at admission or later
         self.bad_gateway: Counter[str] = Counter()  # messages abandoned
         self.attempts_sent = 0  # requests written completely to receivers
+        self.unexpected_answers = 0  # answers of receivers that no call asked for
 
     def text(self, in_progress: int, known: int, skipped: int) -> str:
         """All metrics in Prometheus's text format.
@@ -37,11 +38,11 @@
                     for priority_class in sorted(set(metrics.priority_classes) | set(counted)):
                         family.add_metric([priority_class], counted[priority_class])
                     families.append(family)
-                families.append(
-                    CounterMetricFamily(
-                        "sender_upstream_tries", "requests written whole to receivers", value=metrics.attempts_sent
-                    )
-                )
+                for name, count, meaning in (
+                    ("sender_upstream_tries", metrics.attempts_sent, "requests written whole to receivers"),
+                    ("sender_unexpected_answers", metrics.unexpected_answers, "answers that no call asked for"),
+                ):
+                    families.append(CounterMetricFamily(name, meaning, value=count))
                 for name, value, meaning in (
                     ("sender_in_progress", in_progress, "messages taken and not ended"),
                     ("sender_known_receivers", known, "receivers in the list"),
--- a/tests/net/test_connection_reuse.py
+++ b/tests/net/test_connection_reuse.py
@@ -293,6 +293,7 @@
         self.deliver_first()
         self.assert_logged("b'HTTP/1.1 200", " ms after the", "CW304")
         self.assertEqual(self.counters.counts["answers that no call asked for"], 1)
+        self.assertIn("\nsender_unexpected_answers_total 1.0\n", self.counters.metrics.text(0, 0, 0))
 
     def test_a_copy_right_behind_its_answer_is_logged(self) -> None:
         self.start(lambda partner, sock, number: sock.sendall(reply(200) * 2))
