--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""More traffic than partners with limits take: the state folder fills, and receivers' health changes all the time.
+"""A little more traffic than many partners take: the state folder fills, and their health changes all the time.
 
 The sender has crashed if its folder holds more than `disk_mb`, every file counted in whole 512 bytes. Exit status 1
 if it ever held more, 0 if not, 2 if the case could not run.
@@ -15,28 +15,29 @@
 
 DISK_MB = 3
 LIMIT_BYTES = DISK_MB << 20  # read in the larger of its two meanings
-PARTNERS = 34
-PARTNER_LIMIT = 3.0  # calls a second that each takes; refused beyond that
+SENDERS = 4
+PARTNERS = 136
+PARTNER_LIMIT = 3.0 / SENDERS  # of 3 calls a second from all senders, this one's part; refused beyond that
+BURST = 2.0  # calls that a partner takes at once after a rest
 DEADLINE_MS = 12000
 MAX_OPEN = 1080  # 9 s of 120 messages a second
 BODY_BYTES = (1350, 4050)
-USUAL_RATE = 120.0 if trouble() else 77.0  # messages a second; the partners together take 102
-JUMP, JUMP_S, JUMP_EVERY_S = (2.2, 8.0, 20.0) if trouble() else (1.0, 8.0, 20.0)  # traffic jumps now and then
+RATE = 120.0 if trouble() else 77.0  # messages a second; the partners together take 102
 CLIENTS = 4
 LENGTH_S = 90.0
-ENOUGH_LOOKS = 3  # over the limit, which end the case early
+ENOUGH_LOOKS = 100  # over the limit, which end the case early
 
 
 class LimitedPartner:
     """Takes a plain rate of calls; answers 429 without a wait above it."""
 
     def __init__(self) -> None:
-        self.at, self.left, self.lock = time.monotonic(), PARTNER_LIMIT, threading.Lock()
+        self.at, self.left, self.lock = time.monotonic(), BURST, threading.Lock()
 
     def __call__(self, request: HttpRequest) -> tuple[int, float, str]:
         with self.lock:
             now = time.monotonic()
-            self.left, self.at = min(PARTNER_LIMIT, self.left + (now - self.at) * PARTNER_LIMIT), now
+            self.left, self.at = min(BURST, self.left + (now - self.at) * PARTNER_LIMIT), now
             if self.left < 1:
                 return 429, 0.0, ""
             self.left -= 1
@@ -88,11 +89,9 @@
 def load(record: Record, sender: Sender, index: int, over: threading.Event, answers: dict[str, int]) -> None:
     client = Client(record, sender.address, f"client {index}")
     rng, due, number = random.Random(index), time.monotonic(), 0
-    began = due
     while not over.is_set():
         number += 1
-        jump = JUMP if (due - began) % JUMP_EVERY_S < JUMP_S else 1.0
-        due += rng.expovariate(USUAL_RATE * jump / CLIENTS)
+        due += rng.expovariate(RATE / CLIENTS)
         time.sleep(max(0.0, due - time.monotonic()))
         answer = client.submit(
             f"m{index}-{number}",
@@ -113,6 +112,7 @@
 def main() -> int:
     record = Record(".")
     configured = settings()
+    configured["balancers"] = SENDERS
     configured["policy-limits"]["max-open"] = MAX_OPEN
     configured["family-info"]["max-calls"] = 60
     for each in configured["classes"]:
