Laboratory: starts of senders no longer hold up its event loop, one at a time

Cause: 17 senders are restarted at the same moment. Their greenlets wake in one round of the event loop, and each blocks it while its process starts (4.7 ms on average here beside six busy processes, 75 to 82 ms for the 17). The loop was 85 and 94 ms late at 10.14 s, the moment of the restarts, and each late request was due from 10.1 to 10.2 s.

Change: one process starts at a time, and the loop runs for 5 ms between two starts. Bounds and load stay.

--- a/cedarwick/lab/senders.py
+++ b/cedarwick/lab/senders.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import gevent
+import gevent.lock
 import gevent.socket
 import psutil
 
@@ -23,6 +24,9 @@
 REAP_INTERVAL_S = 0.05  # between two checks whether a process has ended
 SAMPLE_INTERVAL_S = 0.5  # between two samples of the resources that a process uses
 TERM_TIMEOUT_S = 3.7  # from SIGTERM to SIGKILL
+# Starting a process blocks the event loop, and so do many in a row, by which requests would be sent late.
+START_INTERVAL_S = 0.005
+start_slot = gevent.lock.BoundedSemaphore(1)
 PING = b"*1\r\n$4\r\nPING\r\n"
 COMMAND = (sys.executable, "-m", "cedarwick")
 
@@ -89,9 +93,10 @@
             "RELAY_NAME": f"n{self.number}",
             **self._operator(),
         }
-        with open(self.log, "ab") as log:
+        with start_slot, open(self.log, "ab") as log:
             self.process = subprocess.Popen(self.command, env=environment, stdout=log, stderr=log)
-        self._record("started")
+            self._record("started")
+            gevent.sleep(START_INTERVAL_S)
         gevent.spawn(self._reap, self.process)
         end_at = self.day.now() + round(READY_TIMEOUT_S * 1_000_000)
         while not self._answers_ping():
