SUSPEND, RESTORE, PAUSE and RESUME hold for both processes of a replacement

PAUSE was forgotten by the replacement; SUSPEND at the new process was not heeded by the old one, which still sent; a caller in the middle of its line was closed without an answer.

Cause: each process took its own view of what operators had set for that of the sender. It wrote suspended.json, but read it only at its start and as it got the folder; PAUSE was in memory alone.

Change: operator_state.py keeps both settings in files that are changed under a lock shared by the processes; each process with another one beside it reads them every 50 ms. The management address is served to the end of the process, and accepted callers are answered. Why it works: every yes now stands in a file that the sending process reads within 50 ms, whichever process gave it. An unreadable file no longer restores the other receivers.

--- a/cedarwick/fleet/gossip.py
+++ b/cedarwick/fleet/gossip.py
@@ -24,6 +24,7 @@
 from cedarwick.net.endpoint_list import EndpointList
 from cedarwick.ops import saved_state as files
 from cedarwick.ops.management import ManagementCommands
+from cedarwick.ops.operator_state import OperatorStateBusyError
 
 SEND_INTERVAL_US = 250_000  # between two peer messages of a kind to one member
 DIGEST_INTERVAL_US = 5_000_000  # between two digests to a member while nothing changes
@@ -160,15 +161,21 @@
 
     def _suspension_changed(self, uid: str, calls: int) -> None:
         """Record an operator's command at this member and send it to the others."""
-        self.suspension_table.refresh(wall_time())
-        self.suspension_table.set_calls(wall_time(), uid, calls)
-        self._add_missing([uid])
-        self._apply_and_save()
+        with self.management.state.locked():
+            self.suspension_table.refresh(wall_time())
+            self.suspension_table.set_calls(wall_time(), uid, calls)
+            self._add_missing([uid])
+            saved = None if self.unsaved else self._read_suspended_file()
+            if saved is not None:
+                self._add_missing(self.suspension_table.apply_saved_file(wall_time(), saved))
+            self._apply_and_save()
         self.next_check_at = 0
 
     def _exchange_rows(self, now: int, name: str) -> None:
         try:
             self._send_rows(now, name)
+        except OperatorStateBusyError as error:
+            self.counters.warning("rows of another member are not merged", error)
         finally:
             self.calls_in_progress.discard(name)
 
@@ -202,7 +209,14 @@
         self.next_exchange_at[name] = now + DIGEST_INTERVAL_US
 
     def _merge_received(self, sender: str, merge: Callable[[int], list[str]]) -> None:
-        """Merge rows of another member, and suspend or restore receivers accordingly."""
+        """Merge rows of another member, and suspend or restore receivers accordingly.
+
+        Raises `OperatorStateBusyError`.
+        """
+        with self.management.state.locked():
+            self._merge_locked(sender, merge)
+
+    def _merge_locked(self, sender: str, merge: Callable[[int], list[str]]) -> None:
         now, synced_at = wall_time(), self.suspension_table.synced_at
         saved = None if self.unsaved else self._read_suspended_file()
         if saved is not None:
--- a/cedarwick/ops/management_server.py
+++ b/cedarwick/ops/management_server.py
@@ -3,6 +3,7 @@
 Started by `program.py`. Constants that end in `_S` are in seconds.
 """
 
+import contextlib
 from collections.abc import Callable
 
 import gevent
@@ -18,7 +19,9 @@
 MAX_CALLERS = 64  # concurrent connections; further ones are answered NO and closed, so that STATUS is not delayed
 BACKLOG = 64  # connections that the kernel queues until they are accepted
 ACCEPT_RETRY_S = 0.02  # after a failed accept
-LATE_ANSWER_S = 0.1  # to write the refusal of an incomplete line
+ANSWER_DEADLINE_S = 2.0  # to carry out a call
+WRITE_TIMEOUT_S = 2.0  # to write an answer
+CLOSE_POLL_INTERVAL_S = 0.01  # between two checks whether all callers are answered
 DISCARD_S, MAX_DISCARDED_BYTES = 0.5, 1 << 16  # limits for discarding input after the line of a call
 
 # Answers a call with a line that begins with YES or NO, with metrics that end in END, or with a function that writes
@@ -50,6 +53,8 @@
         self.counters = counters
         self.answer = answer
         self.callers = 0
+        self.unanswered = 0  # accepted callers whose answer is not written yet
+        self.unanswered = 0  # callers accepted whose answer is not written yet
         self.listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
         try:
             self.listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
@@ -68,55 +73,90 @@
                 self.counters.warning("accepting a management call failed", error)
                 gevent.sleep(ACCEPT_RETRY_S)
                 continue
-            gevent.spawn(self._serve, sock)
+            self._start_serving(sock)
+
+    def close(self, timeout_s: float) -> None:
+        """Stop accepting callers, and answer those whose connections are open, for at most `timeout_s`."""
+        # Closing the listener would reset connections that wait in its queue.
+        self.listener.settimeout(0.0)
+        with contextlib.suppress(OSError):
+            while True:
+                self._start_serving(self.listener.accept()[0])
+        self.listener.close()
+        with gevent.Timeout(timeout_s, False):
+            while self.unanswered:
+                gevent.sleep(CLOSE_POLL_INTERVAL_S)
+
+    def _start_serving(self, sock: gevent.socket.socket) -> None:
+        self.unanswered += 1
+        gevent.spawn(self._serve, sock)
 
     def _serve(self, sock: gevent.socket.socket) -> None:
         streaming = None
         self.callers += 1
         try:
-            # Without a timeout a caller that never completes its line would hold its descriptor and greenlet forever.
-            sock.settimeout(LINE_DEADLINE_S)
-            if self.callers > MAX_CALLERS:
-                sock.sendall(refusal(TooManyCallersError("too many callers")).encode("ascii", "replace"))
-                return
-            with gevent.Timeout(LINE_DEADLINE_S):
-                reply = self._reply(sock)
-            if callable(reply):
-                streaming = reply  # a subscriber is no longer counted as a caller
-                return
-            sock.sendall(reply.encode("ascii", "replace"))
-            discard_input(sock)
-        except gevent.Timeout:
-            late_line = InvalidCallError("the line did not come in time")
-            self.counters.warning("a management call that cannot be read", late_line)
-            with gevent.Timeout(LATE_ANSWER_S, False):
-                sock.sendall(refusal(late_line).encode("ascii", "replace"))
+            try:
+                streaming = self._answer_caller(sock)
+            finally:
+                self.unanswered -= 1
+            if streaming is None:
+                discard_input(sock)
         except OSError as error:
             self.counters.add(f"management callers lost: {type(error).__name__}")
         finally:
-            self.callers -= 1
+            self.callers -= 1  # a subscriber is no longer counted as a caller
             try:
                 if streaming is not None:
                     streaming(sock)
             finally:
                 sock.close()
 
-    def _reply(self, sock: gevent.socket.socket) -> str | StreamingAnswer:
-        """Read the one call of this connection and return its answer."""
+    def _answer_caller(self, sock: gevent.socket.socket) -> StreamingAnswer | None:
+        """Read the one call of a connection and write its answer, or return the function that streams it.
+
+        Raises OSError if the connection broke.
+        """
+        sock.settimeout(LINE_DEADLINE_S)
+        if self.callers > MAX_CALLERS:
+            sock.sendall(refusal(TooManyCallersError("too many callers")).encode("ascii", "replace"))
+            return None
+        try:
+            # Without a timeout a caller that never completes its line would hold its descriptor and greenlet forever.
+            with gevent.Timeout(LINE_DEADLINE_S):
+                line = self._read_line(sock)
+        except InvalidCallError as error:
+            reply: str | StreamingAnswer = self._refuse_invalid(error)
+        except gevent.Timeout:
+            reply = self._refuse_invalid(InvalidCallError("the line did not come in time"))
+        else:
+            reply = self._reply(line)
+        if callable(reply):
+            return reply
+        sock.settimeout(WRITE_TIMEOUT_S)
+        sock.sendall(reply.encode("ascii", "replace"))
+        return None
+
+    @staticmethod
+    def _read_line(sock: gevent.socket.socket) -> bytes:
+        """Read the line of a call; raises `InvalidCallError` if it does not end."""
         buffer = Buffer()
         while (end := buffer.find(b"\n")) < 0:
             if len(buffer) > max_line_bytes(buffer.peek(0, 7)):
-                return self._refuse_invalid(InvalidCallError("the line is too long"))
+                raise InvalidCallError("the line is too long")
             if not buffer.fill(sock):
-                return self._refuse_invalid(InvalidCallError("the line did not end"))
-        line = buffer.take(end + 1).rstrip(b"\r\n")
+                raise InvalidCallError("the line did not end")
+        return buffer.take(end + 1).rstrip(b"\r\n")
+
+    def _reply(self, line: bytes) -> str | StreamingAnswer:
+        """Carry out a call and return its answer."""
         try:
             call = parse_call(line)
         except InvalidCallError as error:
             return self._refuse_invalid(error)
         self.counters.add(f"management calls: {call.name}")
         try:
-            return self.answer(call)
+            with gevent.Timeout(ANSWER_DEADLINE_S, CallFailedError("the call took too long")):
+                return self.answer(call)
         except CedarwickError as error:
             self.counters.add(f"management calls refused: {error.code}")
             return refusal(error)
--- a/cedarwick/ops/saved_state.py
+++ b/cedarwick/ops/saved_state.py
@@ -1,15 +1,17 @@
-"""Small JSON files in `$RELAY_STATE` that outlive a process: suspended receivers and Retry-After waits.
+"""Small JSON files in `$RELAY_STATE` that outlive a process: suspended receivers, a pause and Retry-After waits.
 
-The folder also holds the store's segments, whose names never match these. Used by `management.py` and
+The folder also holds the store's segments, whose names never match these. Used by `operator_state.py` and
 `process_handover.py`.
 """
 
+import contextlib
 import json
 import os
 
 from cedarwick.errors import CedarwickError
 
 SUSPENSIONS_FILE = "suspended.json"  # SUSPEND calls in force by uid; they survive restarts until a RESTORE
+PAUSE_FILE = "paused.json"  # exists while the sender is paused; a replacement reads it, a start after an end deletes it
 WAITS_FILE = "waits.json"  # ends of Retry-After waits by uid, in wall-clock microseconds; read once, by the replacement
 MAX_FILE_BYTES = 1 << 20  # a larger file was not written by this module
 
@@ -31,6 +33,21 @@
     _write(os.path.join(folder, SUSPENSIONS_FILE), calls)
 
 
+def read_pause(folder: str) -> bool:
+    """Return whether the sender is paused."""
+    return os.path.exists(os.path.join(folder, PAUSE_FILE))
+
+
+def write_pause(folder: str, paused: bool) -> None:
+    """Record that the sender is paused, or no longer paused. Raises OSError."""
+    path = os.path.join(folder, PAUSE_FILE)
+    if paused and not os.path.exists(path):
+        _write(path, {"paused": 1})
+    elif not paused:
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(path)
+
+
 def write_waits(folder: str, waits: dict[str, int]) -> None:
     """Replace the saved ends of Retry-After waits, by uid, in wall-clock microseconds. Raises OSError."""
     _write(os.path.join(folder, WAITS_FILE), waits)
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 from typing import TYPE_CHECKING
 
 import gevent
@@ -128,6 +129,8 @@
     notifier: Notifier
     health_file: HealthFile
     node: "FleetNode | None"
+    management_greenlet: gevent.Greenlet
+    stopping_since: float  # monotonic time of SIGTERM
 
     def __init__(
         self, assignment: Assignment, operator: "Operator | None", reload_requested: gevent.event.Event
@@ -161,6 +164,7 @@
                 self._ready, self.client_listener, self.endpoint_list, assignment.folder, self._metrics_text
             )
             self.management_commands.accepts_clients = True
+            self.management_commands.report_unreadable = self._report_unreadable_state
             self.management = (
                 ManagementServer(assignment.management, self.counters, self.management_commands.answer)
                 if assignment.management
@@ -172,9 +176,10 @@
         with startup_errors():
             holds_folder = try_load_store(self.store, replacing=self.inherited_socket is not None)
         self._learn_known_list()
-        self.management_commands.apply_saved_suspensions()
+        self._apply_operator_state(holds_folder)
         if self.management is not None:
-            self.greenlets.append(gevent.spawn(self.management.serve))
+            self.management_greenlet = gevent.spawn(self.management.serve)
+            self.management_greenlet.link_exception(exit_on_failure)
         if not holds_folder:
             self._wait_for_folder()
         self._connect_dispatcher()
@@ -196,6 +201,7 @@
 
     def shut_down(self) -> None:
         """End every part within the time that SIGTERM allows; hand over if a replacement shares the clients' socket."""
+        self.stopping_since = time.monotonic()
         self.management_commands.accepts_clients = False
         logger.info("ending: {} messages stored", len(self.store.messages))
         if self.inherited_socket is not None:
@@ -226,6 +232,24 @@
         except ValueError as error:
             raise AssignmentError(f"invalid known list: {error}") from None
 
+    def _apply_operator_state(self, holds_folder: bool) -> None:
+        """Apply what operators have set, and follow the changes that another process on the folder makes."""
+        commands = self.management_commands
+        commands.holds_folder = holds_folder
+        commands.apply_saved_state()
+        if holds_folder:
+            commands.forget_pause()
+        self.greenlets.append(gevent.spawn(commands.follow_changes, shared=self.inherited_socket is not None))
+
+    def _report_unreadable_state(self, error: CedarwickError) -> None:
+        self.counters.warning("the receivers taken out by hand cannot be read", error)
+
+    def _close_management(self) -> None:
+        """Answer the callers of the management address that are still connected, as far as SIGTERM leaves time."""
+        if self.management is not None:
+            self.management_greenlet.kill()
+            self.management.close(self.stopping_since + DRAIN_DEADLINE_S - time.monotonic())
+
     def _wait_for_folder(self) -> None:
         """Wait until the replaced process has released the folder; the list is watched meanwhile."""
         # The management address already answers: only once this process reports that it is ready is the replaced one
@@ -236,7 +260,8 @@
             while not try_load_store(self.store, replacing=True):
                 gevent.sleep(HANDOVER_POLL_INTERVAL_S)
         logger.info("{} holds the folder", self.assignment.name)
-        self.management_commands.apply_saved_suspensions()
+        self.management_commands.holds_folder = True
+        self.management_commands.apply_saved_state()
         # A list call may have failed during the wait, and no decision round has run yet that would repeat it.
         self.endpoint_list.reopen_watch()
 
@@ -358,13 +383,16 @@
         if self.node is not None:
             self.node.hand_over()
             self.node.stop()
+        self.management_commands.stop_serving()
         save_waits(self.assignment.folder, self.endpoint_list, self.dispatcher)
+        self.management_commands.release_folder()
         self.health_file.close()
         self.store.close()  # from here on the replacement may lock the folder
         with gevent.Timeout(HANDOVER_CLIENT_CLOSE_S, False):
             while self.client_listener.clients:
                 gevent.sleep(HANDOVER_POLL_INTERVAL_S)
         self.client_listener.drain_and_close(LAST_ANSWERS_S)
+        self._close_management()
 
     def _drain(self) -> None:
         """Stop at SIGTERM without a replacement: attempt messages for a while, then wait for attempts in flight."""
@@ -384,6 +412,8 @@
         gevent.killall(self.greenlets)
         if node is not None:
             node.stop()
+        self.management_commands.stop_serving()
+        self._close_management()
         self.health_file.close()
         self.store.close()
 
--- a/tests/fleet/test_suspensions.py
+++ b/tests/fleet/test_suspensions.py
@@ -154,9 +154,9 @@
             set_suspended=lambda uids: setattr(self.endpoint_list, "suspended", uids),
         )
         self.management = ManagementCommands(
-            lambda: True, SimpleNamespace(), self.endpoint_list, self.state_folder, lambda: ""
+            lambda: True, SimpleNamespace(paused=False), self.endpoint_list, self.state_folder, lambda: ""
         )
-        self.management.apply_saved_suspensions()
+        self.management.apply_saved_state()
         clock: Any = SimpleNamespace(now=lambda: NOW)
         self.gossip_of_m = gossip.Gossip("m", FleetFiles(self.state_folder), clock, Counters(), self.answer_marks)
         self.gossip_of_m.attach(self.management, self.endpoint_list, self.dispatcher)
