limits.disk_mb holds for all files in the state folder, not for the segments alone

Cause: the store counted its own writes against the limit, and the other files only once, at the start. health.jsonl then grew up to 120 KB beside a store that fills the folder to its limit. By the drawn test, moves of compaction and headers of new segments passed the limit, too.

Change: FolderSpace counts every file. health.jsonl, suspended.json, paused.json and waits.json ask it before they are written and reserve what they may need, which the store leaves free of new messages. Each append and each new segment is held against the limit of the folder; short records leave the bytes with which a dead segment is deleted. Where the rewritten health file has no room beside the old one, the old one is cut off first: a process started then ramps up all receivers instead of trusting it. A failed write leaves no .new file behind. Why it works: no file in the folder grows any more without a check of the sum.

--- a/cedarwick/ops/management.py
+++ b/cedarwick/ops/management.py
@@ -15,6 +15,7 @@
 from cedarwick.ops import saved_state
 from cedarwick.ops.commands import SUBSCRIPTION_CALLS, Call, NotInFleetError, SessionsDisabledError, Suspensions
 from cedarwick.ops.operator_state import ChangeNotSavedError, OperatorState, OperatorStateBusyError
+from cedarwick.store.folder_space import FolderSpace
 
 FOLLOW_INTERVAL_S = 0.05  # between two looks for changes by another process of this sender
 APPLIED_ELSEWHERE_S = 2 * FOLLOW_INTERVAL_S  # after a change, until the process that sends has applied it
@@ -117,6 +118,11 @@
         self._reload()
         self._apply()
 
+    def take_folder(self, space: FolderSpace) -> None:
+        """Apply and write the operators' settings for all processes from now on: this one holds the folder."""
+        self.holds_folder = True
+        self.state.space = space
+
     def forget_pause(self) -> None:
         """End a pause that an earlier process has left behind: a restart ends it, a replacement does not."""
         self.state.save(self.state.calls, paused=False)
@@ -149,6 +155,7 @@
         if self.state.unsaved:
             self.state.save(self.state.calls, self.state.paused)
         self.holds_folder = False
+        self.state.space = None
 
     def save_suspensions(self, calls: dict[str, int]) -> bool:
         """Suspend exactly these receivers and save their calls; returns whether the file was written."""
--- a/cedarwick/ops/operator_state.py
+++ b/cedarwick/ops/operator_state.py
@@ -16,7 +16,8 @@
 
 from cedarwick.errors import CedarwickError
 from cedarwick.ops import saved_state
-from cedarwick.store.files import DiskError
+from cedarwick.store.files import DiskError, NoSpaceError
+from cedarwick.store.folder_space import FolderSpace
 
 LOCK_FILE = "operators.lock"  # locked while a process changes one of the files
 LOCK_TIMEOUT_S = 0.5  # a caller of the management address waits 1 s for its answer
@@ -42,6 +43,7 @@
 
     def __init__(self, folder: str) -> None:
         self.folder = folder
+        self.space: FolderSpace | None = None  # set while this process holds the folder
         self.calls: dict[str, int] = {}  # SUSPEND calls in force, by uid
         self.paused = False
         self.unsaved = False  # whether the last write failed, so that the files lack a change of this process
@@ -91,6 +93,8 @@
 
         Raises `UnreadableFileError`.
         """
+        if self.space is not None:
+            saved_state.measure(self.space)
         if self.unsaved:
             return
         self.calls = saved_state.read_suspensions(self.folder)
@@ -100,9 +104,9 @@
         """Set and write the suspensions and the pause; returns whether the files were written."""
         self.calls, self.paused = dict(calls), paused
         try:
-            saved_state.write_suspensions(self.folder, self.calls)
-            saved_state.write_pause(self.folder, paused)
-        except OSError as error:
+            saved_state.write_suspensions(self.folder, self.calls, self.space)
+            saved_state.write_pause(self.folder, paused, self.space)
+        except (OSError, NoSpaceError) as error:
             if not self.unsaved:
                 logger.error(DiskError(f"cannot save what operators have set: {error}").line)
             self.unsaved = True
--- a/cedarwick/ops/process_handover.py
+++ b/cedarwick/ops/process_handover.py
@@ -10,7 +10,7 @@
 from cedarwick.net.dispatcher import Dispatcher
 from cedarwick.net.endpoint_list import EndpointList
 from cedarwick.ops import saved_state
-from cedarwick.store.files import DiskError, FolderInUseError
+from cedarwick.store.files import DiskError, FolderInUseError, NoSpaceError
 from cedarwick.store.journal import Store
 
 # Maximum duration of the consecutive steps after SIGTERM, if a replacement process shares the clients' socket:
@@ -29,8 +29,8 @@
     current_waits = dispatcher.sender.retry_after_waits(dispatcher.clock.now())
     waits = {uids[receiver]: until for receiver, until in current_waits if receiver in uids}
     try:
-        saved_state.write_waits(folder, waits)
-    except OSError as error:
+        saved_state.write_waits(folder, waits, dispatcher.store.space)
+    except (OSError, NoSpaceError) as error:
         logger.error(DiskError(f"the Retry-After waits cannot be handed over: {error}").line)
 
 
@@ -41,6 +41,8 @@
     except saved_state.UnreadableFileError as error:
         logger.error("the Retry-After waits of the replaced process cannot be read: {}", error.line)
         return
+    finally:
+        saved_state.measure(dispatcher.store.space)
     dispatcher.apply_retry_after(
         [
             (endpoint_list.receiver_numbers[uid], until)
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from cedarwick.decisions.connection_reuse import ConnectionReuse
-from cedarwick.decisions.interface import EndpointState, duration_setting
+from cedarwick.decisions.interface import EndpointState, EndpointUpdate, ListedEndpoint, duration_setting
 from cedarwick.decisions.sender_state import MAX_LIST_POLL_DELAY
 from cedarwick.errors import CedarwickError
 from cedarwick.net.assignment import Assignment, AssignmentError, read_assignment
@@ -28,6 +28,7 @@
 from cedarwick.net.endpoint_list import EndpointList
 from cedarwick.net.notifications import Notifier
 from cedarwick.net.sockets import PollClock
+from cedarwick.ops import saved_state
 from cedarwick.ops.handover import inherited_listener
 from cedarwick.ops.management import ManagementCommands
 from cedarwick.ops.management_server import ManagementServer
@@ -40,7 +41,6 @@
     try_load_store,
 )
 from cedarwick.startup import create_fleet_node, create_store, startup_errors
-from cedarwick.store.files import Folder
 from cedarwick.store.health_file import HealthFile
 
 if TYPE_CHECKING:
@@ -149,7 +149,7 @@
             self.poll_clock = PollClock(self.clock)
             self.dispatcher = self._new_dispatcher()
             self.endpoint_list = EndpointList(
-                assignment, self.counters, self.dispatcher.apply_endpoint_update, self.dispatcher.list_poll_failed
+                assignment, self.counters, self._apply_endpoint_update, self.dispatcher.list_poll_failed
             )
             self.client_listener = ClientListener(
                 assignment.listen,
@@ -183,7 +183,9 @@
         if not holds_folder:
             self._wait_for_folder()
         self._connect_dispatcher()
-        self.health_file = HealthFile(Folder(self.assignment.folder), self.counters.warning, self.store.durable)
+        self.health_file = HealthFile(
+            self.store.folder, self.counters.warning, self.store.durable, space=self.store.space
+        )
         self.dispatcher.restore_health(self.health_file)
         self.dispatcher.restore()
         restore_waits(self.assignment.folder, self.endpoint_list, self.dispatcher)
@@ -222,6 +224,10 @@
     def _metrics_text(self) -> str:
         return self.counters.metrics.text(*gauge_values(self.dispatcher, self.endpoint_list))
 
+    def _apply_endpoint_update(self, update: EndpointUpdate, listings: list[ListedEndpoint]) -> None:
+        saved_state.reserve_space(self.store.space, len(self.endpoint_list.receiver_numbers))
+        self.dispatcher.apply_endpoint_update(update, listings)
+
     def _learn_known_list(self) -> None:
         """Start from the list of receivers saved in the assignment; raises `AssignmentError` if it is invalid."""
         if not self.assignment.known:
@@ -235,7 +241,9 @@
     def _apply_operator_state(self, holds_folder: bool) -> None:
         """Apply what operators have set, and follow the changes that another process on the folder makes."""
         commands = self.management_commands
-        commands.holds_folder = holds_folder
+        commands.holds_folder = False
+        if holds_folder:
+            commands.take_folder(self.store.space)
         commands.apply_saved_state()
         if holds_folder:
             commands.forget_pause()
@@ -260,7 +268,7 @@
             while not try_load_store(self.store, replacing=True):
                 gevent.sleep(HANDOVER_POLL_INTERVAL_S)
         logger.info("{} holds the folder", self.assignment.name)
-        self.management_commands.holds_folder = True
+        self.management_commands.take_folder(self.store.space)
         self.management_commands.apply_saved_state()
         # A list call may have failed during the wait, and no decision round has run yet that would repeat it.
         self.endpoint_list.reopen_watch()
--- a/cedarwick/store/compaction.py
+++ b/cedarwick/store/compaction.py
@@ -15,6 +15,7 @@
 from cedarwick.store.bodies import BodyCache, BodyLostError
 from cedarwick.store.compaction_planner import RecordUse
 from cedarwick.store.files import DiskError, Folder, NoSpaceError, ignore_os_error, segment_name
+from cedarwick.store.folder_space import FolderSpace
 from cedarwick.store.records import DROP, FINISHED, FINISHED_BODY, FRAME_HEADER, StoredMessage
 from cedarwick.store.segment_writer import ObsoleteFile, PendingRecord, SegmentWriter
 from cedarwick.store.segments import Segment, SegmentIndex
@@ -28,7 +29,7 @@
     """The part of `journal.Store` that compaction uses."""
 
     durable: bool
-    limit_bytes: int
+    space: FolderSpace
     writer: SegmentWriter
     folder: Folder
     body_cache: BodyCache
@@ -226,7 +227,7 @@
             0 if use is RecordUse.NEW_MESSAGE else compaction_planner.SHORT_RECORD_SLACK_BYTES
         )
         steps = 0 if use is RecordUse.SHORT_RECORD else self.inline_steps_since_step
-        while growth_bytes and self.store.limit_bytes - self.store.writer.used_bytes - growth_bytes < reserve:
+        while growth_bytes and self.store.space.segment_limit - self.store.writer.used_bytes - growth_bytes < reserve:
             steps += 1
             self.inline_steps += 1
             self.inline_steps_since_step += 1
@@ -235,9 +236,7 @@
             if steps > (MAX_INLINE_STEPS if use is RecordUse.SHORT_RECORD else 1) or not self.compact_victim(
                 self.max_step_bytes, space_is_short=True
             ):
-                if (
-                    use is RecordUse.SHORT_RECORD
-                    and self.store.limit_bytes - self.store.writer.used_bytes - growth_bytes >= 0
-                ):
+                needed_bytes = growth_bytes + compaction_planner.drop_bytes(self.store.sizes())
+                if use is RecordUse.SHORT_RECORD and self.store.space.has_room(needed_bytes):
                     return  # short records may use the reserve
                 raise NoSpaceError("the folder is at its size limit")
--- a/cedarwick/store/compaction_planner.py
+++ b/cedarwick/store/compaction_planner.py
@@ -64,6 +64,11 @@
     return sizes.segment + sizes.largest_record + 2 * sizes.header + SHORT_RECORD_SLACK_BYTES + 2 * BLOCK_BYTES
 
 
+def drop_bytes(sizes: Sizes) -> int:
+    """Return the bytes that deleting a segment without live records takes: a record, and a segment to hold it."""
+    return round_up_to_blocks(sizes.header) + 2 * BLOCK_BYTES
+
+
 def free_message_bytes(sizes: Sizes) -> int:
     """Return the bytes of new messages that fit once the folder is compacted; at least 0."""
     # Partly filled last blocks and a small share of dead bytes in each segment are never freed. Counting them as free
--- a/cedarwick/store/health_file.py
+++ b/cedarwick/store/health_file.py
@@ -12,15 +12,18 @@
 from cedarwick.decisions.interface import EarlierHealth, HealthState
 from cedarwick.errors import CedarwickError
 from cedarwick.store.elapsed_time import Moment, MomentClock, elapsed
-from cedarwick.store.files import Folder, ignore_os_error
+from cedarwick.store.files import Folder, NoSpaceError, ignore_os_error
+from cedarwick.store.folder_space import FolderSpace
 
 FILE_NAME = "health.jsonl"
 NEW_FILE_NAME = "health.jsonl.new"  # the rewritten file, before it replaces the old one
 MAX_FILE_BYTES = 1 << 24  # this module writes no larger file
 MIN_REWRITE_BYTES = 1 << 15  # a smaller file is not rewritten
-REWRITE_FACTOR = 4  # the file is rewritten once it has grown by this factor
+REWRITE_FACTOR = 2  # the file is rewritten once it has grown by this factor
 READ_ATTEMPTS = 5  # when the file is loaded
 MAX_ENTRIES = 1 << 13  # the oldest beyond it are dropped: receivers that left the endpoint list while no process ran
+CUT_OFF_BYTES = 1  # of a file that only says that the health of receivers is not known
+UNLIMITED_BYTES = 1 << 62
 RETRY_INTERVAL_US = 100_000  # between attempts to rewrite the file after a failed write
 
 
@@ -54,13 +57,25 @@
         warn: Callable[[str, object], None],
         durable: bool = False,
         clock: MomentClock | None = None,
+        space: FolderSpace | None = None,
     ) -> None:
-        """`warn` takes the kind of a warning and its detail; with `durable`, `sync` syncs writes to the disk."""
+        """Create the file's writer without opening the file.
+
+        Args:
+            folder: the state folder.
+            warn: takes the kind of a warning and its detail.
+            durable: `sync` syncs writes to the disk.
+            clock: replaced by tests.
+            space: counts the file against the size limit of the folder; None: there is no limit.
+        """
         self.folder = folder
         self.warn = warn
         self.durable = durable
         self.clock = clock or MomentClock()
+        self.space = space or FolderSpace(folder, UNLIMITED_BYTES, lambda: 0)
         self.entries: dict[HealthKey, HealthEntry] = {}
+        self.longest_line = 0
+        self.missing_bytes = 0  # what the last rewrite needed, if the folder had no room for it
         self.file = -1
         self.size = 0
         self.rewritten_size = 0
@@ -100,17 +115,23 @@
             self.entries[key] = entry
         elif known is None:
             return  # the file has no entry to replace
+        line = encode_line(key, entry)
+        self.longest_line = max(self.longest_line, len(line))
+        self._reserve()
         if self.unsaved:
             self.retry()
-            return
-        if self.size > max(MIN_REWRITE_BYTES, REWRITE_FACTOR * self.rewritten_size):
+        elif self.size > max(MIN_REWRITE_BYTES, REWRITE_FACTOR * self.rewritten_size):
             self._rewrite()
-            return
-        self._append(encode_line(key, entry))
+        else:
+            self._append(line)
 
     def retry(self) -> None:
-        """Rewrite the file if a write has failed at least `RETRY_INTERVAL_US` ago."""
-        if self.unsaved and self.clock.now().uptime >= self.retry_at:
+        """Rewrite the file if a write has failed at least `RETRY_INTERVAL_US` ago and there is room."""
+        if (
+            self.unsaved
+            and self.clock.now().uptime >= self.retry_at
+            and self.space.has_room_for_file(self.missing_bytes)
+        ):
             self._rewrite()
 
     def sync(self, call: Callable[..., object]) -> None:
@@ -170,32 +191,82 @@
 
     # ---- writing ----
 
+    def _reserve(self) -> None:
+        """Reserve the space of the file at its largest, and of the rewritten file beside it."""
+        rewritten_size = len(self.entries) * self.longest_line
+        self.space.reserve(FILE_NAME, max(MIN_REWRITE_BYTES, REWRITE_FACTOR * rewritten_size) + rewritten_size)
+
     def _append(self, data: bytes) -> None:
         try:
             if self.file < 0:
                 self.file = self._create(FILE_NAME)
+            self.space.resize(FILE_NAME, self.size + len(data))
             self._write(self.file, data)
+        except NoSpaceError:
+            self._rewrite()  # the lines that no longer count may free the space
         except OSError as error:
             self._report_failed_write(error)
 
     def _rewrite(self) -> None:
         """Replace the file by one that holds only the current entries."""
+        lines = [encode_line(key, entry) for key, entry in self.entries.items()]
+        self.longest_line = max(map(len, lines), default=0)
+        self._reserve()
+        data = b"".join(lines)
+        try:
+            self._replace(data)
+        except NoSpaceError:
+            self._rewrite_without_room(data)
+        except OSError as error:
+            self._report_failed_write(error)
+
+    def _rewrite_without_room(self, data: bytes) -> None:
+        """Free the space of the file before it is written again.
+
+        The next process must not trust an outdated file, and loses nothing by one that it takes for cut off: it then
+        ramps up all receivers.
+        """
+        try:
+            self._cut_off()
+            self._replace(data)
+        except NoSpaceError as error:
+            self._report_failed_write(error)
+            self.missing_bytes = len(data)
+        except OSError as error:
+            self._report_failed_write(error)
+
+    def _cut_off(self) -> None:
+        """Truncate the file within its first line; raises OSError."""
+        file = self.folder.open(FILE_NAME, append=True)
+        try:
+            self.folder.truncate(file, CUT_OFF_BYTES)
+        finally:
+            self.folder.close(file)
+            self.space.measure(FILE_NAME)
+
+    def _replace(self, data: bytes) -> None:
+        """Replace the file; raises OSError or `NoSpaceError` and leaves it as it was, but closed, if that fails."""
         self.close()
-        ignore_os_error(self.folder.unlink, NEW_FILE_NAME)
+        self._delete_new_file()
+        self.space.resize(NEW_FILE_NAME, len(data))
         try:
             self.file = self._create(NEW_FILE_NAME)
-            if self.entries:
-                self._write(self.file, b"".join(encode_line(key, entry) for key, entry in self.entries.items()))
+            self._write(self.file, data)
             if self.durable:
                 self.folder.sync(self.file)  # or a power failure may leave the renamed file without its contents
             self.folder.rename(NEW_FILE_NAME, FILE_NAME)
-        except OSError as error:
+        except OSError:
             self.close()
-            self._report_failed_write(error)
-            return
-        self.unsaved = False
+            self._delete_new_file()
+            raise
+        self.space.renamed(NEW_FILE_NAME, FILE_NAME)
+        self.unsaved, self.missing_bytes = False, 0
         self.rewritten_size = self.size
 
+    def _delete_new_file(self) -> None:
+        ignore_os_error(self.folder.unlink, NEW_FILE_NAME)
+        self.space.measure(NEW_FILE_NAME)
+
     def _create(self, name: str) -> int:
         file = self.folder.create(name)
         self.size = 0
@@ -211,10 +282,11 @@
         self.size += len(data)
         self.unsynced = self.durable
 
-    def _report_failed_write(self, error: OSError) -> None:
-        self.unsaved = True
+    def _report_failed_write(self, error: OSError | NoSpaceError) -> None:
+        self.unsaved, self.missing_bytes = True, 0
         self.retry_at = self.clock.now().uptime + RETRY_INTERVAL_US
-        self.warn("receivers' health is not saved", HealthFileError(f"{FILE_NAME}: {error.strerror}"))
+        text = error.strerror if isinstance(error, OSError) else str(error)
+        self.warn("receivers' health is not saved", HealthFileError(f"{FILE_NAME}: {text}"))
 
 
 def is_worth_recording(health: EarlierHealth) -> bool:
--- a/cedarwick/store/journal.py
+++ b/cedarwick/store/journal.py
@@ -18,6 +18,7 @@
 from cedarwick.store.compaction import Compactor
 from cedarwick.store.compaction_planner import RecordUse
 from cedarwick.store.files import LEGACY_FILE_PATTERN, Folder, NoSpaceError, file_numbers, ignore_os_error
+from cedarwick.store.folder_space import FolderSpace
 from cedarwick.store.records import (
     ATTEMPT,
     ATTEMPT_BODY,
@@ -79,6 +80,12 @@
         self.restarted = False  # whether the folder held records at the start
         self.damaged = False  # whether some of them could not be read
         self.pending_records: deque[PendingRecord] = deque()
+        self.space = FolderSpace(
+            self.folder,
+            disk_bytes,
+            lambda: self.writer.used_bytes,
+            lambda: compaction_planner.reserved_bytes(self.sizes()),
+        )
         self.body_cache = BodyCache(self.folder, body_cache_bytes)
         self.compactor = Compactor(self, max_step_bytes)
         self.set_limit(disk_bytes)
@@ -96,7 +103,7 @@
     @property
     def used_bytes(self) -> int:
         """The size of all files, in whole blocks."""
-        return self.writer.used_bytes
+        return self.space.used_bytes
 
     @property
     def written_bytes(self) -> int:
@@ -110,7 +117,7 @@
 
     def set_limit(self, disk_bytes: int) -> None:
         """Set the limit of the size of all files; if more is in use, compaction shrinks the folder."""
-        self.limit_bytes = disk_bytes
+        self.space.set_limit(disk_bytes)
         self.reserve_bytes, self.free_bytes = 1 << 62, -1  # unknown; computed at the next use
         self.writer.max_segment_bytes = self.configured_segment_bytes or compaction_planner.segment_size(disk_bytes)
 
@@ -134,6 +141,8 @@
         self.restarted = bool(self.segment_index.segments or legacy_files)
         self.next_number = max(self.next_number, next_number)
         self.writer.update_used_bytes()
+        self.space.measure_all()
+        self.space.set_limit(self.space.limit_bytes)
         self.writer.obsolete_files = [
             ObsoleteFile(name, compaction_planner.round_up_to_blocks(self.folder.size(name))) for name in undeleted
         ]
@@ -178,8 +187,8 @@
             + records.HEADER_LINE.size * (len(self.segment_index.segments) + 1)
         )
         return compaction_planner.Sizes(
-            self.limit_bytes,
-            self.used_bytes,
+            self.space.segment_limit,
+            self.writer.used_bytes,
             self.segment_index.live_bytes,
             self.writer.max_segment_bytes,
             self.segment_index.largest_record_bytes,
@@ -398,10 +407,15 @@
         if active is None or writer.needs_segment(active, len(record)):
             active = self._next_segment(active)
         growth_bytes = active.growth(len(record))
-        if use is not RecordUse.MOVE and self.limit_bytes - writer.used_bytes - growth_bytes < self.reserve_bytes:
+        if (
+            use is not RecordUse.MOVE
+            and self.space.segment_limit - writer.used_bytes - growth_bytes < self.reserve_bytes
+        ):
             self.compactor.free_space(growth_bytes, use)
             active = writer.active or active  # compaction may have begun a new segment
             growth_bytes = active.growth(len(record))
+        if growth_bytes and not self.space.has_room_for_compaction(growth_bytes):
+            raise NoSpaceError("the folder is at its size limit")
         return active, writer.append(active, record, growth_bytes, use)
 
     def _next_segment(self, active: Segment | None) -> Segment:
@@ -416,4 +430,6 @@
 
     def begin_segment(self) -> None:
         """Seal the active segment and begin a new one; raises `NoSpaceError` if it cannot be written."""
+        if not self.space.has_room_for_compaction(compaction_planner.round_up_to_blocks(self.sizes().header)):
+            raise NoSpaceError("the folder is at its size limit")
         self.writer.begin_segment(self.next_number, self.last_legacy_file)
--- a/cedarwick/store/segment_writer.py
+++ b/cedarwick/store/segment_writer.py
@@ -12,6 +12,7 @@
 from cedarwick.store import compaction_planner, records
 from cedarwick.store.compaction_planner import RecordUse
 from cedarwick.store.files import DiskError, Folder, NoSpaceError, ignore_os_error, segment_name
+from cedarwick.store.folder_space import is_segment
 from cedarwick.store.records import Header, encode_frame
 from cedarwick.store.segments import Segment, SegmentIndex
 
@@ -43,7 +44,7 @@
         self.active: Segment | None = None
         self.active_file = -1  # descriptor of the active segment; -1: none
         self.last_segment_number = 0  # the highest number used so far
-        self.used_bytes = 0  # of all files, in whole blocks
+        self.used_bytes = 0  # of all segments, in whole blocks
         self.appended_bytes = 0  # since the last compaction step, excluding moved records
         self.moved_bytes = 0
         self.written_bytes = 0
@@ -51,9 +52,11 @@
         self.unsynced_files: set[int] = set()  # descriptors of files with unsynced bytes
 
     def update_used_bytes(self) -> None:
-        """Compute `used_bytes` from the sizes of all files."""
+        """Compute `used_bytes` from the sizes of the files."""
         self.used_bytes = sum(
-            compaction_planner.round_up_to_blocks(self.folder.size(name)) for name in self.folder.names()
+            compaction_planner.round_up_to_blocks(self.folder.size(name))
+            for name in self.folder.names()
+            if is_segment(name)
         )
 
     def reopen(self, valid_size: int) -> bool:
