A start writes no suspended.json: a fleet would read it as a RESTORE of each receiver

A member of a fleet whose file is missing takes its suspensions from fleet/marks; an empty file there says that operators have restored all receivers, and an unreadable one was replaced.

Change: suspensions and pause are written separately, and a start deletes paused.json only if it is there. The test failed before (suspended.json was in the folder).

--- a/cedarwick/ops/management.py
+++ b/cedarwick/ops/management.py
@@ -125,7 +125,9 @@
 
     def forget_pause(self) -> None:
         """End a pause that an earlier process has left behind: a restart ends it, a replacement does not."""
-        self.state.save(self.state.calls, paused=False)
+        if self.state.paused:
+            self.state.save_pause(paused=False)
+            self._apply()
 
     def follow_changes(self, shared: bool) -> None:
         """Apply the changes of another process on the folder, and repeat failed writes; never returns.
@@ -136,8 +138,7 @@
             if not shared:
                 self.save_failed.wait()
             gevent.sleep(FOLLOW_INTERVAL_S)
-            if self.state.unsaved:
-                self.state.save(self.state.calls, self.state.paused)
+            self.state.retry()
             if not self.state.unsaved:
                 self.save_failed.clear()
             try:
@@ -152,14 +153,13 @@
 
     def release_folder(self) -> None:
         """Let another process apply what operators set from now on; called before the folder is released."""
-        if self.state.unsaved:
-            self.state.save(self.state.calls, self.state.paused)
+        self.state.retry()
         self.holds_folder = False
         self.state.space = None
 
     def save_suspensions(self, calls: dict[str, int]) -> bool:
         """Suspend exactly these receivers and save their calls; returns whether the file was written."""
-        return self._change(calls, self.state.paused)
+        return self._apply_written(self.state.save_calls(calls))
 
     def _suspend_or_restore(self, call: Call) -> str:
         uid = call.argument
@@ -175,7 +175,7 @@
                 answer = f"YES {uid} restored\n"
             else:
                 raise NotSuspendedError(f"{uid} is not suspended")
-            self._change_for_all(suspensions.calls, self.state.paused)
+            self._apply_for_all(self.state.save_calls(suspensions.calls))
         self.on_suspension_change(uid, suspensions.calls.get(uid, 0))
         self._wait_until_applied()
         return answer
@@ -185,20 +185,21 @@
             self._follow_change()
             if self.state.paused == paused:
                 return "YES already paused\n" if paused else "YES not paused\n"
-            self._change_for_all(self.state.calls, paused)
+            self._apply_for_all(self.state.save_pause(paused))
         self._wait_until_applied()
         return "YES paused\n" if paused else "YES resumed\n"
 
-    def _change_for_all(self, calls: dict[str, int], paused: bool) -> None:
-        """Make a change; raises `ChangeNotSavedError` if only another process could apply it, which cannot see it."""
-        if not self._change(calls, paused) and not self.holds_folder:
-            self.state.unsaved = False
-            self._reload()
-            self._apply()
-            raise ChangeNotSavedError("the change cannot be written to the state folder")
+    def _apply_for_all(self, written: bool) -> None:
+        """Apply a change; raises `ChangeNotSavedError` if only another process could, which cannot read it."""
+        if written or self.holds_folder:
+            self._apply_written(written)
+            return
+        self.state.discard_unsaved()
+        self._reload()
+        self._apply()
+        raise ChangeNotSavedError("the change cannot be written to the state folder")
 
-    def _change(self, calls: dict[str, int], paused: bool) -> bool:
-        written = self.state.save(calls, paused)
+    def _apply_written(self, written: bool) -> bool:
         if not written:
             self.save_failed.set()
         self._apply()
--- a/cedarwick/ops/operator_state.py
+++ b/cedarwick/ops/operator_state.py
@@ -9,7 +9,7 @@
 import fcntl
 import os
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import gevent
 from loguru import logger
@@ -47,6 +47,7 @@
         self.calls: dict[str, int] = {}  # SUSPEND calls in force, by uid
         self.paused = False
         self.unsaved = False  # whether the last write failed, so that the files lack a change of this process
+        self.failure_logged = False  # the present series of failed writes
         self._lock_holder: object = None  # the greenlet that has locked the files
 
     @contextlib.contextmanager
@@ -100,16 +101,34 @@
         self.calls = saved_state.read_suspensions(self.folder)
         self.paused = saved_state.read_pause(self.folder)
 
-    def save(self, calls: dict[str, int], paused: bool) -> bool:
-        """Set and write the suspensions and the pause; returns whether the files were written."""
-        self.calls, self.paused = dict(calls), paused
+    def save_calls(self, calls: dict[str, int]) -> bool:
+        """Set and write the SUSPEND calls in force; returns whether everything is written."""
+        self.calls = dict(calls)
+        return self._write(lambda: saved_state.write_suspensions(self.folder, self.calls, self.space))
+
+    def save_pause(self, paused: bool) -> bool:
+        """Set and write whether the sender is paused; returns whether everything is written."""
+        self.paused = paused
+        return self._write(lambda: saved_state.write_pause(self.folder, self.paused, self.space))
+
+    def retry(self) -> None:
+        """Write again what could not be written."""
+        if self.unsaved:
+            self.unsaved = False
+            self.save_calls(self.calls)
+            self.save_pause(self.paused)
+
+    def discard_unsaved(self) -> None:
+        """Forget a change that could not be written; `refresh` then returns to what the files hold."""
+        self.unsaved = False
+
+    def _write(self, write: Callable[[], None]) -> bool:
         try:
-            saved_state.write_suspensions(self.folder, self.calls, self.space)
-            saved_state.write_pause(self.folder, paused, self.space)
+            write()
         except (OSError, NoSpaceError) as error:
-            if not self.unsaved:
+            if not self.failure_logged:
                 logger.error(DiskError(f"cannot save what operators have set: {error}").line)
-            self.unsaved = True
-            return False
-        self.unsaved = False
-        return True
+            self.unsaved = self.failure_logged = True
+        else:
+            self.failure_logged = self.unsaved
+        return not self.unsaved
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -256,7 +256,7 @@
         """Answer the callers of the management address that are still connected, as far as SIGTERM leaves time."""
         if self.management is not None:
             self.management_greenlet.kill()
-            self.management.close(self.stopping_since + DRAIN_DEADLINE_S - time.monotonic())
+            self.management.close(max(0.0, self.stopping_since + DRAIN_DEADLINE_S - time.monotonic()))
 
     def _wait_for_folder(self) -> None:
         """Wait until the replaced process has released the folder; the list is watched meanwhile."""
--- a/tests/ops/test_operator_state.py
+++ b/tests/ops/test_operator_state.py
@@ -91,6 +91,19 @@
         commands.release_folder()  # the last time that this process writes
         self.assertEqual(saved_state.read_suspensions(self.folder), {"a": 1, "b": 1})
 
+    def test_a_start_ends_a_pause_and_writes_no_suspensions(self) -> None:
+        """A file without suspensions would read, to the members of a fleet, as a RESTORE of each receiver."""
+        earlier, commands = self.commands(), self.commands()
+        commands.apply_saved_state()
+        commands.forget_pause()
+        self.assertEqual([name for name in os.listdir(self.folder) if name.endswith(".json")], [])
+        earlier.answer(Call("PAUSE", ""))
+        commands.apply_saved_state()
+        self.assertTrue(commands.listener.paused)
+        commands.forget_pause()
+        self.assertFalse(commands.listener.paused)
+        self.assertEqual([name for name in os.listdir(self.folder) if name.endswith(".json")], [])
+
     def test_a_file_that_cannot_be_read_restores_no_receiver(self) -> None:
         commands = self.commands()
         commands.answer(Call("SUSPEND", "a"))
