A greenlet that gives up the operators' lock no longer takes it from its holder

Symptom, found by reading: a call that waited 0.5 s in vain for the lock made its holder, in the same process, forget that it held it. If the holder then locked again, as a member of a fleet does to report a change, it waited for itself, and the change was refused (CW407) after it had been saved. Needs a holder that yields, as one that waits for its disk.

Cause: the holder was cleared on every way out, that of a failed wait included. Change: only who has locked clears it. Looked at: the other callers of locked(), in gossip and management; none clears anything of another greenlet.

--- a/cedarwick/ops/operator_state.py
+++ b/cedarwick/ops/operator_state.py
@@ -69,9 +69,11 @@
         try:
             self._wait_for_lock(file)
             self._lock_holder = gevent.getcurrent()
-            yield
+            try:
+                yield
+            finally:
+                self._lock_holder = None
         finally:
-            self._lock_holder = None
             os.close(file)
 
     @staticmethod
--- a/tests/ops/test_operator_state.py
+++ b/tests/ops/test_operator_state.py
@@ -8,6 +8,8 @@
 from typing import Any
 from unittest import mock
 
+import gevent
+
 from cedarwick.ops import saved_state
 from cedarwick.ops.commands import Call
 from cedarwick.ops.management import ManagementCommands
@@ -68,6 +70,19 @@
             commands.answer(Call("SUSPEND", "a"))
         self.assertEqual(commands.endpoints.suspended, set())
 
+    def test_a_greenlet_that_gives_up_waiting_leaves_the_lock_to_its_holder(self) -> None:
+        """The holder, which may wait for a disk, could else not lock again, and its change would be refused."""
+        state = OperatorState(self.folder)
+
+        def give_up() -> None:
+            with self.assertRaises(OperatorStateBusyError), state.locked():
+                self.fail("locked twice")
+
+        with mock.patch("cedarwick.ops.operator_state.LOCK_TIMEOUT_S", LOCK_TIMEOUT_S / 10), state.locked():
+            gevent.spawn(give_up).get()
+            with state.locked():
+                pass
+
     def test_a_change_that_only_the_sending_process_could_apply_is_refused_if_it_is_not_written(self) -> None:
         commands = self.commands(holds_folder=False)
         commands.answer(Call("SUSPEND", "a"))
