--- a/cedarwick/ops/management.py
+++ b/cedarwick/ops/management.py
@@ -176,6 +176,7 @@
             else:
                 raise NotSuspendedError(f"{uid} is not suspended")
             self._apply_for_all(self.state.save_calls(suspensions.calls))
+        self._log_change(f"{uid}: {suspensions.calls.get(uid, 0)} calls out")
         self.on_suspension_change(uid, suspensions.calls.get(uid, 0))
         self._wait_until_applied()
         return answer
@@ -186,6 +187,7 @@
             if self.state.paused == paused:
                 return "YES already paused\n" if paused else "YES not paused\n"
             self._apply_for_all(self.state.save_pause(paused))
+        self._log_change("paused" if paused else "resumed")
         self._wait_until_applied()
         return "YES paused\n" if paused else "YES resumed\n"
 
@@ -205,6 +207,10 @@
         self._apply()
         return written
 
+    def _log_change(self, change: str) -> None:
+        """Log what an operator has changed here, and whether this process or another one sends."""
+        logger.info("{}, by a call at {}", change, "the sending process" if self.holds_folder else "another process")
+
     def _wait_until_applied(self) -> None:
         """Wait until the process that sends has applied a change, if that is another one than this."""
         if not self.holds_folder:
@@ -212,9 +218,11 @@
 
     def _follow_change(self) -> None:
         """Apply what another process has changed, and report its suspensions as those of this process."""
-        before = dict(self.state.calls)
+        before, was_paused = dict(self.state.calls), self.state.paused
         self._reload()
         self._apply()
+        if self.state.paused != was_paused:
+            logger.info("{} by another process of this sender", "paused" if self.state.paused else "resumed")
         for uid in sorted(before.keys() | self.state.calls.keys()):
             if before.get(uid, 0) != self.state.calls.get(uid, 0):
                 logger.info("{}: {} calls out, by another process of this sender", uid, self.state.calls.get(uid, 0))
