--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds what the cases 6 to 10 start, beside the build of the deploy file. The stand-ins are plain Python of the
-# standard library (common2.py) and need no build; the senders of the cases 6 and 7 are members of a fleet, which needs
+# standard library (common2.py) and need no build; the senders of the cases 6, 7 and 9 are members of a fleet, which needs
 # the pinned packages of requirements-fleet.txt in the same .venv.
 set -eu
 cd "$(dirname "$0")/.."
