RESTORE no longer calls a receiver that a whole list does not have any more

Cause: apply_update noted the absence in `removed_at` only; `latest_listings` held the last entry on, in state `up`, and all its readers took it for the present one. Besides RESTORE: a spoilt entry brought such a receiver back, SUSPEND said YES to an id that nobody has, and the gauge of known receivers counted it.

Change: the entry of a receiver that a whole list lacks is replaced by one in state `removed`. SUSPEND of a receiver that is not listed any more is answered NO.

--- a/cedarwick/net/endpoint_list.py
+++ b/cedarwick/net/endpoint_list.py
@@ -114,7 +114,9 @@
         if is_full and not listings and self.has_receivers:
             # The list of a restarting platform is empty for a moment; accepting it would stop all traffic.
             raise InvalidUpdateError("a whole list with nothing in it")
-        self._forget_removed(present, is_full)
+        if is_full:
+            self._mark_unlisted(present)
+        self._forget_removed(present)
         self.version = version
         # Later deltas do not repeat the content of an unreadable line; only a full list does.
         self.needs_full_list = not all_readable or self.needs_full_list and not is_full
@@ -124,14 +126,23 @@
         )
         return all_readable
 
-    def _forget_removed(self, present: set[str], is_full: bool) -> None:
+    def _mark_unlisted(self, present: set[str]) -> None:
+        """Record that a full list has only these receivers: nothing may bring back the earlier entry of another one."""
+        for uid in self.latest_listings.keys() - present:
+            self._mark_removed(uid)
+
+    def _mark_removed(self, uid: str) -> ListedEndpoint:
+        """Replace the entry of a receiver that has left the list, and return its new one."""
+        removed = self.latest_listings[uid]._replace(endpoint_state=EndpointState.REMOVED)
+        self.latest_listings[uid] = removed
+        self.removed_at.setdefault(uid, time.monotonic())
+        return removed
+
+    def _forget_removed(self, present: set[str]) -> None:
         """Delete receivers that were removed long ago; otherwise replaced receivers would accumulate in memory."""
         now = time.monotonic()
         for uid in present:
             self.removed_at.pop(uid, None)
-        if is_full:
-            for uid in self.receiver_numbers.keys() - present:
-                self.removed_at.setdefault(uid, now)
         for uid, since in list(self.removed_at.items()):
             if now - since > FORGET_REMOVED_AFTER_S:
                 del self.removed_at[uid]
@@ -141,8 +152,9 @@
                 self.addresses.pop(number, None)
 
     def knows(self, uid: str) -> bool:
-        """Whether this receiver is listed, or was until recently."""
-        return uid in self.latest_listings
+        """Whether this receiver is listed."""
+        listing = self.latest_listings.get(uid)
+        return listing is not None and listing.endpoint_state is not EndpointState.REMOVED
 
     def set_suspended(self, uids: set[str]) -> None:
         """Set the suspended uids: the decisions see these receivers as draining until a later call omits them."""
