The memory of clients' requests and of waiting bodies follows limits.memory_mb

Symptom: with memory_mb 96 and a hanging receiver, 300 clients with five messages of 64 KB each took the process to 102 MB resident. After 300 clients had each sent 40 KB and stayed, a further client's 20 KB were refused.

Cause: memory_mb was not read; the cache of bodies took 64 MB whatever the limit. The limit on clients counted read buffers alone: not the arguments that wait for the dispatcher, but the buffers of idle connections, which shrank only above 64 KB. An argument other than the body could be 64 KB long, with some 60,000 fields.

Change: net/request_memory.py divides the limit and counts each request from its first large buffer to its answer. If there is no room, a large request without input for 0.3 s is refused before the one that wants more. A buffer shrinks once little is left in it, and bytes read into one that was emptied meanwhile are dropped. Arguments but the body are limited to 4 KB, fields to 32.

--- a/cedarwick/config/operator.py
+++ b/cedarwick/config/operator.py
@@ -75,8 +75,8 @@
         float,
         Meta(
             ge=0,
-            description="Memory for the bodies of waiting messages; other bodies are read from the folder for each "
-            "attempt. Read at startup only.",
+            description="Memory for the bodies of waiting messages, less where `limits.memory_mb` leaves no room "
+            "for it; other bodies are read from the folder for each attempt. Read at startup only.",
             extra={"unit": "MB"},
         ),
     ] = 64.0
--- a/cedarwick/net/assignment.py
+++ b/cedarwick/net/assignment.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import math
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -34,12 +35,13 @@
     known: dict[str, Any]
     settings: dict[str, str]
     management: tuple[str, int] | None = None  # address of the management server; None: no server is started
+    memory_bytes: int = 0  # limit of the memory of the process; 0: none is given
 
     def fields_needing_restart(self, other: "Assignment") -> list[str]:
         """Return the names of the fields that differ in another configuration and need a restart to take effect."""
         return [
             name
-            for name in ("name", "listen", "settings", "seed", "known", "management")
+            for name in ("name", "listen", "settings", "seed", "known", "management", "memory_bytes")
             if getattr(self, name) != getattr(other, name)
         ]
 
@@ -74,6 +76,7 @@
             management=parse_address(management_address)
             if (management_address := environment.get("RELAY_MANAGEMENT") or document.get("management"))
             else None,
+            memory_bytes=memory_limit(limits.get("memory_mb", 0)),
         )
     except KeyError as error:
         raise AssignmentError(f"{path}: {error.args[0]} is missing") from None
@@ -88,6 +91,14 @@
     return assignment
 
 
+def memory_limit(megabytes: Any) -> int:
+    """Return the memory limit in bytes, 0 for none; raises `ValueError` if it is not a finite number from 0 on."""
+    number = float(megabytes)
+    if not math.isfinite(number) or number < 0:
+        raise ValueError(f"limits.memory_mb is not a finite number from 0 on: {megabytes!r}")
+    return int(number * (1 << 20))
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Return host and port of `host:port`; raises `ValueError` if the text is not an address."""
     host, colon, port = text.rpartition(":")
--- a/cedarwick/net/buffer.py
+++ b/cedarwick/net/buffer.py
@@ -3,7 +3,7 @@
 import gevent.socket
 
 INITIAL_BYTES = 4096  # capacity of an empty buffer
-MAX_EMPTY_BYTES = 1 << 16  # a larger buffer shrinks to INITIAL_BYTES once it is empty
+MAX_IDLE_BYTES = 1 << 13  # a larger buffer shrinks once little is left in it
 
 
 class Buffer:
@@ -20,10 +20,16 @@
         return self.end - self.start
 
     def fill(self, sock: gevent.socket.socket) -> int:
-        """Read once from the socket and return the number of bytes, 0 at its end; raises what `recv_into` raises."""
+        """Read once from the socket and return the number of bytes, 0 at its end; raises what `recv_into` raises.
+
+        Also returns 0 if another greenlet has consumed bytes meanwhile, which it does only to close the connection.
+        """
         self._reserve(1)
-        with memoryview(self.data) as view, view[self.end :] as free:
+        data, end = self.data, self.end
+        with memoryview(data) as view, view[end:] as free:
             received: int = sock.recv_into(free)
+        if self.data is not data or self.end != end:
+            return 0
         self.end += received
         return received
 
@@ -33,6 +39,11 @@
         self.data[self.end : self.end + len(chunk)] = chunk
         self.end += len(chunk)
 
+    def capacity_after_fill(self) -> int:
+        """Return the capacity that the next `fill` needs; it doubles if the buffer is full."""
+        is_full = self.end - self.start == len(self.data)
+        return len(self.data) * 2 if is_full else len(self.data)
+
     def find(self, delimiter: bytes, offset: int = 0) -> int:
         """Return the offset of a delimiter from the first unconsumed byte, searching from `offset`; -1 if not found."""
         position = self.data.find(delimiter, self.start + offset, self.end)
@@ -43,12 +54,15 @@
         return bytes(self.data[self.start + offset : min(self.end, self.start + offset + size)])
 
     def skip(self, size: int) -> None:
-        """Consume bytes; a large buffer that becomes empty releases its memory."""
+        """Consume bytes; a large buffer in which little is left releases its memory."""
         self.start += size
-        if self.start == self.end:
+        remaining = len(self)
+        if not remaining:
             self.start = self.end = 0
-            if len(self.data) > MAX_EMPTY_BYTES:
-                self.data = bytearray(INITIAL_BYTES)
+        if remaining < INITIAL_BYTES and len(self.data) > MAX_IDLE_BYTES:
+            rest = self.data[self.start : self.end]
+            self.data = rest + bytearray(INITIAL_BYTES - remaining)
+            self.start, self.end = 0, remaining
 
     def take(self, size: int) -> bytes:
         """Consume bytes and return them."""
--- a/cedarwick/net/client_connections.py
+++ b/cedarwick/net/client_connections.py
@@ -14,6 +14,7 @@
 from cedarwick.net.buffer import Buffer
 from cedarwick.net.clock import Clock
 from cedarwick.net.descriptors import DescriptorBudget, NoDescriptorError
+from cedarwick.net.request_memory import RequestMemory
 from cedarwick.net.resp import MalformedRequestError, read_command
 from cedarwick.net.sockets import peek_input
 
@@ -79,9 +80,10 @@
 class ClientConnections:
     """The open connections of clients, and how they are closed."""
 
-    def __init__(self, clock: Clock, descriptors: DescriptorBudget) -> None:
+    def __init__(self, clock: Clock, descriptors: DescriptorBudget, request_memory: RequestMemory) -> None:
         self.clock = clock
         self.descriptors = descriptors
+        self.request_memory = request_memory
         self.clients: set[ClientConnection] = set()
         self.discard_buffer = bytearray(DISCARD_BUFFER_BYTES)  # target of reads whose input is discarded
 
@@ -165,6 +167,26 @@
             with contextlib.suppress(OSError):
                 client.sock.shutdown(gevent.socket.SHUT_RDWR)
 
+    def _close_stalled(self, except_for: ClientConnection) -> bool:
+        """Refuse the large incomplete request that has been without input for longest; False if there is none."""
+        slow_before = self.clock.now() - round(SLOW_REQUEST_S * 1_000_000)
+        stalled = [
+            client
+            for client in self.clients
+            if client in self.request_memory.bytes_by_client
+            and client is not except_for
+            and client.begun_at
+            and not client.closed
+            and client.idle_since < slow_before
+        ]
+        if not stalled:
+            return False
+        longest = min(stalled, key=lambda client: client.idle_since)
+        self.request_memory.release(longest)
+        self._refuse_unanswered(longest)
+        self._close(longest)
+        return True
+
     # ---- closing one connection ----
 
     def _refuse_unanswered(self, client: ClientConnection) -> None:
--- a/cedarwick/net/client_listener.py
+++ b/cedarwick/net/client_listener.py
@@ -24,6 +24,7 @@
 from cedarwick.net.descriptors import DescriptorBudget, NoDescriptorError
 from cedarwick.net.dispatcher import Dispatcher
 from cedarwick.net.message_trace import CloseReason, CloseTrace, RefusalTrace
+from cedarwick.net.request_memory import MAX_REQUEST_BYTES, RequestMemory
 from cedarwick.net.resp import InvalidSubmitError, MalformedRequestError, read_command, read_submission
 from cedarwick.net.sockets import peek_input
 from cedarwick.net.submission import AdmissionResult, Submission
@@ -35,8 +36,6 @@
 MAX_DOUBTFUL_REQUESTS = 3
 MIN_PENALTY_DELAY_S = 0.02  # after the first unusable request; doubles with each further one
 MAX_PENALTY_DELAY_S = 0.5
-MAX_BUFFERED_BYTES = 1 << 23  # total size of all client buffers; requests that need more are refused
-SMALL_BUFFER_BYTES = 1 << 13  # a buffer up to this size is not checked against MAX_BUFFERED_BYTES
 DESCRIPTOR_RETRY_DELAY_S = 0.005  # before the next attempt to claim a descriptor for a client
 ACCEPT_RETRY_DELAY_S = 0.02  # after a failed accept
 BACKLOG = 1024  # connections that the kernel queues until they are accepted
@@ -58,7 +57,7 @@
 
 
 class ConnectionShedError(CedarwickError):
-    """The buffers of all clients together have reached their size limit."""
+    """The requests of all clients together have reached their memory limit."""
 
     code = "CW902"
     remedy = "start another sender, or have clients send smaller bodies and fewer of them at once"
@@ -76,8 +75,9 @@
         dispatcher: Dispatcher,
         ready: Callable[[], bool],
         listener: gevent.socket.socket | None = None,
+        request_memory: RequestMemory | None = None,
     ) -> None:
-        super().__init__(clock, descriptors)
+        super().__init__(clock, descriptors, request_memory or RequestMemory(MAX_REQUEST_BYTES))
         self.counters = counters
         self.dispatcher = dispatcher
         self.ready = ready  # whether the store is loaded and the endpoint list is known
@@ -175,6 +175,7 @@
             client.sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
             while (parts := self._read_request(client)) is not None:
                 client.answering = True
+                self.request_memory.set(client, len(client.buffer.data) + sum(map(len, parts)))
                 reply = self._answer(client, parts)
                 if not reply:
                     # The result is unknown: any answer may be wrong, and the client would take a close for a refusal.
@@ -187,6 +188,7 @@
                 client.sock.settimeout(PARTIAL_REQUEST_TIMEOUT_S)
                 client.sock.sendall(reply)
                 client.answering = False
+                self.request_memory.set(client, len(client.buffer.data))
                 if last_answer:
                     break
                 if client.unusable >= MAX_UNUSABLE_REQUESTS:
@@ -211,6 +213,7 @@
             self.counters.add(f"clients lost: {type(error).__name__}")
         finally:
             self.clients.discard(client)
+            self.request_memory.release(client)
             self._trace_close(client, reason)
             client.sock.close()
             self.descriptors.release()
@@ -235,10 +238,7 @@
             if incomplete:
                 client.begun_at = client.begun_at or client.idle_since
                 timeout_s = PARTIAL_REQUEST_TIMEOUT_S - (client.idle_since - client.begun_at) / 1_000_000
-                if len(client.buffer.data) > SMALL_BUFFER_BYTES and MAX_BUFFERED_BYTES < sum(
-                    len(other.buffer.data) for other in self.clients
-                ):
-                    raise ConnectionShedError(f"no buffer space for a request of more than {len(client.buffer)} bytes")
+                self._claim_buffer(client)
             try:
                 if timeout_s <= 0:
                     raise TimeoutError
@@ -259,6 +259,16 @@
         client.waiting, client.begun_at, client.has_sent_request = False, 0, True
         return parts
 
+    def _claim_buffer(self, client: ClientConnection) -> None:
+        """Claim memory for the next bytes of an incomplete request, if need be that of a client that has stalled.
+
+        Raises `ConnectionShedError` if there is none.
+        """
+        size = client.buffer.capacity_after_fill()
+        while not self.request_memory.grow(client, size):
+            if not self._close_stalled(except_for=client):
+                raise ConnectionShedError(f"no memory for a request of more than {len(client.buffer)} bytes")
+
     def _count_rejection(self, fields: bytes) -> None:
         """Count a SUBMIT that was rejected at admission under its priority class, if the settings have that class."""
         for pair in fields.split(b","):
--- a/cedarwick/net/resp.py
+++ b/cedarwick/net/resp.py
@@ -12,6 +12,9 @@
 
 MAX_PARTS = 16  # arguments of one command, its name included
 MAX_BODY_BYTES = 1 << 16
+BODY_INDEX = 4  # of the body among the arguments of a SUBMIT
+MAX_ARGUMENT_BYTES = 1 << 12  # of any other argument
+MAX_FIELDS = 32  # in the list of names and values of a SUBMIT
 MAX_COMMAND_BYTES = MAX_BODY_BYTES + 4096
 MAX_COUNT_LINE_BYTES = 32  # of a line that holds a count or a length
 # Subtracted from each deadline, which is counted from the time of reading: a paused process may read a request late. A
@@ -50,12 +53,13 @@
     if count > MAX_PARTS:
         raise MalformedRequestError("Protocol error: too many parts")
     spans = []
-    for _ in range(count):
+    for index in range(count):
         header = read_length(buffer, offset, b"$")
         if header is None:
             return None
         size, offset = header
-        if size > MAX_BODY_BYTES or offset + size > MAX_COMMAND_BYTES:
+        max_size = MAX_BODY_BYTES if index == BODY_INDEX else MAX_ARGUMENT_BYTES
+        if size > max_size or offset + size > MAX_COMMAND_BYTES:
             raise MalformedRequestError("Protocol error: a part is too long")
         if len(buffer) < offset + size + 2:
             return None
@@ -109,6 +113,8 @@
     if len(parts) != 5:
         raise InvalidSubmitError("wrong number of arguments for SUBMIT")
     _, order_key, message_id, pairs, body = parts
+    if pairs.count(b",") >= MAX_FIELDS:
+        raise InvalidSubmitError("too many names and values")
     fields = dict(pair.partition(b"=")[::2] for pair in pairs.split(b","))
     if not ID_PATTERN.fullmatch(message_id):
         raise InvalidSubmitError("the id cannot be read")
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -27,6 +27,7 @@
 from cedarwick.net.dispatcher import Dispatcher
 from cedarwick.net.endpoint_list import EndpointList
 from cedarwick.net.notifications import Notifier
+from cedarwick.net.request_memory import RequestMemory, request_memory_limit
 from cedarwick.net.sockets import PollClock
 from cedarwick.ops import saved_state
 from cedarwick.ops.handover import inherited_listener
@@ -159,6 +160,7 @@
                 self.dispatcher,
                 self._ready,
                 listener=self.inherited_socket,
+                request_memory=RequestMemory(request_memory_limit(assignment.memory_bytes, assignment.descriptors)),
             )
             self.management_commands = ManagementCommands(
                 self._ready, self.client_listener, self.endpoint_list, assignment.folder, self._metrics_text
--- a/cedarwick/startup.py
+++ b/cedarwick/startup.py
@@ -11,6 +11,7 @@
 from cedarwick.net.assignment import Assignment
 from cedarwick.net.clock import Clock
 from cedarwick.net.counters import Counters
+from cedarwick.net.request_memory import body_cache_limit
 from cedarwick.store.journal import DEFAULT_BODY_CACHE_BYTES, Store
 
 if TYPE_CHECKING:
@@ -41,6 +42,7 @@
     settings = operator.store if operator is not None else None
     durable = settings is not None and settings.durability == "group"
     body_cache_bytes = round(settings.bodies_mb * (1 << 20)) if settings is not None else DEFAULT_BODY_CACHE_BYTES
+    body_cache_bytes = body_cache_limit(assignment.memory_bytes, assignment.descriptors, body_cache_bytes)
     segment_bytes = round(settings.segment_kb * 1024) if settings is not None else 0
     fleet = operator.fleet if operator is not None else None
     if fleet is None:
