The fleet's server limits the bytes of the peer messages in progress, not only their number

Symptom: none in service; found on a path related to the memory of clients' requests. Callers that stop half way through messages of 1 MB held 64 MB.

Cause: PeerServer counted requests in progress (64), whatever their size.

Change: bodies over 8 KB take 16 MB together; beyond it the request gets 503 (CW709) and its body is discarded. Heartbeats and lease requests are smaller than 8 KB and are not concerned.

--- a/cedarwick/fleet/peer_server.py
+++ b/cedarwick/fleet/peer_server.py
@@ -37,6 +37,7 @@
 from cedarwick.net.counters import Counters
 
 MAX_REQUESTS_IN_PROGRESS = 64  # requests above this get 503, except heartbeats and lease requests
+MAX_BODY_BYTES_IN_PROGRESS = 1 << 24  # of all larger bodies being read or handled; beyond it, requests get 503
 SMALL_MESSAGE_BYTES = 1 << 13  # upper bound of a heartbeat or a lease request
 MAX_CONNECTIONS = 256  # further connections wait in the backlog
 LISTEN_BACKLOG = 256  # connections
@@ -66,6 +67,7 @@
         self.counters = counters
         self.handler = handler
         self.in_progress = 0
+        self.body_bytes_in_progress = 0
         listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
         try:
             listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
@@ -154,10 +156,19 @@
         """Return the handler's encoded answer; raises the error for every refusal."""
         self._check_head(request, caller)
         overloaded = self.in_progress > MAX_REQUESTS_IN_PROGRESS
-        if overloaded and request.content_length > SMALL_MESSAGE_BYTES:
+        body_bytes = request.content_length if request.content_length > SMALL_MESSAGE_BYTES else 0
+        if body_bytes and (overloaded or self.body_bytes_in_progress + body_bytes > MAX_BODY_BYTES_IN_PROGRESS):
             request.body = None
             read_body(request, sock)
             raise self._too_many_requests()
+        self.body_bytes_in_progress += body_bytes
+        try:
+            return self._read_and_handle(request, sock, overloaded)
+        finally:
+            self.body_bytes_in_progress -= body_bytes
+
+    def _read_and_handle(self, request: HttpRequest, sock: gevent.socket.socket, overloaded: bool) -> bytes:
+        """Read a peer message and return the handler's encoded answer; raises the error for every refusal."""
         peer_message = self._read_message(request, sock)
         # Heartbeats and lease requests are exempt: if messages that wait for replicas or frozen sessions blocked them,
         # members' leases would expire.
@@ -207,9 +218,7 @@
         return answer
 
     def _too_many_requests(self) -> TooManyRequestsError:
-        return TooManyRequestsError(
-            f"{MAX_REQUESTS_IN_PROGRESS} peer messages are already in progress at {self.verifier.me!r}"
-        )
+        return TooManyRequestsError(f"{self.in_progress} peer messages are already in progress at {self.verifier.me!r}")
 
 
 def receive(sock: gevent.socket.socket, within_s: float) -> bytes:
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -299,6 +299,25 @@
             self.assertEqual([each.get() for each in pending], [Acknowledged()] * 2)
             self.assertEqual(self.peers.call("b", Acknowledged(), 5), Acknowledged())
 
+    def test_large_bodies_above_the_limit_of_bytes_in_progress_are_refused(self) -> None:
+        """Guards against callers that stop half way through large messages: only their number was limited."""
+        half = self.post_request(bytes(30_000), size=60_000)
+        with (
+            patch.object(peer_server, "MAX_BODY_BYTES_IN_PROGRESS", 100_000),
+            gevent.socket.create_connection((HOST, self.server.port)) as stopped,
+        ):
+            stopped.sendall(half)
+            self.wait_until_in_progress(1)
+            facts = ReplicateFacts(1, 2, 3, b"x" * 60_000, 4)
+            self.assert_refused("CW709", body=facts)
+            self.assertEqual(self.peers.call("b", Acknowledged(), 5), Acknowledged())  # a small one
+            stopped.close()
+            with gevent.Timeout(5):
+                while self.server.in_progress:
+                    gevent.sleep(0.005)
+            self.assertEqual(self.peers.call("b", facts, 5), Acknowledged())
+        self.assertEqual(self.server.body_bytes_in_progress, 0)
+
     def test_stop_finishes_answers_in_progress_and_closes_idle_connections(self) -> None:
         self.answer = lambda peer_message: Acknowledged() if gevent.sleep(0.1) is None else Acknowledged()
         idle = gevent.socket.create_connection((HOST, self.server.port))
