A client whose next request is always there no longer blocks all others

Symptom: while one client sent PINGs of 4,096 bytes on one connection, another got three answers and three time-outs of 2 s in 8 s.

Cause: a connection's greenlet gave way only if bytes were left in its buffer. Where reads end right at the end of a request none are, and a read does not wait while the kernel has bytes. Told apart from a slow dispatcher by floods that differ in their alignment only: 64 KB requests, which leave bytes, delayed nobody.

Change: it gives way after each request. The same mistake is mended in the fleet's server, in the accept loop of the management address and in the watch of the list.

--- a/cedarwick/fleet/peer_server.py
+++ b/cedarwick/fleet/peer_server.py
@@ -108,6 +108,7 @@
                 )
                 if not keep_alive:
                     return  # close instead of reading the rest of a discarded body
+                gevent.sleep(0)  # a caller whose next request is always there must not block the others
         except http.InvalidResponseError as error:
             self.counters.warning(
                 "a request on the fleet's address that cannot be read", NotAPeerMessageError(str(error))
--- a/cedarwick/net/client_listener.py
+++ b/cedarwick/net/client_listener.py
@@ -197,8 +197,8 @@
                     # Throttled, since a client that repeats a bad request without a delay would use up the CPU.
                     client.waiting, client.idle_since = not len(client.buffer), self.clock.now()
                     gevent.sleep(min(MAX_PENALTY_DELAY_S, MIN_PENALTY_DELAY_S * (1 << client.unusable - 1)))
-                elif len(client.buffer):
-                    gevent.sleep(0)  # a long pipeline of one client must not block the others
+                else:
+                    gevent.sleep(0)  # a client whose next request is always there must not block the others
             self._close_gracefully(client)
         except MalformedRequestError as error:
             reason = CloseReason.MALFORMED_REQUEST
--- a/cedarwick/net/endpoint_list.py
+++ b/cedarwick/net/endpoint_list.py
@@ -269,6 +269,9 @@
                 if received and not objects.depth:
                     self.first_update.set()  # an empty line means "no changes"
                     last_progress = time.monotonic()
+                gevent.sleep(0)  # an agent that always has more to send must not block the rest of the sender
+                if self.address_changed:
+                    return
                 # Without this check everything after a truncated object would be read as part of it for ever.
                 if time.monotonic() - last_progress > LINE_TIMEOUT_S:
                     raise InvalidResponseError("no complete line in time")
--- a/cedarwick/ops/management_server.py
+++ b/cedarwick/ops/management_server.py
@@ -54,7 +54,6 @@
         self.answer = answer
         self.callers = 0
         self.unanswered = 0  # accepted callers whose answer is not written yet
-        self.unanswered = 0  # callers accepted whose answer is not written yet
         self.listener = gevent.socket.socket(gevent.socket.AF_INET, gevent.socket.SOCK_STREAM)
         try:
             self.listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_REUSEADDR, 1)
@@ -67,6 +66,7 @@
     def serve(self) -> None:
         """Accept callers; never returns."""
         while True:
+            gevent.sleep(0)  # callers that come faster than they are accepted must not block the rest of the sender
             try:
                 sock, _ = self.listener.accept()
             except OSError as error:
