Requests that are read after their client has left are not sent on

Symptom: a client writes many requests and leaves; those that the sender read afterwards were admitted and called, while the client hands them in elsewhere.

Cause: `_answer` looked at the next byte of the input to see whether the client had left. The end of a connection lies behind all unread input, so it was seen for the very last request only, and only after the admission. A message whose +OK could not be written stayed taken.

Change: peer_has_closed asks the kernel (poll, POLLRDHUP) before the admission and after it; a message whose answer cannot be written is withdrawn.

--- a/cedarwick/net/client_connections.py
+++ b/cedarwick/net/client_connections.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import itertools
+from collections.abc import Callable
 
 import gevent
 import gevent.event
@@ -54,6 +55,7 @@
         "has_sent_request",
         "served",
         "unusable",
+        "withdraw_unheard",
     )
 
     def __init__(self, sock: gevent.socket.socket, now: int, peer: tuple[str, int] = ("", 0)) -> None:
@@ -71,6 +73,8 @@
         self.has_sent_request = False  # a complete request of any kind
         self.served = False  # a message from it was accepted, or refused as busy
         self.unusable = 0  # consecutive unusable requests
+        # Withdraws the message that the next answer accepts, if that answer cannot be written.
+        self.withdraw_unheard: Callable[[], None] | None = None
 
     def idle_timeout_s(self) -> float:
         """Return how long the client may stay silent between requests, in seconds."""
--- a/cedarwick/net/client_listener.py
+++ b/cedarwick/net/client_listener.py
@@ -26,7 +26,7 @@
 from cedarwick.net.message_trace import CloseReason, CloseTrace, RefusalTrace
 from cedarwick.net.request_memory import MAX_REQUEST_BYTES, RequestMemory
 from cedarwick.net.resp import InvalidSubmitError, MalformedRequestError, read_command, read_submission
-from cedarwick.net.sockets import peek_input
+from cedarwick.net.sockets import peek_input, peer_has_closed
 from cedarwick.net.submission import AdmissionResult, Submission
 from cedarwick.store.records import StoredMessage
 
@@ -186,7 +186,7 @@
                     self._count_rejection(parts[3])
                 last_answer = (self.closing or self.paused) and not len(client.buffer) and self._nothing_unread(client)
                 client.sock.settimeout(PARTIAL_REQUEST_TIMEOUT_S)
-                client.sock.sendall(reply)
+                self._write_answer(client, reply)
                 client.answering = False
                 self.request_memory.set(client, len(client.buffer.data))
                 if last_answer:
@@ -299,6 +299,8 @@
             self._trace_refusal(stored, "starting or ending")
             client.unusable += not self.closing and client.unusable < MAX_DOUBTFUL_REQUESTS
             return BUSY
+        if client_has_left(client):
+            return self._refuse_departed(stored)
         result, wait_ms, withdraw = self.submit_message(stored)
         if result is not AdmissionResult.ACCEPTED:
             self._trace_refusal(stored, result.value, wait_ms)
@@ -309,16 +311,31 @@
             or client.unusable < MAX_DOUBTFUL_REQUESTS
         ):
             client.unusable += 1
-        if withdraw is not None and peek_input(client.sock) == b"":
-            # A client that disconnects before its answer submits to another sender; no attempt was sent yet.
-            self.counters.add("clients gone before their answer")
-            self._trace_refusal(stored, "its client left before the answer")
+        if withdraw is not None and client_has_left(client):
             withdraw()
-            return BUSY
+            return self._refuse_departed(stored)
+        client.withdraw_unheard = withdraw
         if result is AdmissionResult.BUSY and wait_ms:
             return b"-BUSY %d\r\n" % wait_ms
         return REPLIES[result]
 
+    def _refuse_departed(self, stored: StoredMessage) -> bytes:
+        """Refuse a message whose client disconnected before its answer: the client submits it to another sender."""
+        self.counters.add("clients gone before their answer")
+        self._trace_refusal(stored, "its client left before the answer")
+        return BUSY
+
+    def _write_answer(self, client: ClientConnection, reply: bytes) -> None:
+        """Write an answer; if that fails, withdraw the message whose acceptance the client cannot hear of."""
+        withdraw, client.withdraw_unheard = client.withdraw_unheard, None
+        try:
+            client.sock.sendall(reply)
+        except OSError:
+            if withdraw is not None:
+                self.counters.add("messages withdrawn: their answer could not be written")
+                withdraw()
+            raise
+
     def submit_to_dispatcher(self, stored: StoredMessage) -> SubmitResult:
         """Submit a message to the dispatcher of this process and wait for the result."""
         submission = Submission(stored)
@@ -326,3 +343,8 @@
         result, wait_ms = submission.answer.get()
         admitted = result is AdmissionResult.ACCEPTED and stored.number
         return result, wait_ms, (lambda: self.dispatcher.withdraw(submission)) if admitted else None
+
+
+def client_has_left(client: ClientConnection) -> bool:
+    """Whether a client has ended its connection, even if further requests of it are still unread."""
+    return peer_has_closed(client.sock) or peek_input(client.sock) == b""
--- a/cedarwick/net/sockets.py
+++ b/cedarwick/net/sockets.py
@@ -3,6 +3,8 @@
 Used by attempts, the connection pool, the client listener, the endpoint list and notices.
 """
 
+import select
+
 import gevent
 import gevent.socket
 
@@ -60,3 +62,13 @@
 def is_closed(sock: gevent.socket.socket) -> bool:
     """Whether an idle connection was closed by its peer or has received unexpected bytes."""
     return peek_input(sock) is not None
+
+
+def peer_has_closed(sock: gevent.socket.socket) -> bool:
+    """Whether the peer has ended its sending or the connection is broken, even if input is still unread."""
+    poller = select.poll()
+    try:
+        poller.register(sock.fileno(), select.POLLRDHUP)
+        return bool(poller.poll(0))
+    except (OSError, ValueError):  # the socket is closed here
+        return True
