Ids that were accepted, withdrawals and results outlast the process that knows them

Symptom: a message was delivered, its id came again after an upgrade, a SIGTERM or a kill, and it ran once more. A message that was still owed after a restart was refused with -BUSY as its id came again, though it went out.

Cause: the ids of the last 15 s were in the memory of the process only, beside a hash that differs between processes. Related, found by reading: the dispatcher was killed with withdrawals and results of attempts in its queue, so that the next process sends what a client was refused, or repeats what was delivered.

Contents are compared with the stored message. The dispatcher ends with a last round; what comes later is refused or withdrawn at once.

--- a/cedarwick/net/dispatch_admission.py
+++ b/cedarwick/net/dispatch_admission.py
@@ -3,13 +3,13 @@
 A base class of `Dispatcher`; times are microseconds.
 """
 
+import zlib
+
 from cedarwick.net.assignment import setting_index
 from cedarwick.net.dispatch_sessions import Sessions
 from cedarwick.net.submission import AdmissionResult, Submission
 from cedarwick.store.records import StoredMessage
 
-RECENT_ID_LIFETIME_US = 15_000_000  # how long after a submission its id is not accepted again
-
 
 class Admission(Sessions):
     """Accepts submissions, and withdraws those whose client has disconnected."""
@@ -29,22 +29,20 @@
             submission.set_answer(AdmissionResult.FROZEN)
             return
         # A repeated id must not be sent again after its message has ended, least of all with a different body.
-        content_hash = hash(
-            (stored.key, stored.order_key, stored.priority_class, stored.tenant, stored.destination, stored.body)
-        )
-        recent = self.recent_ids.get(stored.id)
-        if recent is not None or stored.id in self.numbers_by_id:
-            is_duplicate = recent is not None and recent[1] == content_hash and stored.id in self.numbers_by_id
-            is_duplicate = is_duplicate and self.numbers_by_id[stored.id] not in self.new_submissions
+        self.recent_ids.expire(now)
+        if stored.id in self.recent_ids or stored.id in self.numbers_by_id:
+            is_duplicate = self._is_stored(stored)
             submission.set_answer(AdmissionResult.ACCEPTED if is_duplicate else AdmissionResult.REPEATED)
             return
-        while self.recent_ids and next(iter(self.recent_ids.values()))[0] < now - RECENT_ID_LIFETIME_US:
-            del self.recent_ids[next(iter(self.recent_ids))]
-        self.recent_ids[stored.id] = now, content_hash
+        if self.recent_ids.is_full():
+            self.counters.add("turned away: too many recent ids")
+            submission.set_answer(AdmissionResult.BUSY)
+            return
         if not self.store.has_room(stored):
             self.counters.add("turned away: no room in the folder")
             submission.set_answer(AdmissionResult.BUSY)
             return
+        self.recent_ids.add(stored.id, now)
         stored.number = number = self.store.next_number
         self.store.next_number += 1
         self.new_submissions[number] = submission
@@ -64,6 +62,27 @@
             self.counters.add("messages that waited for others of their key elsewhere")
             self._hold_key(stored.order_key)
 
+    def _is_stored(self, repeated: StoredMessage) -> bool:
+        """Whether a message with the same id and contents is stored and not finished."""
+        stored = self.store.messages.get(self.numbers_by_id.get(repeated.id, 0))
+        body = repeated.body or b""
+        return stored is not None and all(
+            (
+                stored.key == repeated.key,
+                stored.order_key == repeated.order_key,
+                stored.priority_class == repeated.priority_class,
+                stored.tenant == repeated.tenant,
+                stored.destination == repeated.destination,
+                stored.body_size == len(body),
+                stored.body_checksum == zlib.crc32(body),
+            )
+        )
+
+    def _forget_rejected(self, stored: StoredMessage) -> None:
+        """Forget the id of a message that was admitted, but not stored: it can't have run."""
+        self.numbers_by_id.pop(stored.id, None)
+        self.recent_ids.discard(stored.id)
+
     def _withdraw(self, stored: StoredMessage) -> None:
         self.withdrawing.discard(stored.number)
         if stored.number in self.store.migrating:
@@ -79,7 +98,7 @@
     def _withdraw_new(self, now: int) -> None:
         """Reject the submissions of this round and withdraw them from the decisions."""
         for number, submission in self.new_submissions.items():
-            self.numbers_by_id.pop(submission.message.id, None)
+            self._forget_rejected(submission.message)
             self.handles.pop(number).withdrawn(now)
             submission.set_answer(AdmissionResult.BUSY)
         self.new_submissions.clear()
@@ -88,7 +107,7 @@
         """Store a message, then answer its client; attempts may be sent only after that."""
         stored = submission.message
         if not self._write_record("a message", self.store.add_message, stored):
-            del self.numbers_by_id[stored.id]
+            self._forget_rejected(stored)
             self.handles[stored.number].withdrawn(self.clock.now())
             if not self.handles[stored.number].in_flight:
                 del self.handles[stored.number]
--- a/cedarwick/net/dispatch_sessions.py
+++ b/cedarwick/net/dispatch_sessions.py
@@ -22,6 +22,11 @@
 
     def restore(self) -> None:
         """Restore the messages of an earlier process for which this sender holds the lease; call once at the start."""
+        now = self.clock.now()
+        for message_id in self.store.recovered_ids:
+            # When it was submitted is not recorded; the time of the start is never too early.
+            self.recent_ids.add(message_id, now)
+        self.store.recovered_ids.clear()
         numbers = [number for number in sorted(self.store.messages) if self.store.may_send_attempt(number)]
         if self.store.restarted:
             unfinished = self._restore_messages(numbers)
@@ -136,7 +141,7 @@
             submission = self.new_submissions.pop(number, None)
             if submission is not None:
                 # It is not stored yet. Its id is removed, so that the client can submit it again after the migration.
-                self.recent_ids.pop(submission.message.id, None)
+                self.recent_ids.discard(submission.message.id)
                 submission.message.number = 0
                 submission.set_answer(AdmissionResult.FROZEN)
         self._park(numbers)
--- a/cedarwick/net/dispatch_state.py
+++ b/cedarwick/net/dispatch_state.py
@@ -21,6 +21,7 @@
 from cedarwick.net.counters import Counters
 from cedarwick.net.message_trace import EndTrace, NoticeTrace, ParkedTrace
 from cedarwick.net.notifications import Notifier
+from cedarwick.net.recent_submissions import RecentSubmissions
 from cedarwick.net.sockets import PollClock
 from cedarwick.net.submission import Submission
 from cedarwick.store.files import NoSpaceError
@@ -67,8 +68,7 @@
         self.sender.messages_per_call = []
         self.handles: dict[int, Handle] = {}  # by message number
         self.numbers_by_id: dict[str, int] = {}  # numbers of the messages that are stored or admitted
-        # By message id: when it was submitted (microseconds), and a hash of the submission.
-        self.recent_ids: dict[str, tuple[int, int]] = {}
+        self.recent_ids = RecentSubmissions()
         self.new_submissions: dict[int, Submission] = {}  # admitted in this round and not stored yet
         self.queue: gevent.queue.Queue = gevent.queue.Queue()
         # Attempts that request a clearance in this round.
@@ -76,6 +76,7 @@
         # Callbacks for after the flush: the first if it succeeds, the second if it fails.
         self.after_flush: list[tuple[Callable[[], None], Callable[[], None]]] = []
         self.wake_at: int | None = None  # time of the next round if no call is queued
+        self.ended = False  # `run` has returned or is about to; no new message is admitted
         self.attempts_stopped = False
         self.abandoning_near_deadline = False  # with `attempts_stopped`: abandon messages near their deadline
         self.storing_new = False  # with `attempts_stopped`: store new messages, for the next process
--- a/cedarwick/net/dispatcher.py
+++ b/cedarwick/net/dispatcher.py
@@ -49,11 +49,18 @@
 
     def submit(self, submission: Submission) -> None:
         """Submit a client's message; `submission.answer` is set once it is rejected, or accepted and stored."""
+        if self.ended:
+            submission.set_answer(AdmissionResult.BUSY)
+            return
         self.queue.put((self._admit, (submission,)))
 
     def withdraw(self, submission: Submission) -> None:
         """Drop a message whose client left before the answer was written; no attempt starts from now on."""
         self.withdrawing.add(submission.message.number)
+        if self.ended:
+            # The next process would send the message, of which the client is about to hear that it has no effect.
+            self._guarded(self._withdraw, submission.message)
+            return
         self.queue.put((self._withdraw, (submission.message,)))
 
     def request_clearance(self, call: AttemptCall) -> bool:
@@ -148,6 +155,10 @@
         """Accept messages of a frozen session again; its stored messages stay parked until they are adopted."""
         self.queue.put((self._unfreeze, (key,)))
 
+    def end(self) -> None:
+        """Return from `run` after one more round, which carries out all that is queued by then."""
+        self.queue.put((self._end, ()))
+
     def run_in_dispatcher(self, call: Callable[[], bool]) -> gevent.event.AsyncResult:
         """Run a call in the dispatcher's greenlet while no flush runs; the result is False if it raises."""
         answer: gevent.event.AsyncResult = gevent.event.AsyncResult()
@@ -165,8 +176,8 @@
     # ---- the rounds, in the dispatcher's greenlet ----
 
     def run(self) -> None:
-        """Run one round after another; never returns."""
-        while True:
+        """Run one round after another, up to the one that follows a call of `end`."""
+        while not self.ended:
             self._wait()
             while not self.queue.empty():
                 call, arguments = self.queue.get()
@@ -224,6 +235,9 @@
         self.attempts_stopped, self.storing_new, self.abandoning_near_deadline = True, store_new, abandon_near_deadline
         self.wake_at = None
 
+    def _end(self) -> None:
+        self.ended = True
+
     def _run_in_dispatcher(self, call: Callable[[], bool], answer: gevent.event.AsyncResult) -> None:
         answer.set(call())
 
@@ -246,7 +260,8 @@
             if submission is None:
                 self._record_final_answer(number, True, wait // 1000)
                 continue
-            del self.handles[number], self.numbers_by_id[submission.message.id]
+            del self.handles[number]
+            self._forget_rejected(submission.message)
             self.counters.add("rejected at admission")
             submission.set_answer(AdmissionResult.BUSY, wait // 1000)
         for number in verdicts.abandoned:
@@ -284,7 +299,7 @@
 
     def _refuse_new(self) -> None:
         for submission in self.new_submissions.values():
-            self.numbers_by_id.pop(submission.message.id, None)
+            self._forget_rejected(submission.message)
             submission.set_answer(AdmissionResult.BUSY)
         self.new_submissions.clear()
         if self.abandoning_near_deadline:
--- a/cedarwick/ops/process_handover.py
+++ b/cedarwick/ops/process_handover.py
@@ -15,6 +15,7 @@
 
 # Maximum duration of the consecutive steps after SIGTERM, if a replacement process shares the clients' socket:
 HANDOVER_IDLE_S = 0.2  # for requests already read to be answered and attempts in flight to end
+LAST_ROUND_S = 0.1  # for the last decision round
 HANDOVER_ANSWERS_S = 0.05  # for pending answers; then the replacement may lock the folder
 HANDOVER_CLIENT_CLOSE_S = 1.1  # for clients to close after their last answer
 HANDOVER_POLL_INTERVAL_S = 0.01  # between two checks of the folder, of attempts in flight or of connections
@@ -91,3 +92,13 @@
     )
     # The replacement may repeat these attempts: a call that completed here later would deliver a second copy.
     gevent.killall(list(dispatcher.attempts.in_flight))
+
+
+def end_decisions(dispatcher: Dispatcher, decision_greenlet: gevent.Greenlet) -> None:
+    """Let the dispatcher carry out what is queued: results of attempts, and withdrawals of clients that have left.
+
+    The next process would otherwise send messages that have been delivered, or whose clients were refused.
+    """
+    dispatcher.end()
+    decision_greenlet.join(timeout=LAST_ROUND_S)
+    gevent.sleep(0)  # lets clients read the answers of the last round, upon which they may withdraw a message
--- a/cedarwick/program.py
+++ b/cedarwick/program.py
@@ -36,6 +36,7 @@
 from cedarwick.ops.process_handover import (
     HANDOVER_CLIENT_CLOSE_S,
     HANDOVER_POLL_INTERVAL_S,
+    end_decisions,
     hand_over,
     restore_waits,
     save_waits,
@@ -308,9 +309,9 @@
 
     def _spawn_parts(self, watch_list: bool) -> None:
         """Start the parts that run until the process ends; their order must not change."""
-        decision_greenlet = gevent.spawn(self._decide)
+        self.decision_greenlet = gevent.spawn(self._decide)
         self.accept_greenlet = gevent.spawn(self.client_listener.accept)
-        self.greenlets += [decision_greenlet, self.accept_greenlet]
+        self.greenlets += [self.decision_greenlet, self.accept_greenlet]
         loops = [
             self.connections.sweep,
             self.notifier.run,
@@ -389,6 +390,7 @@
     def _hand_over(self) -> None:
         """Stop at SIGTERM with a replacement process, which takes over the clients' socket and the folder."""
         hand_over(self.accept_greenlet, self.client_listener, self.dispatcher, self.store)
+        end_decisions(self.dispatcher, self.decision_greenlet)
         gevent.killall(self.greenlets)
         if self.node is not None:
             self.node.hand_over()
@@ -419,6 +421,7 @@
         self.client_listener.drain_and_close(LAST_ANSWERS_S)
         if node is not None:
             node.leave()
+        end_decisions(self.dispatcher, self.decision_greenlet)
         gevent.killall(self.greenlets)
         if node is not None:
             node.stop()
--- a/cedarwick/store/journal.py
+++ b/cedarwick/store/journal.py
@@ -79,6 +79,7 @@
         self.migrating: dict[int, tuple[int, str]] = {}  # messages of a session that moves; no attempt may start
         self.restarted = False  # whether the folder held records at the start
         self.damaged = False  # whether some of them could not be read
+        self.recovered_ids: deque[str] = deque()  # of all messages, finished or not, that `load` has found records of
         self.pending_records: deque[PendingRecord] = deque()
         self.space = FolderSpace(
             self.folder,
@@ -135,6 +136,7 @@
             found.next_message,
             found.last_legacy_file,
         )
+        self.recovered_ids = found.message_ids
         self.writer.segment_index, self.writer.last_segment_number = found.segment_index, found.last_segment
         undeleted = [name for name in found.leftover_files if not ignore_os_error(self.folder.unlink, name)]
         legacy_messages, next_number, legacy_files = legacy_format.read(self.folder, self.last_legacy_file)
--- a/cedarwick/store/recovery.py
+++ b/cedarwick/store/recovery.py
@@ -6,6 +6,7 @@
 wall-clock microseconds; sizes and offsets are bytes.
 """
 
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -44,6 +45,7 @@
 from cedarwick.store.segments import Report, Segment, SegmentIndex
 
 CHUNK_BYTES = 1 << 20  # read at once
+MAX_RECOVERED_IDS = 1 << 15  # of the newest messages
 SECTOR_BYTES = 1 << 12  # read at once where the disk reports an error
 
 
@@ -69,6 +71,8 @@
     next_message: int = 1
     last_legacy_file: int = 0
     last_segment: int = 0  # the highest segment number found, live or not
+    # Of all messages whose records are still there, finished or not; the newest at the end.
+    message_ids: deque[str] = field(default_factory=lambda: deque(maxlen=MAX_RECOVERED_IDS))
     leftover_files: list[str] = field(default_factory=list)  # files that are not needed
     newest_valid_bytes: int = -1  # of the newest segment; -1: nothing may be appended to it
     damaged: bool = False
@@ -249,6 +253,7 @@
         if kind == MESSAGE:
             message = decode_message(payload, segment.number, record.offset)
             found.next_message = max(found.next_message, message.number + 1)
+            found.message_ids.append(message.id)
             apply_message(segment_index, segment, message)
             return
         number = STATE_HEAD.unpack_from(payload)[1]
--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -201,7 +201,7 @@
         for number in range(3):
             with mock.patch.object(self.dispatcher.clock, "now", return_value=number * 10_000_000):
                 self.submit(name=f"a{number}")
-        self.assertEqual(list(self.dispatcher.recent_ids), ["a1", "a2"])
+        self.assertEqual([f"a{number}" in self.dispatcher.recent_ids for number in range(3)], [False, True, True])
 
     def test_an_unlisted_destination_is_rejected(self) -> None:
         self.assertEqual(self.submit(destination=9).answer.get(block=False), (AdmissionResult.UNKNOWN_DESTINATION, 0))
