Another receiver with the uid or at the address of an earlier one is not taken for it

Cause: a receiver was its uid. Destination, zone and kind were read once; later entries changed state and address alone. A connection that was being opened to an earlier address was used once it came up.

Change: a uid listed as up with another destination, zone or kind gets a number of its own, and the earlier one is removed. A change that newly lists a receiver at an address removes the one listed there last, unless it names that one, too. A call is not written on a connection to another address than the listed one.

--- a/cedarwick/net/attempts.py
+++ b/cedarwick/net/attempts.py
@@ -167,6 +167,10 @@
                 self.counters.add("new links that ended or spoke before their request")
                 self._report_failure(call, Outcome.CONNECT_FAILED)
             return False
+        if not self.connections.is_current(connection):
+            self.counters.add("attempts held back: their receiver has moved")
+            self._report_not_sent(call)
+            return False
         if self.clock.now() >= call.send_by:
             self.counters.add("attempts held back: their time was over")
             self._report_not_sent(call)
--- a/cedarwick/net/connections.py
+++ b/cedarwick/net/connections.py
@@ -176,6 +176,13 @@
                 event.set()
                 return
 
+    def is_current(self, connection: Connection) -> bool:
+        """Whether its receiver is still listed at the address to which a connection was opened."""
+        try:
+            return connection.address == self.address_of(connection.receiver)
+        except KeyError:
+            return False
+
     def close_if_readable(self, connection: Connection) -> bool:
         """Close a connection that carries no call if it has ended or has input; returns whether it is closed.
 
--- a/cedarwick/net/endpoint_list.py
+++ b/cedarwick/net/endpoint_list.py
@@ -6,7 +6,7 @@
 
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import gevent
 import gevent.event
@@ -39,6 +39,14 @@
     remedy = "check the list that the platform sends; the sender keeps using the last valid one"
 
 
+class ReceiverIdentity(NamedTuple):
+    """What a receiver is, as indexes of the settings; a receiver that is something else is another one."""
+
+    zone: int
+    kind: int
+    destination: int
+
+
 class EndpointList:
     """Owns the watch and passes changes to the dispatcher, with receiver numbers instead of uids."""
 
@@ -61,6 +69,10 @@
         self.uids_by_number: dict[int, str] = {}
         self.next_number = 1  # never reused: a new receiver must not inherit the state of a removed one
         self.addresses: dict[int, tuple[str, int]] = {}  # by receiver number
+        self.identities: dict[int, ReceiverIdentity] = {}  # by receiver number
+        self.uids_by_address: dict[tuple[str, int], str] = {}  # the receiver that was listed there last
+        self.replaced: list[ListedEndpoint] = []  # by another receiver with their uid, in the present update
+        self.replaced_at: dict[int, float] = {}  # monotonic time by receiver number
         self.removed_at: dict[str, float] = {}  # monotonic time by uid
         self.reopen_requested = gevent.event.Event()
         self.address_changed = False  # the platform's address has changed since the watch was opened
@@ -93,11 +105,16 @@
             self.needs_full_list = True
             raise InvalidUpdateError(f"list update: version {version} after {self.version}")
         listings, present, all_readable = [], set(), True
+        claimed: dict[tuple[str, int], str] = {}  # addresses at which a receiver is listed now, and was not before
         for entry in entries:
             uid = ""
             try:
                 uid = _uid(entry["uid"])
+                earlier_address = self._address_of_uid(uid)
                 listing = self._listing(uid, entry)
+                address = self._address_in(listing)
+                if address is not None and address != earlier_address:
+                    claimed[address] = uid
             except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
                 # One unreadable line must not block the others.
                 self.counters.warning(
@@ -114,8 +131,13 @@
         if is_full and not listings and self.has_receivers:
             # The list of a restarting platform is empty for a moment; accepting it would stop all traffic.
             raise InvalidUpdateError("a whole list with nothing in it")
+        listings += self.replaced
+        self.replaced = []
         if is_full:
             self._mark_unlisted(present)
+        else:
+            listings += self._mark_displaced(claimed, present)
+        self.uids_by_address.update(claimed)
         self._forget_removed(present)
         self.version = version
         # Later deltas do not repeat the content of an unreadable line; only a full list does.
@@ -131,6 +153,26 @@
         for uid in self.latest_listings.keys() - present:
             self._mark_removed(uid)
 
+    def _address_of_uid(self, uid: str) -> tuple[str, int] | None:
+        """Return the address of a receiver; None if it is not listed now."""
+        return self._address_in(self.latest_listings[uid]) if uid in self.latest_listings else None
+
+    def _address_in(self, listing: ListedEndpoint) -> tuple[str, int] | None:
+        """Return the address of a receiver with this entry; None if it has left the list."""
+        return self.addresses.get(listing.receiver) if listing.endpoint_state is not EndpointState.REMOVED else None
+
+    def _mark_displaced(self, claimed: dict[tuple[str, int], str], present: set[str]) -> list[ListedEndpoint]:
+        """Return removals of the receivers at whose addresses changes have listed other ones.
+
+        The server at such an address is the other one now, though the removal is not listed yet.
+        """
+        displaced = {self.uids_by_address.get(address, uid): address for address, uid in claimed.items()}
+        return [
+            self._mark_removed(uid)
+            for uid, address in displaced.items()
+            if uid not in present and self._address_of_uid(uid) == address
+        ]
+
     def _mark_removed(self, uid: str) -> ListedEndpoint:
         """Replace the entry of a receiver that has left the list, and return its new one."""
         removed = self.latest_listings[uid]._replace(endpoint_state=EndpointState.REMOVED)
@@ -147,9 +189,18 @@
             if now - since > FORGET_REMOVED_AFTER_S:
                 del self.removed_at[uid]
                 self.latest_listings.pop(uid, None)
-                number = self.receiver_numbers.pop(uid)
-                del self.uids_by_number[number]
-                self.addresses.pop(number, None)
+                self._forget_number(self.receiver_numbers.pop(uid))
+        for number, since in list(self.replaced_at.items()):
+            if now - since > FORGET_REMOVED_AFTER_S:
+                del self.replaced_at[number]
+                self._forget_number(number)
+
+    def _forget_number(self, number: int) -> None:
+        uid = self.uids_by_number.pop(number)
+        del self.identities[number]
+        address = self.addresses.pop(number, None)
+        if address is not None and self.uids_by_address.get(address) == uid:
+            del self.uids_by_address[address]
 
     def knows(self, uid: str) -> bool:
         """Whether this receiver is listed."""
@@ -320,9 +371,13 @@
                 "a line of the list is spoilt", InvalidUpdateError(f"{uid}: {type(error).__name__}: {error}")
             )
             listed_address, (_, zone, kind, group, *_) = None, self.latest_listings[uid]
+        identity = ReceiverIdentity(zone, kind, group)
+        if endpoint_state is EndpointState.READY:
+            self._replace_if_other(uid, identity)
         if uid not in self.receiver_numbers:
             self.receiver_numbers[uid] = self.next_number
             self.uids_by_number[self.next_number] = uid
+            self.identities[self.next_number] = identity
             self.next_number += 1
         number = self.receiver_numbers[uid]
         if endpoint_state is EndpointState.REMOVED:
@@ -333,6 +388,16 @@
             number, zone, kind, group, endpoint_state, self._rate(uid, entry.get("capacity_hint", 0.0))
         )
 
+    def _replace_if_other(self, uid: str, identity: ReceiverIdentity) -> None:
+        """End the number of a receiver if another one is listed under its uid, which gets a number of its own."""
+        number = self.receiver_numbers.get(uid)
+        if number is None or self.identities[number] == identity:
+            return
+        earlier = self.identities[number]
+        self.replaced.append(ListedEndpoint(number, *earlier, EndpointState.REMOVED, 0.0))
+        self.replaced_at[number] = time.monotonic()
+        del self.receiver_numbers[uid]
+
     def _rate(self, uid: str, hint: object) -> float:
         """Return the listed rate in calls per second; if it is invalid, the one listed before, or 0."""
         if isinstance(hint, int | float) and 0 <= hint <= MAX_CALLS_PER_SECOND:
--- a/cedarwick/ops/process_handover.py
+++ b/cedarwick/ops/process_handover.py
@@ -28,7 +28,12 @@
     """
     uids = endpoint_list.uids_by_number
     current_waits = dispatcher.sender.retry_after_waits(dispatcher.clock.now())
-    waits = {uids[receiver]: until for receiver, until in current_waits if receiver in uids}
+    numbers = endpoint_list.receiver_numbers
+    waits = {
+        uids[receiver]: until
+        for receiver, until in current_waits
+        if receiver in uids and numbers.get(uids[receiver]) == receiver
+    }
     try:
         saved_state.write_waits(folder, waits, dispatcher.store.space)
     except (OSError, NoSpaceError) as error:
--- a/tests/net/test_departed_receivers.py
+++ b/tests/net/test_departed_receivers.py
@@ -8,9 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cedarwick.decisions.connection_reuse import ConnectionReuse
 from cedarwick.decisions.policy import Sender
 from cedarwick.net.assignment import Assignment
+from cedarwick.net.clock import Clock
+from cedarwick.net.connections import ConnectionPool
 from cedarwick.net.counters import Counters
+from cedarwick.net.descriptors import DescriptorBudget
 from cedarwick.net.endpoint_list import EndpointList
 from tests.build import NOW, SETTINGS, Program, Receiver, encode_submit, free_port, read_line, reply, wait_for_condition
 from tests.ops.test_ops import management_call
@@ -103,6 +107,90 @@
             self.assertEqual(history.callable_uids(), expected)
 
 
+class OtherReceiverTest(unittest.TestCase):
+    """Guards against another receiver that was taken for an earlier one with its uid or its address."""
+
+    def destinations(self, history: ListHistory) -> dict[str, int]:
+        """Return the destination for whose messages the decisions may call each receiver."""
+        receivers = history.sender.receivers.values()
+        return {history.endpoint_list.uid_of(each.id): each.destination for each in receivers if each.ready}
+
+    def test_a_uid_that_is_listed_for_another_destination_gets_none_of_the_earlier_ones_messages(self) -> None:
+        for is_full in (True, False):
+            with self.subTest(is_full=is_full):
+                history = ListHistory()
+                history.update(True, listed_entry("s-0"), listed_entry("s-1"))
+                history.update(is_full, listed_entry("s-0", pod_group=9), listed_entry("s-1"))
+                self.assertEqual(self.destinations(history), {"s-0": 9, "s-1": 2})
+                self.assertFalse(history.sender.receivers[1].ready)
+
+    def test_a_uid_that_is_listed_in_another_zone_is_another_receiver(self) -> None:
+        history = ListHistory()
+        history.update(True, listed_entry("s-0"))
+        history.update(False, listed_entry("s-0", az="elsewhere"))
+        self.assertEqual([each.ready for each in history.sender.receivers.values()], [False, True])
+
+    def test_a_drain_or_a_removal_with_few_fields_concerns_the_receiver_that_is_listed(self) -> None:
+        for state in ("draining", "removed"):
+            history = ListHistory()
+            history.update(True, listed_entry("s-0"), listed_entry("s-1"))
+            history.update(False, {"uid": "s-0", "endpoint": "127.0.0.1:1", "state": state})
+            self.assertEqual(self.destinations(history), {"s-1": 2})
+            history.update(False, listed_entry("s-0"))
+            self.assertEqual(self.destinations(history), {"s-0": 1, "s-1": 2})
+
+    def test_a_change_that_lists_another_receiver_at_an_address_ends_the_earlier_one(self) -> None:
+        history = ListHistory()
+        history.update(True, listed_entry("s-0"), listed_entry("s-1"))
+        history.update(False, listed_entry("s-2", endpoint="127.0.0.1:1"))
+        self.assertEqual(self.destinations(history), {"s-1": 2, "s-2": 3})
+        history.update(False, listed_entry("s-2", endpoint="127.0.0.1:1", capacity_hint=2.0))
+        history.endpoint_list.set_suspended({"s-0"})
+        history.endpoint_list.set_suspended(set())
+        self.assertEqual(self.destinations(history), {"s-1": 2, "s-2": 3})
+
+    def test_receivers_that_a_list_has_at_one_address_stay(self) -> None:
+        history = ListHistory()
+        history.update(True, listed_entry("s-0"), listed_entry("s-1", endpoint="127.0.0.1:1"))
+        history.update(False, listed_entry("s-0", capacity_hint=2.0))
+        self.assertEqual(self.destinations(history), {"s-0": 1, "s-1": 2})
+
+    def test_nothing_of_the_earlier_receivers_is_left_after_a_while(self) -> None:
+        history = ListHistory()
+        for day in range(40):
+            with mock.patch("time.monotonic", return_value=day * 10.0):
+                history.update(day % 2 > 0, listed_entry("s-0", pod_group=day), listed_entry("s-1"))
+        endpoint_list = history.endpoint_list
+        for table in (endpoint_list.identities, endpoint_list.addresses, endpoint_list.uids_by_number):
+            self.assertLessEqual(len(table), 9)
+        self.assertLessEqual(len(endpoint_list.uids_by_address), 2)
+
+
+class MovedReceiverTest(unittest.TestCase):
+    def test_a_connection_to_the_earlier_address_of_a_receiver_is_not_current(self) -> None:
+        """Guards against a call on a connection that was opened while its receiver was listed elsewhere."""
+        server = Receiver(reply(200))
+        self.addCleanup(server.close)
+        addresses = {1: ("127.0.0.1", server.port)}
+        clock = Clock()
+        pool = ConnectionPool(
+            clock,
+            mock.create_autospec(Counters, instance=True),
+            DescriptorBudget(128),
+            addresses.__getitem__,
+            5_000_000,
+            500_000,
+            ConnectionReuse(),
+        )
+        connection = pool.acquire(1, clock.now() + 1_000_000)
+        self.addCleanup(connection.close)
+        self.assertTrue(pool.is_current(connection))
+        addresses[1] = ("127.0.0.1", 1)
+        self.assertFalse(pool.is_current(connection))
+        addresses.clear()
+        self.assertFalse(pool.is_current(connection))
+
+
 class RestoreProcessTest(unittest.TestCase):
     """Guards against review case 8 with a real process: messages for the server that has the address now."""
 
@@ -140,6 +228,34 @@
         self.assertEqual([head for _, head, _ in calls if b"X-Txn: dest0" in head], [])
         self.assertGreater(len(calls), count // 4)
 
+    def test_messages_of_the_earlier_destination_do_not_come_to_a_receiver_that_serves_another_one(self) -> None:
+        """Guards against picture (d): another server under the uid, or at the address, of an earlier one."""
+        for name in ("uid", "address"):
+            with self.subTest(name=name):
+                first, second, third = (Receiver(reply(200)) for _ in range(3))
+                program = Program([first, second, third])
+                self.addCleanup(program.close)
+                targets = [{**program.target(number), "pod_group": number // 2} for number in range(3)]
+                program.platform.targets = targets
+                program.start()
+                self._load(program)
+                before = len(first.calls)
+                other = {**targets[0], "pod_group": 1, "uid": "s-0" if name == "uid" else "s-new"}
+                program.platform.list_updates.put({"rev": 2, "all": False, "targets": [other]})
+                time.sleep(UNLISTED_S)
+                self._load(program)
+                time.sleep(UNLISTED_S)
+                self.assertEqual([head for _, head, _ in first.calls[before:] if b"X-Txn: dest0" in head], [])
+                self.assertTrue(any(b"X-Txn: dest0" in head for _, head, _ in second.calls))
+
+    def _load(self, program: Program) -> None:
+        """Hand in messages for both destinations."""
+        with program.connect() as client:
+            for number in range(20):
+                client.sendall(encode_submit(f"dest{number % 2}-{time.monotonic_ns()}", dest=number % 2))
+                read_line(client)
+                time.sleep(LOAD_INTERVAL_S / 2)
+
 
 if __name__ == "__main__":
     unittest.main()
