An idle client connection no longer holds the arguments of its last request

Symptom: 900 clients that sent whole messages of 64 KB took a process with memory_mb 96 to 101 MB resident.

Cause: `_serve` kept the arguments of the answered request in a local until the next request was whole, uncounted: 64 KB for each connection.

Change: they are let go with the answer.

--- a/cedarwick/net/client_listener.py
+++ b/cedarwick/net/client_listener.py
@@ -184,6 +184,7 @@
                     break
                 if reply.startswith(BUSY[:5]) and len(parts) == 5:
                     self._count_rejection(parts[3])
+                parts = []  # an idle connection must not hold the memory of its last request
                 last_answer = (self.closing or self.paused) and not len(client.buffer) and self._nothing_unread(client)
                 client.sock.settimeout(PARTIAL_REQUEST_TIMEOUT_S)
                 self._write_answer(client, reply)
--- a/tests/net/test_request_memory.py
+++ b/tests/net/test_request_memory.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import copy
+import gc
 import socket
 import time
 import unittest
@@ -139,6 +140,23 @@
             self.assertEqual((active.recv(100), stalled.recv(100)), (OK, BUSY))
         self.assertEqual(self.submitted_ids, ["a"])
 
+    def test_an_answered_request_is_not_in_memory_any_more(self) -> None:
+        """Guards against idle connections that hold the arguments of their last request."""
+        bodies: list[bytes] = []
+
+        def accept(message: StoredMessage) -> SubmitResult:
+            bodies.append(message.body or b"")
+            return AdmissionResult.ACCEPTED, 0, None
+
+        self.submit_result = accept
+        client = self.connect()
+        client.sendall(encode_submit("a", body=bytes(BODY_BYTES)))
+        self.assertEqual(client.recv(100), OK)
+        wait_until(lambda: next(iter(self.client_listener.clients)).waiting)
+        body = bodies.pop()
+        holders = [each for each in gc.get_referrers(body) if each is not bodies]
+        self.assertEqual([each for each in holders if isinstance(each, list)], [])
+
     def test_nothing_counts_after_the_clients_have_gone(self) -> None:
         for body in (b"x", bytes(20_000), bytes(BODY_BYTES)):
             with self.connect() as client:
