A failing poll is not taken for the end of a client's connection

Symptom: none in service. While poll fails (ENOMEM, or a system that does not know POLLRDHUP), every message would have been refused with -BUSY, since its client counted as gone.

Change: a closed socket is known by its descriptor; a failing call says nothing, and the look at the next byte of the input decides, as before.

Measured: the test with ENOMEM failed before (True is not false) and passes; test_departed_clients and test_client_listener_races pass (20 tests).

--- a/cedarwick/net/sockets.py
+++ b/cedarwick/net/sockets.py
@@ -65,10 +65,16 @@
 
 
 def peer_has_closed(sock: gevent.socket.socket) -> bool:
-    """Whether the peer has ended its sending or the connection is broken, even if input is still unread."""
+    """Whether the peer has ended its sending or the connection is broken, even if input is still unread.
+
+    False if the system cannot tell: a failing call says nothing about the peer.
+    """
+    descriptor = sock.fileno()
+    if descriptor < 0:
+        return True  # closed here
     poller = select.poll()
     try:
-        poller.register(sock.fileno(), select.POLLRDHUP)
+        poller.register(descriptor, select.POLLRDHUP)
         return bool(poller.poll(0))
-    except (OSError, ValueError):  # the socket is closed here
-        return True
+    except OSError:
+        return False
--- a/tests/net/test_departed_clients.py
+++ b/tests/net/test_departed_clients.py
@@ -1,5 +1,6 @@
 """Clients that leave with much still unread: nothing is sent on, and no id runs twice."""
 
+import errno
 import signal
 import socket
 import struct
@@ -7,6 +8,7 @@
 import unittest
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import gevent.socket
 
@@ -58,6 +60,17 @@
                     wait_until(lambda: peer_has_closed(ours))  # noqa: B023
                 self.assertEqual(peer_has_closed(ours), how != "open")
 
+    def test_a_failing_poll_is_no_sign_of_an_end(self) -> None:
+        """Guards against a sender that takes all clients for gone while the system call fails, and refuses them."""
+        ours, theirs = gevent.socket.socketpair()
+        self.addCleanup(theirs.close)
+        poller = mock.Mock()
+        poller.poll.side_effect = poller.register.side_effect = OSError(errno.ENOMEM, "no memory")
+        with mock.patch("select.poll", return_value=poller):
+            self.assertFalse(peer_has_closed(ours))
+        ours.close()
+        self.assertTrue(peer_has_closed(ours))
+
 
 class LeavingClientTest(RunningListenerTestCase):
     """Guards against requests that were read after their client had left, and were sent on."""
