The table of receivers by address follows moves, and the end of an earlier number

Symptom: none in service; seen on reading. A receiver that moves on and on left an entry behind with each move.

Cause: entries were released only with the number, by its last address, and without a look at whether the uid's present number is at that address.

Change: an entry is released as its receiver moves; the end of an earlier number leaves the entry of the present one.

--- a/cedarwick/net/endpoint_list.py
+++ b/cedarwick/net/endpoint_list.py
@@ -199,6 +199,11 @@
         uid = self.uids_by_number.pop(number)
         del self.identities[number]
         address = self.addresses.pop(number, None)
+        if address != self.addresses.get(self.receiver_numbers.get(uid, 0)):
+            self._release_address(uid, address)
+
+    def _release_address(self, uid: str, address: tuple[str, int] | None) -> None:
+        """Forget that a receiver was listed at an address, unless another one has been listed there since."""
         if address is not None and self.uids_by_address.get(address) == uid:
             del self.uids_by_address[address]
 
@@ -383,6 +388,8 @@
         if endpoint_state is EndpointState.REMOVED:
             self.removed_at.setdefault(uid, time.monotonic())
         if listed_address is not None:
+            if listed_address != self.addresses.get(number):
+                self._release_address(uid, self.addresses.get(number))
             self.addresses[number] = listed_address
         return ListedEndpoint(
             number, zone, kind, group, endpoint_state, self._rate(uid, entry.get("capacity_hint", 0.0))
--- a/tests/net/test_departed_receivers.py
+++ b/tests/net/test_departed_receivers.py
@@ -15,7 +15,7 @@
 from cedarwick.net.connections import ConnectionPool
 from cedarwick.net.counters import Counters
 from cedarwick.net.descriptors import DescriptorBudget
-from cedarwick.net.endpoint_list import EndpointList
+from cedarwick.net.endpoint_list import FORGET_REMOVED_AFTER_S, EndpointList
 from tests.build import NOW, SETTINGS, Program, Receiver, encode_submit, free_port, read_line, reply, wait_for_condition
 from tests.ops.test_ops import management_call
 
@@ -165,6 +165,25 @@
             self.assertLessEqual(len(table), 9)
         self.assertLessEqual(len(endpoint_list.uids_by_address), 2)
 
+    def test_a_receiver_is_displaced_long_after_it_got_a_number_of_its_own(self) -> None:
+        """Guards against the end of the earlier number, which took the address from the receiver that is there."""
+        history = ListHistory()
+        history.update(True, listed_entry("s-0"), listed_entry("s-1"))
+        history.update(False, listed_entry("s-0", pod_group=9))
+        with mock.patch("time.monotonic", return_value=time.monotonic() + 2 * FORGET_REMOVED_AFTER_S):
+            history.update(False, listed_entry("s-1", capacity_hint=2.0))
+            history.update(False, listed_entry("s-2", endpoint="127.0.0.1:1"))
+        self.assertEqual(self.destinations(history), {"s-1": 2, "s-2": 3})
+
+    def test_a_receiver_that_moves_on_and_on_leaves_no_addresses_behind(self) -> None:
+        """Guards against a table of addresses that grows with each move."""
+        history = ListHistory()
+        for port in range(1, 201):
+            history.update(False, listed_entry("s-0", endpoint=f"127.0.0.1:{port}"))
+            if port % 2:
+                history.update(False, {"uid": "s-0", "state": "removed"})
+        self.assertEqual(history.endpoint_list.uids_by_address, {("127.0.0.1", 200): "s-0"})
+
 
 class MovedReceiverTest(unittest.TestCase):
     def test_a_connection_to_the_earlier_address_of_a_receiver_is_not_current(self) -> None:
