Tests of the two loops that mended without one: management address, watch

The accept loop of the management address and the watch of the list have a test each now, in one form with that of the fleet's server.

--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -16,21 +16,27 @@
 from cedarwick.fleet.messages import Acknowledged
 from cedarwick.fleet.peer_server import PeerServer
 from cedarwick.fleet.peer_verifier import PeerVerifier
-from cedarwick.net.buffer import INITIAL_BYTES
+from cedarwick.net import endpoint_list as endpoint_list_module
+from cedarwick.net.assignment import Assignment
+from cedarwick.net.buffer import INITIAL_BYTES, Buffer
 from cedarwick.net.counters import Counters
+from cedarwick.net.endpoint_list import EndpointList
+from cedarwick.net.http import InvalidResponseError
+from cedarwick.ops.management_server import ManagementServer
 from tests.build import Program, Receiver, encode_command, encode_submit, read_line, reply
 from tests.net.test_request_memory import peak_memory_mb
 
 FLOOD_S = 2.5
 ANSWER_WITHIN_S = 0.4  # clients wait no longer (protocol page)
 ASK_INTERVAL_S = 0.02
+EVENTS = 1_000  # reads or accepts that find input at once
 GROWTH_MB = 16  # of which a process may grow under a flood; growth without end passes any bound
 REQUESTS_PER_WRITE = 200
 
 
 def padded_ping(size: int) -> bytes:
     """Return a PING with an argument that makes it `size` bytes long."""
-    empty = len(encode_command(b"PING", bytes(1_000))) - 1_000
+    empty = len(encode_command(b"PING", bytes(EVENTS))) - EVENTS
     return encode_command(b"PING", bytes(size - empty))
 
 
@@ -125,7 +131,22 @@
         program.kill()
 
 
-class PeerFloodTest(unittest.TestCase):
+class BusyLoopTest(unittest.TestCase):
+    """Guards against loops over input that wait for nothing while input is there."""
+
+    def count_turns(self) -> list[None]:
+        """Return a list that grows with each turn of another greenlet."""
+        turns: list[None] = []
+
+        def count() -> None:
+            while True:
+                turns.append(None)
+                gevent.sleep(0)
+
+        counting = gevent.spawn(count)
+        self.addCleanup(counting.kill)
+        return turns
+
     def test_a_caller_whose_next_request_is_always_there_does_not_block_other_greenlets(self) -> None:
         logger.disable("cedarwick")
         self.addCleanup(logger.enable, "cedarwick")
@@ -142,25 +163,55 @@
         def receive(*_: object) -> bytes:
             nonlocal reads
             reads += 1
-            return request if reads < 1_000 else b""
-
-        turns = 0
+            return request if reads < EVENTS else b""
 
-        def count_turns() -> None:
-            nonlocal turns
-            while True:
-                turns += 1
-                gevent.sleep(0)
-
-        counting = gevent.spawn(count_turns)
-        self.addCleanup(counting.kill)
+        turns = self.count_turns()
         with mock.patch.object(peer_server, "receive", receive):
             sock = mock.create_autospec(gevent.socket.socket, instance=True)
             server._serve_connection(sock, ("127.0.0.1", 1))
-        self.assertEqual(reads, 1_000)
-        self.assertGreater(turns, 500)
+        self.assertEqual(reads, EVENTS)
+        self.assertGreater(len(turns), EVENTS / 2)
         server.stop(0)
 
+    def test_callers_that_always_wait_at_the_management_address_do_not_block_other_greenlets(self) -> None:
+        server = ManagementServer(("127.0.0.1", 0), Counters(), lambda _: "YES\n")
+        self.addCleanup(server.listener.close)
+        turns, accepted = self.count_turns(), 0
+
+        def accept() -> object:
+            nonlocal accepted
+            accepted += 1
+            if accepted > EVENTS:
+                raise KeyboardInterrupt
+            return mock.sentinel.caller, ("127.0.0.1", 1)
+
+        with (
+            mock.patch.object(server, "_start_serving"),
+            mock.patch.object(server, "listener", mock.Mock(accept=accept)),
+            self.assertRaises(KeyboardInterrupt),
+        ):
+            server.serve()
+        self.assertGreater(len(turns), EVENTS / 2)
+
+    def test_an_agent_that_always_has_more_to_send_does_not_block_other_greenlets(self) -> None:
+        assignment = Assignment("n", ("", 0), ("", 0), "", 1, 64, 1 << 20, {}, {})
+        endpoint_list = EndpointList(assignment, Counters(), lambda *_: None, lambda: None)
+        turns, reads = self.count_turns(), 0
+
+        def receive(_: object, raw: Buffer, *__: object) -> int:
+            nonlocal reads
+            reads += 1
+            raw.append(b"1\r\n\n\r\n" if reads > 1 else b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            return int(reads <= EVENTS)
+
+        with (
+            mock.patch.object(endpoint_list, "_receive", receive),
+            mock.patch.object(endpoint_list_module, "open_connection"),
+            self.assertRaises(InvalidResponseError),
+        ):
+            endpoint_list._follow_updates()
+        self.assertGreater(len(turns), EVENTS / 2)
+
 
 if __name__ == "__main__":
     unittest.main()
