--- a/tests/net/test_departed_clients.py
+++ b/tests/net/test_departed_clients.py
@@ -137,7 +137,9 @@
         self.assertEqual(self.withdrawn, ["unheard"])
 
 
-class LeavingClientProcessTest(unittest.TestCase):
+class ClientProcessTestCase(unittest.TestCase):
+    """Runs a program with one receiver, and hands in messages on connections of their own."""
+
     def start(self, answer: Callable[[int], bytes | None]) -> tuple[Program, Receiver]:
         receiver = Receiver(answer)
         program = Program([receiver])
@@ -150,6 +152,8 @@
             client.sendall(encode_submit(message, body=body))
             return read_line(client)
 
+
+class LeavingClientProcessTest(ClientProcessTestCase):
     def test_nothing_of_a_client_that_has_left_is_called_and_its_ids_run_at_most_once(self) -> None:
         for how in ("close", "reset"):
             with self.subTest(how=how):
--- a/tests/net/test_repeated_ids.py
+++ b/tests/net/test_repeated_ids.py
@@ -6,7 +6,6 @@
 import threading
 import time
 import unittest
-from collections.abc import Callable
 
 import gevent
 from hypothesis import given, settings
@@ -27,7 +26,7 @@
     wait_for_condition,
 )
 from tests.net.test_client_listener_races import BUSY, OK
-from tests.net.test_departed_clients import QUIET_S, called_ids
+from tests.net.test_departed_clients import QUIET_S, ClientProcessTestCase, called_ids
 from tests.ops.test_ops import management_call, stop_process
 
 
@@ -90,19 +89,7 @@
         self.assertEqual(self.submit("later").answer.get(timeout=1)[0], AdmissionResult.BUSY)
 
 
-class RestartTest(unittest.TestCase):
-    def start(self, answer: Callable[[int], bytes | None]) -> tuple[Program, Receiver]:
-        receiver = Receiver(answer)
-        program = Program([receiver])
-        self.addCleanup(program.close)
-        program.start()
-        return program, receiver
-
-    def submit(self, program: Program, message: str, body: bytes = b"x") -> bytes:
-        with program.connect() as client:
-            client.sendall(encode_submit(message, body=body))
-            return read_line(client)
-
+class RestartTest(ClientProcessTestCase):
     def test_an_id_that_comes_again_after_a_restart_runs_once(self) -> None:
         """Guards against ids that only the process that took them remembered."""
         for end in ("kill", "terminate"):
